--- /dev/null
+++ b/peridotspoke/programs/admin.py
@@ -0,0 +1,66 @@
+"""The admin port of the long-lived programs: metrics, liveness, readiness."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+__all__ = ["Health", "HealthSource", "make_admin_application"]
+
+HTTP_UNAVAILABLE = 503
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """Whether a process can do its job, why not, and details for operators."""
+
+    ready: bool
+    reasons: tuple[str, ...] = ()
+    details: dict[str, str | int | float | bool] = field(default_factory=dict)
+
+
+class HealthSource(ABC):
+    """Something that knows whether its process can do its job."""
+
+    @abstractmethod
+    def read_health(self):
+        """Return the `Health` at this moment."""
+
+
+def make_admin_application(metrics, source):
+    """Return the aiohttp application of the admin port.
+
+    Parameters
+    ----------
+    metrics : MetricsRegistry
+    source : HealthSource
+
+    Notes
+    -----
+    ``GET /live`` answers 200 while the event loop runs, ``GET /ready`` 200 or 503
+    with the reasons, ``GET /metrics`` the Prometheus text format.
+    """
+
+    async def show_live(request):
+        return web.json_response({"live": True})
+
+    async def show_ready(request):
+        health = source.read_health()
+        document = {
+            "ready": health.ready,
+            "reasons": health.reasons,
+            "details": health.details,
+        }
+        status = web.HTTPOk.status_code if health.ready else HTTP_UNAVAILABLE
+        return web.json_response(document, status=status)
+
+    async def show_metrics(request):
+        headers = {"Content-Type": METRICS_TYPE}
+        return web.Response(body=metrics.render(), headers=headers)
+
+    application = web.Application()
+    application.router.add_get("/live", show_live)
+    application.router.add_get("/ready", show_ready)
+    application.router.add_get("/metrics", show_metrics)
+    return application
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -12,6 +12,7 @@
 from peridotspoke.exceptions import PlatformError, RecordError
 from peridotspoke.identities import make_operation_id, split_address
 from peridotspoke.logs import log_event
+from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.platform import (
     GatewayKeyValueService,
     HttpInstanceList,
@@ -19,6 +20,11 @@
     follow_prefix,
 )
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
+from peridotspoke.programs.admin import (
+    Health,
+    HealthSource,
+    make_admin_application,
+)
 from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.requests import (
@@ -34,7 +40,7 @@
 MAX_CONNECTIONS_PER_HOST = 8
 
 
-class EntryInstance:
+class EntryInstance(HealthSource):
     """One entry instance: its sockets, its followers and the request pipeline.
 
     Parameters
@@ -45,6 +51,7 @@
     """
 
     def __init__(self, settings, clock, random):
+        self.metrics = MetricsRegistry()
         self.address = ""
         self.admin_address = ""
         self.pipeline = None
@@ -82,7 +89,9 @@
             asyncio.create_task(self._follow_list(instance_list)),
         ]
         self.address = await self._serve(settings.listen, self._make_application())
-        self.admin_address = await self._serve(settings.admin, self._make_admin())
+        self.admin_address = await self._serve(
+            settings.admin, make_admin_application(self.metrics, self)
+        )
         log_event("entry-started", listen=self.address, admin=self.admin_address)
 
     async def stop(self):
@@ -93,9 +102,15 @@
         await self._stack.aclose()
         log_event("entry-stopped")
 
-    def is_ready(self):
-        """Return whether requests can be served."""
-        return self.pipeline.configuration is not None
+    def read_health(self):
+        """Return the `Health` at this moment."""
+        configuration = self.pipeline.configuration
+        ready = configuration is not None
+        return Health(
+            ready=ready,
+            reasons=() if ready else ("no configuration is in force",),
+            details={"version": configuration.version if ready else 0},
+        )
 
     async def _serve(self, listen, application):
         host, port = split_address(listen)
@@ -111,12 +126,6 @@
         application.router.add_route("*", "/{service}/{path:.*}", self._handle)
         return application
 
-    def _make_admin(self):
-        application = web.Application()
-        application.router.add_get("/live", self._show_live)
-        application.router.add_get("/ready", self._show_ready)
-        return application
-
     async def _handle(self, request):
         service = request.match_info["service"]
         incoming = IncomingRequest(
@@ -129,22 +138,19 @@
             received_at=self._clock.read_monotonic(),
         )
         conclusion = await self.pipeline.serve(incoming)
+        taken = self._clock.read_monotonic() - incoming.received_at
+        known = self._label_service(service)
+        self.metrics.count("requests", service=known, outcome=conclusion.outcome)
+        self.metrics.observe("request_seconds", taken, outcome=conclusion.outcome)
         return web.Response(
             status=conclusion.status, headers=conclusion.headers, body=conclusion.body
         )
 
-    async def _show_live(self, request):
-        return web.json_response({"live": True})
-
-    async def _show_ready(self, request):
-        ready = self.is_ready()
+    def _label_service(self, service):
+        """Return a label; callers can't make up further series of metrics."""
         configuration = self.pipeline.configuration
-        document = {
-            "ready": ready,
-            "version": configuration.version if configuration else 0,
-            "outcomes": self.pipeline.outcomes,
-        }
-        return web.json_response(document, status=200 if ready else 503)
+        known = configuration is not None and service in configuration.services
+        return service if known else "unknown"
 
     def _apply_configuration(self, configuration):
         self.pipeline.configuration = configuration
