Read the instance list by its entity tag

Cause: each process reads the whole list once a second. At 1,100 instances the answer has 253,990 bytes, 36 times the bound of 7 KB a second for a node. Ruled out: reading it less often, since a leaving upstream has to be seen within seconds; spreading differences between peers, which a zone alone can't use. A change of the list still costs one whole list.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that anyone can run again; see docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/benchmarks/list_bytes.py
@@ -0,0 +1,66 @@
+"""Bytes of one poll of the instance list, first and repeated, by its size.
+
+Run: ``python -m benchmarks.list_bytes``
+"""
+
+import asyncio
+
+import aiohttp
+
+from peridotspoke.clock import SystemClock
+from peridotspoke.platform import HttpInstanceList, ListedInstance
+from peridotspoke.standins import PlatformStandIn, start_server
+
+SIZES = (40, 275, 550, 1100)
+
+
+def make_instances(count):
+    """Return `count` listed instances over 6 zones, four to a rack."""
+    return [
+        ListedInstance(
+            instance=f"instance-{number:04d}",
+            zone=f"zone-{number % 6}",
+            rack=f"zone-{number % 6}-rack-{number // 24}",
+            state="live",
+            incarnation=1,
+            executor=f"10.0.{number // 250}.{number % 250}:8000",
+            worker=f"10.0.{number // 250}.{number % 250}:8001",
+            accelerators=number % 3,
+        )
+        for number in range(count)
+    ]
+
+
+async def measure_polls(count):
+    """Return the body bytes of the first and of a repeated poll."""
+    stand_in = PlatformStandIn(SystemClock())
+    stand_in.list_instances(make_instances(count))
+    server, address = await start_server(stand_in.make_application())
+    sizes = []
+    trace = aiohttp.TraceConfig()
+
+    async def note_size(session, context, params):
+        body = await params.response.read()
+        head = sum(
+            len(name) + len(value) + 4 for name, value in params.response.raw_headers
+        )
+        sizes.append(len(body) + head)
+
+    trace.on_request_end.append(note_size)
+    async with aiohttp.ClientSession(trace_configs=[trace]) as session:
+        reader = HttpInstanceList(f"http://{address}", 5.0, session)
+        for _ in range(2):
+            await reader.read_instances()
+    await server.cleanup()
+    return sizes
+
+
+def main():
+    """Print one line for each size."""
+    for count in SIZES:
+        first, repeated = asyncio.run(measure_polls(count))
+        print(f"instances={count} first_bytes={first} repeated_bytes={repeated}")
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/platform/instances.py
+++ b/peridotspoke/platform/instances.py
@@ -13,6 +13,7 @@
 __all__ = ["HttpInstanceList", "InstanceList", "ListedInstance", "parse_instances"]
 
 HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,26 +77,44 @@
 
 
 class HttpInstanceList(InstanceList):
-    """The list over HTTP: ``GET /instances``."""
+    """The list over HTTP: ``GET /instances``, conditional by its entity tag.
+
+    An unchanged list is answered with status 304 and no body, so that the bytes of
+    a poll don't grow with the fleet [1]_.
+
+    References
+    ----------
+    .. [1] RFC 9110, section 13.1.2, "If-None-Match".
+    """
 
     def __init__(self, url, timeout, session):
         self._url = url.rstrip("/") + "/instances"
         self._timeout = aiohttp.ClientTimeout(total=timeout)
         self._session = session
+        self._tag = ""
+        self._listed = ()
 
     async def read_instances(self):
-        """Return a tuple of `ListedInstance`."""
+        """Return a tuple of `ListedInstance`; the same object while unchanged."""
+        headers = {"If-None-Match": self._tag} if self._tag else {}
         try:
-            async with self._session.get(self._url, timeout=self._timeout) as response:
+            async with self._session.get(
+                self._url, timeout=self._timeout, headers=headers
+            ) as response:
                 body = await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise PlatformUnavailableError(
-                repr(error), step="read instance list", peer=self._url
-            ) from error
+            raise self._make_unavailable(repr(error)) from error
+        if response.status == HTTP_NOT_MODIFIED and self._tag:
+            return self._listed
         if response.status != HTTP_OK:
-            raise PlatformUnavailableError(
-                f"expected status 200, found {response.status}",
-                step="read instance list",
-                peer=self._url,
+            raise self._make_unavailable(
+                f"expected status 200, found {response.status}"
             )
-        return parse_instances(body)
+        self._listed = parse_instances(body)
+        self._tag = response.headers.get("ETag", "")
+        return self._listed
+
+    def _make_unavailable(self, reason):
+        return PlatformUnavailableError(
+            reason, step="read instance list", peer=self._url
+        )
--- a/peridotspoke/standins/platform.py
+++ b/peridotspoke/standins/platform.py
@@ -179,8 +179,13 @@
     async def _show_instances(self, request):
         horizon = self._clock.read_monotonic() - self.faults.list_lag
         shown = [listed for listed_at, listed in self._lists if listed_at <= horizon]
+        tag = f'"{len(shown)}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
         return web.Response(
-            body=msgspec.json.encode(shown[-1]), content_type="application/json"
+            body=msgspec.json.encode(shown[-1]),
+            content_type="application/json",
+            headers={"ETag": tag},
         )
 
     async def _show_calls(self, request):
