Take shares of slots from an abstract base class

Cause: shares of an executor's slots were worked out inside the pipeline, so slots lent by a keeper could not replace equal shares.

FixedShares is the baseline and rounds down: with more entry instances than slots it gives none, since max(1, ...) would let 16 entries put 16 requests on 8 slots. Ruled out: passing the queue to the lender, which would tie the two together.

--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -22,6 +22,7 @@
 from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.requests import (
+    FixedShares,
     Forwarder,
     IncomingRequest,
     RequestPipeline,
@@ -73,7 +74,8 @@
             settings.platform, settings.platform_timeout, session
         )
         forwarder = Forwarder(self._clock, upstream_session)
-        self.pipeline = RequestPipeline(settings, self._clock, forwarder)
+        shares = FixedShares(settings.entry_instances)
+        self.pipeline = RequestPipeline(settings, self._clock, forwarder, shares)
         follower = ConfigurationFollower(service)
         follower.configurations.subscribe(self._apply_configuration)
         self._tasks = [
--- a/peridotspoke/requests/__init__.py
+++ b/peridotspoke/requests/__init__.py
@@ -15,16 +15,19 @@
 )
 from peridotspoke.requests.pipeline import RequestPipeline
 from peridotspoke.requests.routing import RoutingTable, build_routing_table
+from peridotspoke.requests.shares import FixedShares, SlotShares
 
 __all__ = [
     "AdmittedRequest",
     "Conclusion",
+    "FixedShares",
     "Forwarder",
     "IncomingRequest",
     "Outcome",
     "Refusal",
     "RequestPipeline",
     "RoutingTable",
+    "SlotShares",
     "Upstream",
     "UpstreamAnswer",
     "admit_request",
--- a/peridotspoke/requests/pipeline.py
+++ b/peridotspoke/requests/pipeline.py
@@ -21,15 +21,18 @@
     settings : EntrySettings
     clock : Clock
     forwarder : Forwarder
+    shares : SlotShares
     """
 
-    def __init__(self, settings, clock, forwarder):
+    def __init__(self, settings, clock, forwarder, shares):
         self.configuration = None
         self.routes = RoutingTable()
         self.outcomes = Counter()
         self._settings = settings
         self._clock = clock
         self._forwarder = forwarder
+        self._shares = shares
+        shares.subscribe(self._wake_all)
         self._in_use = Counter()
         self._waiting = {}
 
@@ -69,7 +72,9 @@
         while True:
             upstreams = self.routes.get_upstreams(service)
             shares = {
-                item.instance: max(1, item.slots // self._settings.entry_instances)
+                item.instance: self._shares.get_share(
+                    item, self._clock.read_monotonic()
+                )
                 for item in upstreams
             }
             chosen = choose_upstream(
@@ -89,6 +94,14 @@
             except TimeoutError:
                 return None
 
+    def count_in_flight(self, instance):
+        """Return the requests of this entry that `instance` carries."""
+        return self._in_use[instance]
+
+    def _wake_all(self):
+        for service in self._waiting:
+            self._wake_next(service)
+
     def _wake_next(self, service):
         queue = self._waiting.get(service)
         while queue:
