--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -28,6 +28,7 @@
 from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.requests import (
+    FixedShares,
     Forwarder,
     IncomingRequest,
     RequestPipeline,
@@ -80,7 +81,8 @@
             settings.platform, settings.platform_timeout, session
         )
         forwarder = Forwarder(self._clock, upstream_session)
-        self.pipeline = RequestPipeline(settings, self._clock, forwarder)
+        shares = FixedShares(settings.entry_instances)
+        self.pipeline = RequestPipeline(settings, self._clock, forwarder, shares)
         follower = ConfigurationFollower(service)
         follower.configurations.subscribe(self._apply_configuration)
         self._tasks = [
