Keep each process within its share of the platform's rate

Cause: nothing bounded the calls of a process to the key-value service, which counts every call and grows more slowly than the fleet.

Calls of less urgent kinds leave a reserve in the bucket, so that a lease renewal finds a token while reads wait. A queue by priority was weighed and left out: it needs a task of its own and gives the same order, since the reserve holds back the same calls. Writes and reads have a bucket each, because the service's rates for them differ by a factor of about five.

Conclusion: a call that would wait beyond the limit fails as unavailable, which is true, as it was never sent.

--- a/peridotspoke/platform/__init__.py
+++ b/peridotspoke/platform/__init__.py
@@ -1,5 +1,10 @@
 """What the platform gives: key-value service, instance list, pools and workers."""
 
+from peridotspoke.platform.budget import (
+    BudgetedKeyValueService,
+    CallPriority,
+    open_service,
+)
 from peridotspoke.platform.following import FollowedRecords, follow_prefix
 from peridotspoke.platform.gateway import GatewayKeyValueService
 from peridotspoke.platform.instances import (
@@ -26,6 +31,8 @@
 )
 
 __all__ = [
+    "BudgetedKeyValueService",
+    "CallPriority",
     "Change",
     "ChangeNote",
     "FollowedRecords",
@@ -43,6 +50,7 @@
     "decode_record",
     "encode_stored",
     "follow_prefix",
+    "open_service",
     "parse_instances",
     "swap_stored",
 ]
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -13,9 +13,9 @@
 from peridotspoke.logs import log_event
 from peridotspoke.platform import (
     ChangeNote,
-    GatewayKeyValueService,
     HttpInstanceList,
     Stored,
+    open_service,
     swap_stored,
 )
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord, Phase, key_instance
@@ -50,9 +50,7 @@
         session = await self._stack.enter_async_context(
             aiohttp.ClientSession(headers={"Peridotspoke-Zone": settings.zone})
         )
-        service = GatewayKeyValueService(
-            settings.platform, settings.platform_timeout, self._clock, session
-        )
+        service = open_service(settings, self._clock, session)
         instance_list = HttpInstanceList(
             settings.platform, settings.platform_timeout, session
         )
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -13,10 +13,10 @@
 from peridotspoke.identities import make_operation_id, split_address
 from peridotspoke.logs import log_event
 from peridotspoke.platform import (
-    GatewayKeyValueService,
     HttpInstanceList,
     decode_record,
     follow_prefix,
+    open_service,
 )
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
 from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
@@ -66,9 +66,7 @@
             aiohttp.ClientSession(connector=connector, auto_decompress=False)
         )
         settings = self._settings
-        service = GatewayKeyValueService(
-            settings.platform, settings.platform_timeout, self._clock, session
-        )
+        service = open_service(settings, self._clock, session)
         instance_list = HttpInstanceList(
             settings.platform, settings.platform_timeout, session
         )
--- a/peridotspoke/settings.py
+++ b/peridotspoke/settings.py
@@ -27,6 +27,15 @@
     platform_timeout: float = Field(
         1.0, gt=0, description="limit of one call to the platform, seconds"
     )
+    platform_write_rate: float = Field(
+        30.0, gt=0, description="this process's share of the writes, calls a second"
+    )
+    platform_read_rate: float = Field(
+        120.0, gt=0, description="this process's share of the reads, calls a second"
+    )
+    platform_wait_limit: float = Field(
+        2.0, gt=0, description="longest wait for a call's turn in the share, seconds"
+    )
     log_level: str = Field(
         "INFO",
         pattern="^(DEBUG|INFO|WARNING|ERROR)$",
