--- /dev/null
+++ b/peridotspoke/planning/__init__.py
@@ -0,0 +1,27 @@
+"""Planning: from usage to needs, from needs to moves between pools."""
+
+from peridotspoke.planning.assignment import (
+    PlanningRules,
+    measure_evenness,
+    plan_moves,
+)
+from peridotspoke.planning.exposure import Assignment
+from peridotspoke.planning.views import (
+    InstanceView,
+    PastMove,
+    Plan,
+    PlannedMove,
+    PoolView,
+)
+
+__all__ = [
+    "Assignment",
+    "InstanceView",
+    "PastMove",
+    "Plan",
+    "PlannedMove",
+    "PlanningRules",
+    "PoolView",
+    "measure_evenness",
+    "plan_moves",
+]
