--- /dev/null
+++ b/benchmarks/fleets.py
@@ -0,0 +1,90 @@
+"""Fleets of any size for benchmarks: declarations, lists and records."""
+
+from peridotspoke.platform import ChangeNote, ListedInstance, Stored, encode_stored
+from peridotspoke.pools import InstanceRecord, Phase, key_instance
+
+__all__ = ["make_instances", "make_records", "make_texts", "name_pool"]
+
+ZONES = 6
+RACK_SIZE = 4
+INSTANCES_PER_POOL = 1100 / 199
+
+
+def name_pool(number):
+    """Return the name of pool `number`."""
+    return f"pool-{number:03d}"
+
+
+def make_texts(instances, pools):
+    """Return the declarations' texts by name of `pools` services, one the spare."""
+    size = max(1, round(instances / pools))
+    texts = {"deployment": 'deployment = "benchmark"\n'}
+    for number in range(pools):
+        name = name_pool(number)
+        texts[f"service/{name}"] = _make_text(name, size, spare=number == 0)
+    return texts
+
+
+def _make_text(name, size, spare):
+    return f"""service = "{name}"
+
+[pool]
+instances = {size}
+spare = {str(spare).lower()}
+
+[need]
+instances = {max(1, size - 2)}
+quantile = 0.95
+
+[budget]
+max_unavailable = 1
+
+[maintenance]
+period_days = 28
+windows = ["00:00-08:00"]
+
+[requests]
+time_limit = 5.0
+overflow = {str(not spare).lower()}
+"""
+
+
+def make_instances(count):
+    """Return `count` listed instances over the zones, four to a rack."""
+    return [
+        ListedInstance(
+            instance=f"instance-{number:04d}",
+            zone=f"zone-{number % ZONES}",
+            rack=f"zone-{number % ZONES}-rack-{number // (ZONES * RACK_SIZE)}",
+            state="live",
+            incarnation=1,
+            executor=f"127.9.{number // 250}.{number % 250}:8000",
+            worker=f"127.9.{number // 250}.{number % 250}:8001",
+            accelerators=number % 3,
+        )
+        for number in range(count)
+    ]
+
+
+def make_records(listed, pools):
+    """Return each instance's key and encoded record, dealt to the pools in turn."""
+    records = []
+    for number, item in enumerate(listed):
+        record = InstanceRecord(
+            instance=item.instance,
+            pool=name_pool(number % pools),
+            phase=Phase.SERVING,
+            epoch=1,
+            zone=item.zone,
+            rack=item.rack,
+        )
+        note = ChangeNote(
+            operation=f"{number:032x}",
+            author="benchmark",
+            action=f"adopt into pool {record.pool}",
+            reason="listed without a record",
+            at=0.0,
+        )
+        stored = Stored(record, (note,))
+        records.append((key_instance(item.instance), encode_stored(stored)))
+    return records
--- a/benchmarks/list_bytes.py
+++ b/benchmarks/list_bytes.py
@@ -7,30 +7,14 @@
 
 import aiohttp
 
+from benchmarks.fleets import make_instances
 from peridotspoke.clock import SystemClock
-from peridotspoke.platform import HttpInstanceList, ListedInstance
+from peridotspoke.platform import HttpInstanceList
 from peridotspoke.standins import PlatformStandIn, start_server
 
 SIZES = (40, 275, 550, 1100)
 
 
-def make_instances(count):
-    """Return `count` listed instances over 6 zones, four to a rack."""
-    return [
-        ListedInstance(
-            instance=f"instance-{number:04d}",
-            zone=f"zone-{number % 6}",
-            rack=f"zone-{number % 6}-rack-{number // 24}",
-            state="live",
-            incarnation=1,
-            executor=f"10.0.{number // 250}.{number % 250}:8000",
-            worker=f"10.0.{number // 250}.{number % 250}:8001",
-            accelerators=number % 3,
-        )
-        for number in range(count)
-    ]
-
-
 async def measure_polls(count):
     """Return the body bytes of the first and of a repeated poll."""
     stand_in = PlatformStandIn(SystemClock())
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -27,6 +27,11 @@
         self._reader = threading.Thread(target=self._read_lines, daemon=True)
         self._reader.start()
 
+    @property
+    def pid(self):
+        """The identity of the process."""
+        return self._process.pid
+
     def _read_lines(self):
         for line in self._process.stderr:
             with self._changed:
