--- a/peridotspoke/declarations/schema.py
+++ b/peridotspoke/declarations/schema.py
@@ -83,6 +83,8 @@
         Retries allowed as a share of first tries.
     body_limit : int
         Largest body of a request or an answer, bytes.
+    key_lifetime : float
+        Time for which an Idempotency-Key names one request, seconds.
     """
 
     time_limit: Seconds = 10.0
@@ -91,6 +93,7 @@
     overflow: bool = False
     retry_share: Share = 0.1
     body_limit: PositiveCount = 1 << 20
+    key_lifetime: Seconds = 600.0
 
 
 @dataclass(frozen=True, config=_STRICT)
