Join admission by deadline, retries, claims and graceful stop

Cause: a request that was queued while its service had no upstream was not woken by new routes; a late one waited to its limit; an answer to a request of the same connection's other life was only kept out by its identity.

The dispatcher owns queues and slots and is told of routes, shares and ends; the pipeline carries its answers to waiting tasks. Requests that aren't idempotent get a fresh connection; aiohttp's own second send on a connection that was closed is stopped by a client middleware. Callers' requests come through programs/callers.py, which also stops gracefully. Ruled out: handlers that are cancelled with their caller, which would lose the answer of a running request and free its slot early.

--- /dev/null
+++ b/peridotspoke/programs/callers.py
@@ -0,0 +1,313 @@
+"""The HTTP server for callers: reads requests, writes conclusions, stops."""
+
+import asyncio
+import enum
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from peridotspoke.identities import make_operation_id, split_address
+from peridotspoke.logs import log_event
+from peridotspoke.requests import (
+    IncomingRequest,
+    Outcome,
+    Refusal,
+    admit_head,
+    admit_request,
+    split_target,
+)
+
+__all__ = ["CallerServer", "Phase"]
+
+MAX_PARSED_LINE = 65536  # bytes; longer lines are refused by the parser
+HEAD_LIMIT = 10.0  # seconds until a new connection's first request must be there
+SMALL_BODY = 65536  # bytes that are sent without waiting for the caller
+HTTP_SERVER_ERROR = 500
+STOP_POLL = 0.02  # seconds
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Phase(enum.Enum):
+    """Where the server stands on its way from serving to stopped."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    REFUSING = "refusing"
+
+
+class CallerServer:
+    """Serves callers through a `RequestPipeline`.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    clock : Clock
+    random : random.Random
+        Gives the identities of requests.
+    pipeline : RequestPipeline
+    memory : BodyMemory
+    metrics : MetricsRegistry
+    """
+
+    def __init__(self, settings, clock, random, pipeline, memory, metrics):
+        self.address = ""
+        self.phase = Phase.SERVING
+        self.active = 0
+        self._settings = settings
+        self._clock = clock
+        self._random = random
+        self._pipeline = pipeline
+        self._memory = memory
+        self._metrics = metrics
+        self._server = None
+        self._listener = None
+
+    async def start(self):
+        """Open the socket."""
+        host, port = split_address(self._settings.listen)
+        self._server = _LimitedServer(
+            self._handle,
+            conclude=self._conclude_unread,
+            most_connections=self._settings.caller_connections,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=MAX_PARSED_LINE,
+            max_field_size=MAX_PARSED_LINE,
+            lingering_time=1.0,
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host, port, backlog=1024
+        )
+        port = self._listener.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    def is_serving(self):
+        """Return whether no stop has been asked for."""
+        return self.phase is Phase.SERVING
+
+    async def drain(self):
+        """Let the balancer notice, then refuse, and return when nothing runs.
+
+        The whole takes at most the settings' ``stop_limit``.
+        """
+        limit = self._clock.read_monotonic() + self._settings.stop_limit
+        self.phase = Phase.LEAVING
+        log_event("entry-leaving", active=self.active)
+        await asyncio.sleep(min(self._settings.stop_notice, self._settings.stop_limit))
+        self.phase = Phase.REFUSING
+        log_event("entry-refusing", active=self.active)
+        while (  # noqa: ASYNC110
+            self._count_unfinished() and self._clock.read_monotonic() < limit
+        ):
+            await asyncio.sleep(STOP_POLL)
+        if self._count_unfinished():
+            unfinished = self._count_unfinished()
+            log_event("stop-limit-reached", "ERROR", unfinished=unfinished)
+
+    async def stop(self):
+        """Close all sockets."""
+        if self._listener is not None:
+            self._listener.close()
+            self._server.pre_shutdown()
+            await self._server.shutdown(1.0)
+
+    def _count_unfinished(self):
+        return self.active + self._pipeline.count_running()
+
+    async def _handle(self, request):
+        self.active += 1
+        received_at = self._clock.read_monotonic()
+        try:
+            conclusion = await self._serve(request, received_at)
+            self._measure(request, conclusion, received_at)
+            return await self._answer(request, conclusion)
+        finally:
+            self.active -= 1
+
+    def _measure(self, request, conclusion, received_at):
+        """Count the outcome; callers can't make up further series of metrics."""
+        taken = self._clock.read_monotonic() - received_at
+        configuration = self._pipeline.configuration
+        service = request.raw_path[1:].partition("/")[0]
+        if configuration is None or service not in configuration.services:
+            service = "unknown"
+        outcome = conclusion.outcome.value
+        self._metrics.count("requests", service=service, outcome=outcome)
+        self._metrics.observe("request_seconds", taken, outcome=outcome)
+
+    async def _serve(self, request, received_at):
+        request_id = make_operation_id(self._random)
+        if self.phase is Phase.REFUSING:
+            detail = "this entry instance is stopping"
+            refusal = Refusal(503, Outcome.NOT_RUN, "Stopping", detail, 1)
+            return self._pipeline.conclude(request_id, refusal)
+        incoming = self._read_head(request, request_id, received_at)
+        if isinstance(incoming, Refusal):
+            return self._pipeline.conclude(request_id, incoming)
+        length = request.content_length
+        admitted = admit_head(incoming, self._pipeline.configuration, length)
+        if isinstance(admitted, Refusal):
+            return self._pipeline.conclude(request_id, admitted)
+        if not request.body_exists:
+            return await self._pipeline.serve(admitted)
+        limit = admitted.rules.body_limit
+        held = limit if length is None else length
+        if not self._memory.take(held):
+            detail = "the memory for bodies is in use"
+            refusal = Refusal(503, Outcome.NOT_RUN, "No memory", detail, 1)
+            return self._pipeline.conclude(request_id, refusal)
+        try:
+            return await self._serve_with_body(request, incoming, limit)
+        finally:
+            self._memory.give_back(held)
+
+    async def _serve_with_body(self, request, incoming, limit):
+        body = await self._read_body(request, limit)
+        if not isinstance(body, Refusal):
+            whole = IncomingRequest(
+                request_id=incoming.request_id,
+                service=incoming.service,
+                method=incoming.method,
+                path=incoming.path,
+                headers=incoming.headers,
+                body=body,
+                received_at=incoming.received_at,
+            )
+            body = admit_request(whole, self._pipeline.configuration)
+        if isinstance(body, Refusal):
+            return self._pipeline.conclude(incoming.request_id, body)
+        return await self._pipeline.serve(body)
+
+    def _read_head(self, request, request_id, received_at):
+        target = split_target(request.raw_path)
+        if isinstance(target, Refusal):
+            return target
+        service, path = target
+        return IncomingRequest(
+            request_id=request_id,
+            service=service,
+            method=request.method,
+            path=path,
+            headers=request.headers,
+            body=b"",
+            received_at=received_at,
+        )
+
+    async def _read_body(self, request, limit):
+        """Return the body, or a `Refusal` where it is too long, slow or broken."""
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(CONTINUE)
+            request.writer.output_size = 0
+        chunks = []
+        size = 0
+        try:
+            async with asyncio.timeout(self._settings.body_timeout):
+                async for chunk in request.content.iter_any():
+                    size += len(chunk)
+                    if size > limit:
+                        return _refuse_body(413, f"at most {limit} bytes", "more")
+                    chunks.append(chunk)
+        except TimeoutError:
+            expected = f"the whole body within {self._settings.body_timeout} s"
+            return _refuse_body(408, expected, f"{size} bytes")
+        except (aiohttp.ClientError, web.RequestPayloadError) as error:
+            return _refuse_body(400, "a whole body", repr(error))
+        return b"".join(chunks)
+
+    async def _answer(self, request, conclusion):
+        headers = CIMultiDict(conclusion.headers)
+        body = conclusion.body
+        response = web.Response(status=conclusion.status, headers=headers, body=body)
+        if self.phase is not Phase.SERVING:
+            response.force_close()
+        if len(body) <= SMALL_BODY:
+            return response
+        self._memory.hold(len(body))
+        try:
+            async with asyncio.timeout(self._settings.body_timeout):
+                await response.prepare(request)
+                await response.write_eof()
+        except TimeoutError:
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            self._memory.give_back(len(body))
+        return response
+
+    def _conclude_unread(self, status, reason):
+        """Return the `Conclusion` of what the parser refused or a fault broke off."""
+        if status < HTTP_SERVER_ERROR:
+            detail = f"request: expected HTTP/1.1, found {reason}"
+            refusal = Refusal(status, Outcome.NOT_RUN, "Bad request", detail)
+        else:
+            detail = "the entry instance failed"
+            refusal = Refusal(status, Outcome.UNKNOWN, "Outcome unknown", detail)
+        return self._pipeline.conclude(make_operation_id(self._random), refusal)
+
+
+def _refuse_body(status, expected, found):
+    detail = f"body: expected {expected}, found {found}"
+    return Refusal(status, Outcome.NOT_RUN, "Bad body", detail)
+
+
+class _LimitedServer(web.Server):
+    """A server with at most so many connections, which answers errors itself."""
+
+    def __init__(self, handler, *, conclude, most_connections, **options):
+        super().__init__(handler, **options)
+        self.conclude = conclude
+        self._most_connections = most_connections
+        self._options = options
+        self._options.pop("handler_cancellation")
+
+    def __call__(self):
+        return _CallerProtocol(self, loop=asyncio.get_running_loop(), **self._options)
+
+    def is_full(self):
+        return len(self.connections) > self._most_connections
+
+
+class _CallerProtocol(web.RequestHandler):
+    """One caller's connection."""
+
+    __slots__ = ("_head_timer", "_server")
+
+    def __init__(self, server, **options):
+        super().__init__(server, **options)
+        self._server = server
+        self._head_timer = None
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        if self._server.is_full():
+            transport.abort()
+            return
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(HEAD_LIMIT, self._close_unused)
+
+    def connection_lost(self, exc):
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+        super().connection_lost(exc)
+
+    def _close_unused(self):
+        if not self._request_count and self.transport is not None:
+            self.transport.abort()
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return a problem document for what the parser or the handler refused."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer has been sent in part")
+        reason = (message or repr(exc)).splitlines()[0]
+        log_event("request-refused", "WARNING", status=status, reason=reason)
+        conclusion = self._server.conclude(status, reason)
+        response = web.Response(
+            status=conclusion.status,
+            headers=CIMultiDict(conclusion.headers),
+            body=conclusion.body,
+        )
+        response.force_close()
+        return response
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -10,7 +10,7 @@
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import ConfigurationFollower
 from peridotspoke.exceptions import PlatformError, RecordError
-from peridotspoke.identities import make_operation_id, split_address
+from peridotspoke.identities import split_address
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.platform import (
@@ -25,20 +25,23 @@
     HealthSource,
     make_admin_application,
 )
+from peridotspoke.programs.callers import CallerServer
 from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.requests import (
+    BodyMemory,
+    ClaimRecord,
     FixedShares,
     Forwarder,
-    IncomingRequest,
+    KeyedRunner,
+    NoAnswerDirectory,
     RequestPipeline,
     build_routing_table,
 )
 
 __all__ = ["EntryInstance", "main"]
 
-MAX_BODY = 16 * 1024 * 1024  # bytes
-MAX_CONNECTIONS_PER_HOST = 8
+INCARNATION_BITS = 48
 
 
 class EntryInstance(HealthSource):
@@ -55,7 +58,9 @@
         self.metrics = MetricsRegistry()
         self.address = ""
         self.admin_address = ""
+        self.incarnation = random.getrandbits(INCARNATION_BITS)
         self.pipeline = None
+        self._callers = None
         self._settings = settings
         self._clock = clock
         self._random = random
@@ -69,31 +74,54 @@
         session = await self._stack.enter_async_context(
             aiohttp.ClientSession(headers={"Peridotspoke-Zone": self._settings.zone})
         )
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
-        upstream_session = await self._stack.enter_async_context(
-            aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        )
         settings = self._settings
         service = open_service(settings, self._clock, session)
         instance_list = HttpInstanceList(
             settings.platform, settings.platform_timeout, session
         )
-        forwarder = Forwarder(self._clock, upstream_session)
-        shares = FixedShares(settings.entry_instances)
-        self.pipeline = RequestPipeline(settings, self._clock, forwarder, shares)
+        memory = BodyMemory(settings.body_memory)
+        forwarder = Forwarder(settings, self._clock, memory)
+        self._stack.push_async_callback(forwarder.close)
+        self.pipeline = self._make_pipeline(service, forwarder)
+        self._callers = CallerServer(
+            settings, self._clock, self._random, self.pipeline, memory, self.metrics
+        )
+        self._stack.push_async_callback(self._callers.stop)
         follower = ConfigurationFollower(service)
         follower.configurations.subscribe(self._apply_configuration)
         self._tasks = [
+            asyncio.create_task(forwarder.run()),
             asyncio.create_task(follower.run()),
             asyncio.create_task(self._follow_records(service)),
             asyncio.create_task(self._follow_list(instance_list)),
         ]
-        self.address = await self._serve(settings.listen, self._make_application())
+        await self._callers.start()
+        self.address = self._callers.address
         self.admin_address = await self._serve(
             settings.admin, make_admin_application(self.metrics, self)
         )
         log_event("entry-started", listen=self.address, admin=self.admin_address)
 
+    def _make_pipeline(self, service, forwarder):
+        settings = self._settings
+        identity = ClaimRecord(settings.name, self.incarnation, settings.peer_listen)
+        keyed = KeyedRunner(
+            settings,
+            self._clock,
+            self._random,
+            service,
+            NoAnswerDirectory(),
+            identity,
+        )
+        shares = FixedShares(settings.entry_instances)
+        return RequestPipeline(
+            settings, self._clock, self._random, forwarder, shares, keyed
+        )
+
+    async def drain(self):
+        """Stop to be ready, refuse, and finish what runs within ``stop_limit``."""
+        await self._callers.drain()
+
     async def stop(self):
         """End all tasks and close all sockets."""
         for task in self._tasks:
@@ -105,11 +133,16 @@
     def read_health(self):
         """Return the `Health` at this moment."""
         configuration = self.pipeline.configuration
-        ready = configuration is not None
+        reasons = [] if configuration else ["no configuration is in force"]
+        if not self._callers.is_serving():
+            reasons.append("a stop was asked for")
         return Health(
-            ready=ready,
-            reasons=() if ready else ("no configuration is in force",),
-            details={"version": configuration.version if ready else 0},
+            ready=not reasons,
+            reasons=tuple(reasons),
+            details={
+                "version": configuration.version if configuration else 0,
+                "running": self.pipeline.count_running(),
+            },
         )
 
     async def _serve(self, listen, application):
@@ -120,38 +153,6 @@
         await web.TCPSite(runner, host, port).start()
         return f"{host}:{runner.addresses[0][1]}"
 
-    def _make_application(self):
-        application = web.Application(client_max_size=MAX_BODY)
-        application.router.add_route("*", "/{service}", self._handle)
-        application.router.add_route("*", "/{service}/{path:.*}", self._handle)
-        return application
-
-    async def _handle(self, request):
-        service = request.match_info["service"]
-        incoming = IncomingRequest(
-            request_id=make_operation_id(self._random),
-            service=service,
-            method=request.method,
-            path=request.raw_path.removeprefix(f"/{service}") or "/",
-            headers=dict(request.headers),
-            body=await request.read(),
-            received_at=self._clock.read_monotonic(),
-        )
-        conclusion = await self.pipeline.serve(incoming)
-        taken = self._clock.read_monotonic() - incoming.received_at
-        known = self._label_service(service)
-        self.metrics.count("requests", service=known, outcome=conclusion.outcome)
-        self.metrics.observe("request_seconds", taken, outcome=conclusion.outcome)
-        return web.Response(
-            status=conclusion.status, headers=conclusion.headers, body=conclusion.body
-        )
-
-    def _label_service(self, service):
-        """Return a label; callers can't make up further series of metrics."""
-        configuration = self.pipeline.configuration
-        known = configuration is not None and service in configuration.services
-        return service if known else "unknown"
-
     def _apply_configuration(self, configuration):
         self.pipeline.configuration = configuration
 
@@ -189,6 +190,7 @@
     await entry.start()
     try:
         await wait_for_stop()
+        await entry.drain()
     finally:
         await entry.stop()
 
--- a/peridotspoke/programs/settings.py
+++ b/peridotspoke/programs/settings.py
@@ -38,6 +38,41 @@
     stop_limit: float = Field(
         30.0, gt=0, description="longest time that a planned stop takes, seconds"
     )
+    stop_notice: float = Field(
+        3.0,
+        ge=0,
+        description="time of a planned stop in which requests are still taken, "
+        "until the balancer has noticed, seconds",
+    )
+    connect_timeout: float = Field(
+        1.0, gt=0, description="limit of opening a connection to an upstream, seconds"
+    )
+    attempt_limit: float = Field(
+        1.0,
+        gt=0,
+        description="shortest time after which a silent upstream is given up for "
+        "another, seconds",
+    )
+    idle_life: float = Field(
+        5.0, gt=0, description="time that a connection to an upstream idles, seconds"
+    )
+    body_timeout: float = Field(
+        10.0,
+        gt=0,
+        description="limit of reading a caller's body or writing it an answer, seconds",
+    )
+    body_memory: int = Field(
+        64 << 20, ge=1 << 20, description="memory for all bodies at once, bytes"
+    )
+    answer_memory: int = Field(
+        32 << 20, ge=0, description="memory for remembered answers, bytes"
+    )
+    answer_entries: int = Field(
+        10_000, ge=0, description="answers remembered at once, a number"
+    )
+    caller_connections: int = Field(
+        4096, ge=1, description="most connections of callers at once, a number"
+    )
 
 
 class ControlSettings(ProgramSettings):
--- a/peridotspoke/requests/__init__.py
+++ b/peridotspoke/requests/__init__.py
@@ -1,38 +1,110 @@
-"""The callers' pipeline: admit, queue, choose, forward, conclude."""
+"""The callers' pipeline: admit, claim, queue, choose, forward, conclude."""
 
-from peridotspoke.requests.admission import admit_request
+from peridotspoke.requests.admission import admit_head, admit_request, split_target
 from peridotspoke.requests.choosing import choose_upstream
-from peridotspoke.requests.concluding import conclude_answer, conclude_refusal
+from peridotspoke.requests.claiming import KeyedRunner
+from peridotspoke.requests.claims import (
+    CLAIMS_PREFIX,
+    AnswerDirectory,
+    AnswerState,
+    ClaimRecord,
+    KeyedRequests,
+    LeaseBucket,
+    NoAnswerDirectory,
+    RememberedAnswer,
+    fingerprint_request,
+    key_answer,
+    key_claim,
+)
+from peridotspoke.requests.concluding import (
+    OUTCOME,
+    REQUEST_ID,
+    conclude_answer,
+    conclude_refusal,
+)
+from peridotspoke.requests.connections import Connection, IdleConnections
+from peridotspoke.requests.fairness import FairTurns
 from peridotspoke.requests.forwarding import Forwarder
+from peridotspoke.requests.headers import filter_answer_headers, make_upstream_headers
+from peridotspoke.requests.health import UpstreamHealth
+from peridotspoke.requests.memory import BodyMemory, ExpiringMap
 from peridotspoke.requests.messages import (
     AdmittedRequest,
+    AttemptFailure,
     Conclusion,
+    FailureKind,
     IncomingRequest,
     Outcome,
     Refusal,
+    Reject,
+    Start,
+    Ticket,
     Upstream,
     UpstreamAnswer,
 )
 from peridotspoke.requests.pipeline import RequestPipeline
+from peridotspoke.requests.queueing import Dispatcher
+from peridotspoke.requests.retrying import (
+    Retry,
+    RetryBudget,
+    decide_retry,
+    limit_attempt,
+)
 from peridotspoke.requests.routing import RoutingTable, build_routing_table
+from peridotspoke.requests.runtimes import RunTimes
 from peridotspoke.requests.shares import FixedShares, SlotShares
 
 __all__ = [
+    "CLAIMS_PREFIX",
+    "OUTCOME",
+    "REQUEST_ID",
     "AdmittedRequest",
+    "AnswerDirectory",
+    "AnswerState",
+    "AttemptFailure",
+    "BodyMemory",
+    "ClaimRecord",
     "Conclusion",
+    "Connection",
+    "Dispatcher",
+    "ExpiringMap",
+    "FailureKind",
+    "FairTurns",
     "FixedShares",
     "Forwarder",
+    "IdleConnections",
     "IncomingRequest",
+    "KeyedRequests",
+    "KeyedRunner",
+    "LeaseBucket",
+    "NoAnswerDirectory",
     "Outcome",
     "Refusal",
+    "Reject",
+    "RememberedAnswer",
     "RequestPipeline",
+    "Retry",
+    "RetryBudget",
     "RoutingTable",
+    "RunTimes",
     "SlotShares",
+    "Start",
+    "Ticket",
     "Upstream",
     "UpstreamAnswer",
+    "UpstreamHealth",
+    "admit_head",
     "admit_request",
     "build_routing_table",
     "choose_upstream",
     "conclude_answer",
     "conclude_refusal",
+    "decide_retry",
+    "filter_answer_headers",
+    "fingerprint_request",
+    "key_answer",
+    "key_claim",
+    "limit_attempt",
+    "make_upstream_headers",
+    "split_target",
 ]
--- a/peridotspoke/requests/concluding.py
+++ b/peridotspoke/requests/concluding.py
@@ -4,7 +4,7 @@
 
 from peridotspoke.requests.messages import Conclusion, Outcome
 
-__all__ = ["conclude_answer", "conclude_refusal"]
+__all__ = ["OUTCOME", "REQUEST_ID", "conclude_answer", "conclude_refusal"]
 
 OUTCOME = "Peridotspoke-Outcome"
 REQUEST_ID = "Peridotspoke-Request-Id"
@@ -12,19 +12,23 @@
 
 def conclude_answer(request_id, answer):
     """Return the `Conclusion` of a whole answer."""
-    headers = {**answer.headers, OUTCOME: Outcome.ANSWERED, REQUEST_ID: request_id}
+    headers = (
+        *answer.headers,
+        (OUTCOME, Outcome.ANSWERED.value),
+        (REQUEST_ID, request_id),
+    )
     return Conclusion(answer.status, Outcome.ANSWERED, headers, answer.body)
 
 
 def conclude_refusal(request_id, refusal):
     """Return the `Conclusion` of a refusal as a problem document (RFC 9457)."""
-    headers = {
-        OUTCOME: refusal.outcome,
-        REQUEST_ID: request_id,
-        "Content-Type": "application/problem+json",
-    }
+    headers = [
+        (OUTCOME, refusal.outcome.value),
+        (REQUEST_ID, request_id),
+        ("Content-Type", "application/problem+json"),
+    ]
     if refusal.retry_after:
-        headers["Retry-After"] = str(refusal.retry_after)
+        headers.append(("Retry-After", str(refusal.retry_after)))
     document = {
         "type": "about:blank",
         "title": refusal.title,
@@ -34,5 +38,5 @@
         "instance": request_id,
     }
     return Conclusion(
-        refusal.status, refusal.outcome, headers, msgspec.json.encode(document)
+        refusal.status, refusal.outcome, tuple(headers), msgspec.json.encode(document)
     )
--- a/peridotspoke/requests/forwarding.py
+++ b/peridotspoke/requests/forwarding.py
@@ -1,110 +1,209 @@
 """Sends one request to one upstream and reads the whole answer."""
 
 import asyncio
-from dataclasses import dataclass
 
 import aiohttp
+from yarl import URL
 
 from peridotspoke.requests.concluding import OUTCOME, REQUEST_ID
-from peridotspoke.requests.messages import Outcome, UpstreamAnswer
-
-__all__ = ["AttemptFailure", "Forwarder"]
-
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "content-encoding",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    }
+from peridotspoke.requests.connections import Connection, IdleConnections
+from peridotspoke.requests.headers import filter_answer_headers, make_upstream_headers
+from peridotspoke.requests.messages import (
+    AttemptFailure,
+    FailureKind,
+    Outcome,
+    UpstreamAnswer,
 )
 
+__all__ = ["Forwarder"]
 
-@dataclass(frozen=True, slots=True)
-class AttemptFailure:
-    """An attempt without a whole answer; `ran` is False where it surely didn't run."""
+AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+CONNECT_SHARE = 0.8  # of an attempt's limit
+FIRST_FINAL_STATUS = 200
+BODILESS_STATUSES = frozenset({204, 304})
 
-    ran: bool
-    reason: str
+
+class ConnectionLostError(aiohttp.ClientError):
+    """The connection ended after bytes of the request may have been sent."""
+
+
+async def _hide_lost_connection(request, handler):
+    """Turn the errors after which aiohttp would send a request again by itself."""
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionLostError(repr(error)) from error
 
 
 class Forwarder:
     """Owns the connections to the upstreams.
 
+    An idempotent request may go over an idle connection. Any other goes over a
+    fresh one, since an idle one may be closing or have gone silent.
+
     Parameters
     ----------
+    settings : EntrySettings
     clock : Clock
-    session : aiohttp.ClientSession
-        Owned by the caller.
+    memory : BodyMemory
+        Counts the bodies of answers while they are read.
     """
 
-    def __init__(self, clock, session):
+    def __init__(self, settings, clock, memory):
+        self._settings = settings
         self._clock = clock
-        self._session = session
+        self._memory = memory
+        self._idle = IdleConnections(settings.idle_life)
+        self._fresh = None
+        self._closing = set()
 
-    async def forward(self, request, upstream):
-        """Return the `UpstreamAnswer` or an `AttemptFailure`."""
-        left = request.deadline - self._clock.read_monotonic()
-        if left <= 0:
-            return AttemptFailure(False, "the time limit passed")
+    async def run(self):
+        """Close idle connections whose life is over, until cancelled."""
+        while True:
+            await asyncio.sleep(self._settings.idle_life / 2)
+            expired = self._idle.drop_expired(self._clock.read_monotonic())
+            self._close_connections(expired)
+
+    async def close(self):
+        """Close all connections."""
+        self._close_connections(self._idle.drop_expired(float("inf")))
+        if self._fresh is not None:
+            await self._fresh.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    async def forward(self, request, upstream, limit):
+        """Return the `UpstreamAnswer` or an `AttemptFailure`.
+
+        Parameters
+        ----------
+        request : AdmittedRequest
+        upstream : Upstream
+        limit : float
+            Seconds that the attempt may take.
+        """
+        now = self._clock.read_monotonic()
+        if now >= request.deadline or limit <= 0:
+            return AttemptFailure(FailureKind.EXPIRED, "the time limit has passed")
+        if not request.idempotent:
+            if self._fresh is None:
+                connector = aiohttp.TCPConnector(limit=0, force_close=True)
+                self._fresh = _open_session(connector)
+            return await self._try(request, upstream, limit, self._fresh, False)
+        connection = self._idle.take(upstream.address, now)
+        reused = connection is not None
+        if connection is None:
+            session = _open_session(aiohttp.TCPConnector(limit=1))
+            connection = Connection(upstream.address, now, session)
+        result = None
+        try:
+            result = await self._try(request, upstream, limit, connection.session, True)
+        finally:
+            self._give_back(connection, result)
+        if reused and _is_kind(result, FailureKind.SILENT):
+            return AttemptFailure(result.kind, result.reason, upstream_busy=False)
+        return result
+
+    def _give_back(self, connection, result):
+        now = self._clock.read_monotonic()
+        if isinstance(result, UpstreamAnswer) and self._idle.put(connection, now):
+            return
+        self._close_connections([connection])
+        if _is_kind(result, FailureKind.SILENT) or _is_kind(result, FailureKind.BROKEN):
+            self._close_connections(self._idle.suspect(connection.address, now))
+
+    def _close_connections(self, connections):
+        for connection in connections:
+            task = asyncio.ensure_future(connection.session.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+    async def _try(self, request, upstream, limit, session, reusable):
         incoming = request.incoming
-        headers = {
-            name: value
-            for name, value in incoming.headers.items()
-            if name.lower() not in HOP_BY_HOP
-        }
-        headers[REQUEST_ID] = incoming.request_id
+        left = request.deadline - self._clock.read_monotonic()
+        connect = min(self._settings.connect_timeout, CONNECT_SHARE * limit)
         try:
             async with (
-                asyncio.timeout(left),
-                self._session.request(
+                asyncio.timeout(limit),
+                session.request(
                     incoming.method,
-                    f"http://{upstream.address}{incoming.path}",
-                    headers=headers,
+                    URL(f"http://{upstream.address}{incoming.path}", encoded=True),
+                    headers=make_upstream_headers(request, left, reusable),
                     data=incoming.body or None,
                     allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
                 ) as response,
             ):
-                return await self._read_answer(request, response)
-        except aiohttp.ClientConnectorError as error:
-            return AttemptFailure(False, repr(error))
+                result = await self._read_answer(request, response)
+                if isinstance(result, AttemptFailure):
+                    response.close()
+                return result
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return AttemptFailure(FailureKind.UNREACHABLE, repr(error))
         except TimeoutError:
-            return AttemptFailure(True, "no answer within the time limit")
-        except (aiohttp.ClientError, OSError) as error:
-            return AttemptFailure(True, repr(error))
+            return AttemptFailure(
+                FailureKind.SILENT, f"no answer within {limit:.3f} s", True
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return AttemptFailure(FailureKind.BROKEN, repr(error))
 
     async def _read_answer(self, request, response):
-        if response.headers.get(OUTCOME) == Outcome.NOT_RUN:
-            return AttemptFailure(False, "the upstream refused")
-        echoed = response.headers.get(REQUEST_ID)
-        if echoed != request.incoming.request_id:
-            response.close()
-            return AttemptFailure(True, f"answer to another request: {echoed}")
-        body = await self._read_body(response, request.body_limit)
+        echoed = response.headers.getall(REQUEST_ID, ())
+        if list(echoed) != [request.incoming.request_id]:
+            return _break(f"the answer is for another request: {echoed!r}")
+        if response.status < FIRST_FINAL_STATUS or not _has_known_end(response):
+            return _break("the answer's end can't be known")
+        body = await self._read_body(response, request.rules.body_limit)
         if body is None:
-            response.close()
-            return AttemptFailure(True, "the answer is too large")
-        headers = {
-            name: value
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_BY_HOP
-        }
+            return _break("the answer is larger than the limit")
+        if response.headers.get(OUTCOME) == Outcome.NOT_RUN:
+            return AttemptFailure(FailureKind.REFUSED, "the upstream refused")
+        headers = filter_answer_headers(response.headers)
         return UpstreamAnswer(response.status, headers, body)
 
     async def _read_body(self, response, limit):
+        """Return the body, or None where it exceeds `limit` or the memory."""
+        length = response.content_length
+        if length is not None and length > limit and response.method != "HEAD":
+            return None
         chunks = []
         size = 0
-        async for chunk in response.content.iter_any():
-            size += len(chunk)
-            if size > limit:
-                return None
-            chunks.append(chunk)
-        return b"".join(chunks)
+        try:
+            async for chunk in response.content.iter_any():
+                if size + len(chunk) > limit or not self._memory.take(len(chunk)):
+                    return None
+                size += len(chunk)
+                chunks.append(chunk)
+        finally:
+            self._memory.give_back(size)
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+
+def _open_session(connector):
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(_hide_lost_connection,),
+        skip_auto_headers=AUTOMATIC_HEADERS,
+    )
+
+
+def _break(reason):
+    return AttemptFailure(FailureKind.BROKEN, reason)
+
+
+def _is_kind(result, kind):
+    return isinstance(result, AttemptFailure) and result.kind is kind
+
+
+def _has_known_end(response):
+    """Return whether a cut answer would be noticed: a length or chunks say its end."""
+    headers = response.headers
+    return (
+        "Content-Length" in headers
+        or "chunked" in headers.get("Transfer-Encoding", "").lower()
+        or response.method == "HEAD"
+        or response.status in BODILESS_STATUSES
+    )
--- a/peridotspoke/standins/upstream.py
+++ b/peridotspoke/standins/upstream.py
@@ -71,7 +71,11 @@
             request.transport.abort()
             return web.Response()
         if self.faults.refuse:
-            return web.Response(status=503, headers={"Peridotspoke-Outcome": "not-run"})
+            headers = {
+                "Peridotspoke-Outcome": "not-run",
+                REQUEST_ID: request.headers.get(REQUEST_ID, ""),
+            }
+            return web.Response(status=503, headers=headers)
         return await self._run(request)
 
     def _note_connection(self, request):
