Check all flags before a program starts, and show its own help

Cause: fire binds the flags that it knows, calls the program and complains of the others only after the program has ended, so that a long-lived program ran with a mistyped flag ignored. Its help listed every flag twice without unit or default. All flags now reach the checked settings, which forbid unknown ones; help is made from the settings themselves.

--- a/peridotspoke/programs/running.py
+++ b/peridotspoke/programs/running.py
@@ -1,7 +1,6 @@
 """What all programs share: flags, settings, logs, signals and exit statuses."""
 
 import asyncio
-import inspect
 import signal
 import sys
 
@@ -23,6 +22,7 @@
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
+HELP_FLAGS = frozenset({"--help", "-h"})
 
 
 def make_command(program, settings_class, run, summary):
@@ -40,7 +40,12 @@
         The first line of the help text.
     """
 
-    def command(**flags):
+    def command(*extras, **flags):
+        if extras:
+            raise SettingsError(
+                f"expected flags such as --name=value, found {' '.join(extras)!r}",
+                step="read flags",
+            )
         settings = read_settings(settings_class, flags)
         instance = getattr(settings, "name", "")
         configure_logs(program, instance, settings.log_level)
@@ -48,19 +53,31 @@
         if status:
             sys.exit(status)
 
-    names = settings_class.model_fields
-    command.__signature__ = inspect.Signature(
-        [
-            inspect.Parameter(name, inspect.Parameter.KEYWORD_ONLY, default=None)
-            for name in names
-        ]
-    )
     command.__doc__ = f"{summary}\n\n{describe_settings(settings_class)}"
     return decorators.SetParseFn(str)(command)
 
 
 def run_commands(program, commands):
-    """Run the command line of `program`; exit with 2 on bad settings, 1 on errors."""
+    """Run the command line of `program`.
+
+    Parameters
+    ----------
+    program : str
+    commands : callable or dict of str to callable
+        One command, or the commands by name.
+
+    Notes
+    -----
+    Exit statuses: 0 done, 1 the command failed, 2 bad flags or settings. A command
+    may give further ones; its module names them.
+    """
+    arguments = sys.argv[1:]
+    if HELP_FLAGS.intersection(arguments):
+        print(_format_help(program, commands, arguments))
+        return
+    if not arguments and isinstance(commands, dict):
+        print(_format_help(program, commands, arguments), file=sys.stderr)
+        sys.exit(EXIT_USAGE)
     try:
         fire.Fire(commands, name=program)
     except SettingsError as error:
@@ -71,6 +88,21 @@
         sys.exit(EXIT_FAILURE)
 
 
+def _format_help(program, commands, arguments):
+    """Return the help of one command where it is named, else of the program."""
+    if not isinstance(commands, dict):
+        return f"usage: {program} [FLAGS]\n\n{commands.__doc__}"
+    named = next((name for name in arguments if name in commands), None)
+    if named is not None:
+        return f"usage: {program} {named} [FLAGS]\n\n{commands[named].__doc__}"
+    summaries = [
+        f"  {name}: {command.__doc__.splitlines()[0]}"
+        for name, command in commands.items()
+    ]
+    usage = f"usage: {program} COMMAND [FLAGS]"
+    return "\n".join([usage, "", *summaries, "", f"{program} COMMAND --help: flags"])
+
+
 async def wait_for_stop():
     """Return after the first SIGTERM or SIGINT; later ones are only logged."""
     stop = asyncio.Event()
--- /dev/null
+++ b/peridotspoke/programs/tests/command_lines.feature
@@ -0,0 +1,28 @@
+Feature: Command lines
+  Scenario Outline: Help names each flag, its variable and its default
+    When "<program>" is run with "<arguments>"
+    Then the exit status is <status> and the output names "<text>"
+
+    Examples:
+      | program | arguments       | status | text                                       |
+      | entry   | --help          | 0      | --list-interval (PERIDOTSPOKE_LIST_INTERVAL, default 1.0): |
+      | control | -h              | 0      | --lease-ttl (PERIDOTSPOKE_LEASE_TTL, default |
+      | publish | --help          | 0      | check: Check the declarations.             |
+      | publish | publish --help  | 0      | --directory (PERIDOTSPOKE_DIRECTORY, default '.'): |
+      | audit   |                 | 2      | usage: peridotspoke-audit COMMAND          |
+      | publish | polish          | 2      | polish                                     |
+      | entry   | --colour=red    | 2      | --colour: no such flag                     |
+      | control | --zone=a x      | 2      | expected flags such as --name=value, found 'x' |
+      | control | --zone=a        | 2      | --name / PERIDOTSPOKE_NAME: found nothing; expected name |
+
+  Scenario Outline: All bad settings are named at once
+    Given the variable "PERIDOTSPOKE_<variable>" is "<value>"
+    When "entry" is run with "--zone=a --stop-limit=soon"
+    Then the exit status is 2 and the output names "--stop-limit / PERIDOTSPOKE_STOP_LIMIT"
+    And the output names "<expected>"
+
+    Examples:
+      | variable         | value     | expected                                   |
+      | LISTEN           | localhost | --listen / PERIDOTSPOKE_LISTEN             |
+      | PLATFORM_TIMEOUT | -1        | limit of one call to the platform, seconds |
+      | NAME             |           | --name / PERIDOTSPOKE_NAME                 |
--- a/peridotspoke/settings.py
+++ b/peridotspoke/settings.py
@@ -68,11 +68,15 @@
 
 def _describe_fault(settings_class, fault):
     name = str(fault["loc"][0]) if fault["loc"] else "settings"
-    found = fault.get("input")
-    field = settings_class.model_fields.get(name)
-    wanted = f"; expected {field.description}" if field else ""
     flag = "--" + name.replace("_", "-")
-    return f"{flag} / {_name_variable(name)}: {fault['msg']}, found {found!r}{wanted}"
+    field = settings_class.model_fields.get(name)
+    if field is None:
+        return f"{flag}: no such flag"
+    place = f"{flag} / {_name_variable(name)}"
+    if fault["type"] == "missing":
+        return f"{place}: found nothing; expected {field.description}"
+    found = fault.get("input")
+    return f"{place}: {fault['msg']}, found {found!r}; expected {field.description}"
 
 
 def _name_variable(name):
