--- /dev/null
+++ b/peridotspoke/programs/reference.py
@@ -0,0 +1,36 @@
+"""Prints the reference of all settings as a page, from the settings themselves.
+
+Run: ``python -m peridotspoke.programs.reference > docs/SETTINGS.md``
+"""
+
+from peridotspoke.programs import settings as program_settings
+from peridotspoke.settings import list_settings
+
+__all__ = ["format_reference"]
+
+HEADER = """# Settings
+
+Each setting is a flag and an environment variable; the flag goes before the variable.
+All settings are checked together at start; bad ones end the program with status 2 and
+one message that names all of them. This page is printed by
+`python -m peridotspoke.programs.reference`.
+"""
+
+
+def format_reference():
+    """Return the page as text."""
+    sections = [HEADER]
+    for name in program_settings.__all__:
+        settings_class = getattr(program_settings, name)
+        rows = [
+            f"| `{item.flag}` | `{item.variable}` | {item.default} | {item.meaning} |"
+            for item in list_settings(settings_class)
+        ]
+        title = (settings_class.__doc__ or name).splitlines()[0].rstrip(".")
+        table = ["| flag | variable | default | meaning |", "|---|---|---|---|", *rows]
+        sections.append("\n".join([f"## {title}", "", *table, ""]))
+    return "\n".join(sections)
+
+
+if __name__ == "__main__":
+    print(format_reference(), end="")
--- a/peridotspoke/settings.py
+++ b/peridotspoke/settings.py
@@ -1,11 +1,19 @@
 """Checked settings, read from flags and environment variables."""
 
+from dataclasses import dataclass
+
 from pydantic import Field, ValidationError
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from peridotspoke.exceptions import SettingsError
 
-__all__ = ["ProgramSettings", "describe_settings", "read_settings"]
+__all__ = [
+    "ProgramSettings",
+    "SettingReference",
+    "describe_settings",
+    "list_settings",
+    "read_settings",
+]
 
 
 class ProgramSettings(BaseSettings):
@@ -83,13 +91,32 @@
     return "PERIDOTSPOKE_" + name.upper()
 
 
+@dataclass(frozen=True, slots=True)
+class SettingReference:
+    """One setting as text: flag, variable, default, meaning with its unit."""
+
+    flag: str
+    variable: str
+    default: str
+    meaning: str
+
+
+def list_settings(settings_class):
+    """Return the `SettingReference` of each field of `settings_class`."""
+    return [
+        SettingReference(
+            flag="--" + name.replace("_", "-"),
+            variable=_name_variable(name),
+            default="required" if field.is_required() else repr(field.default),
+            meaning=field.description or "",
+        )
+        for name, field in settings_class.model_fields.items()
+    ]
+
+
 def describe_settings(settings_class):
     """Return one line for each setting: flag, variable, default, meaning."""
-    lines = []
-    for name, field in settings_class.model_fields.items():
-        default = "required" if field.is_required() else repr(field.default)
-        flag = "--" + name.replace("_", "-")
-        lines.append(
-            f"{flag} ({_name_variable(name)}, default {default}): {field.description}"
-        )
-    return "\n".join(lines)
+    return "\n".join(
+        f"{item.flag} ({item.variable}, default {item.default}): {item.meaning}"
+        for item in list_settings(settings_class)
+    )
