Prove the interface towards upstreams by a table of faults

Cause: nothing showed that an answer is whole and its request's own, nor that a request which isn't idempotent is sent once.

A refusal now counts only with status 503 and this request's identity. Ruled out: ClientSession._retry_connection, which is private.

--- a/peridotspoke/requests/forwarding.py
+++ b/peridotspoke/requests/forwarding.py
@@ -20,6 +20,7 @@
 AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 CONNECT_SHARE = 0.8  # of an attempt's limit
 FIRST_FINAL_STATUS = 200
+HTTP_UNAVAILABLE = 503
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -157,7 +158,7 @@
         body = await self._read_body(response, request.rules.body_limit)
         if body is None:
             return _break("the answer is larger than the limit")
-        if response.headers.get(OUTCOME) == Outcome.NOT_RUN:
+        if _is_refusal(response):
             return AttemptFailure(FailureKind.REFUSED, "the upstream refused")
         headers = filter_answer_headers(response.headers)
         return UpstreamAnswer(response.status, headers, body)
@@ -194,6 +195,12 @@
     return AttemptFailure(FailureKind.BROKEN, reason)
 
 
+def _is_refusal(response):
+    """Return whether the upstream says that it did not run the request."""
+    said = response.headers.get(OUTCOME)
+    return response.status == HTTP_UNAVAILABLE and said == Outcome.NOT_RUN
+
+
 def _is_kind(result, kind):
     return isinstance(result, AttemptFailure) and result.kind is kind
 
--- /dev/null
+++ b/peridotspoke/requests/tests/entries.py
@@ -0,0 +1,127 @@
+"""An entry instance's caller side with stand-in upstreams, for tests."""
+
+import random
+from contextlib import AsyncExitStack
+
+import aiohttp
+
+from peridotspoke.clock import SystemClock
+from peridotspoke.declarations import Configuration
+from peridotspoke.declarations.schema import (
+    DeploymentDeclaration,
+    PoolDeclaration,
+    RequestsDeclaration,
+    ServiceDeclaration,
+)
+from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.programs.callers import CallerServer
+from peridotspoke.programs.settings import EntrySettings
+from peridotspoke.requests import (
+    BodyMemory,
+    ClaimRecord,
+    FixedShares,
+    Forwarder,
+    KeyedRunner,
+    NoAnswerDirectory,
+    RequestPipeline,
+    RoutingTable,
+    Upstream,
+)
+from peridotspoke.standins import UpstreamStandIn, start_server
+
+SERVICE = "feldkirch"
+HEADERS = {"Request-Timeout": "1"}
+
+
+def make_configuration(**services):
+    """Return version 1 with the `RequestsDeclaration` of each service.
+
+    A service named ``common`` is the spare.
+    """
+    declared = {
+        name: ServiceDeclaration(
+            service=name, pool=PoolDeclaration(spare=name == "common"), requests=rules
+        )
+        for name, rules in services.items()
+    }
+    return Configuration(1, DeploymentDeclaration(deployment="vorarlberg"), declared)
+
+
+def make_upstream(instance, address="127.0.0.1:1", zone="vlbg-a", slots=8):
+    """Return an `Upstream`."""
+    return Upstream(instance, address, zone, "r1", slots, 64)
+
+
+class EntryUnderTest:
+    """Sockets for callers on loopback, and stand-in upstreams for one service."""
+
+    def __init__(
+        self, store=None, directory=None, shares=None, name="entry-1", **flags
+    ):
+        flags = {"attempt_limit": 0.2, "stop_notice": 0.0, **flags}
+        self.settings = EntrySettings(
+            name=name, zone="vlbg-a", listen="127.0.0.1:0", **flags
+        )
+        self.standins = []
+        self.clock = SystemClock()
+        chance = random.Random(1)
+        self.memory = BodyMemory(self.settings.body_memory)
+        self.forwarder = Forwarder(self.settings, self.clock, self.memory)
+        self.keyed = KeyedRunner(
+            self.settings,
+            self.clock,
+            chance,
+            store,
+            directory or NoAnswerDirectory(),
+            ClaimRecord(name, 1, "127.0.0.1:1"),
+        )
+        self.pipeline = RequestPipeline(
+            self.settings,
+            self.clock,
+            chance,
+            self.forwarder,
+            shares or FixedShares(1),
+            self.keyed,
+        )
+        self.callers = CallerServer(
+            self.settings,
+            self.clock,
+            chance,
+            self.pipeline,
+            self.memory,
+            MetricsRegistry(),
+        )
+        self._stack = AsyncExitStack()
+
+    async def start(self, upstreams=1, **rules):
+        """Serve callers of one service with so many upstreams."""
+        rules = RequestsDeclaration(**{"retry_share": 1.0, **rules})
+        self.pipeline.configuration = make_configuration(**{SERVICE: rules})
+        found = []
+        for number in range(upstreams):
+            standin = UpstreamStandIn(f"i{number}")
+            runner, address = await start_server(standin.make_application())
+            self._stack.push_async_callback(runner.cleanup)
+            self.standins.append(standin)
+            found.append(make_upstream(standin.name, address))
+        self.pipeline.routes = RoutingTable({SERVICE: tuple(found)})
+        await self.callers.start()
+        self._stack.push_async_callback(self.forwarder.close)
+        self._stack.push_async_callback(self.callers.stop)
+        self.session = await self._stack.enter_async_context(aiohttp.ClientSession())
+
+    async def request(self, method, path="/plan", headers=HEADERS, body=b""):
+        """Return the status, the headers and the body of the answer."""
+        url = f"http://{self.callers.address}/{SERVICE}{path}"
+        async with self.session.request(
+            method, url, headers=headers, data=body
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def close(self):
+        """Close all sockets."""
+        await self._stack.aclose()
+
+    def count_arrivals(self):
+        """Return how many requests reached any upstream."""
+        return sum(item.arrivals.total() for item in self.standins)
--- a/peridotspoke/standins/faults.py
+++ b/peridotspoke/standins/faults.py
@@ -60,6 +60,12 @@
         Close the connection without running the request.
     oversize : int
         Answer with a body of this many bytes, where above zero.
+    double : bool
+        Send each answer twice.
+    unframed : bool
+        Send the answer without a length, ended by closing the connection.
+    forge : bool
+        Answer with the headers that only an entry instance may set.
     """
 
     service_time: float = 0.0
@@ -71,3 +77,6 @@
     silent_connections: bool = False
     close_early: bool = False
     oversize: int = 0
+    double: bool = False
+    unframed: bool = False
+    forge: bool = False
--- a/peridotspoke/standins/upstream.py
+++ b/peridotspoke/standins/upstream.py
@@ -19,18 +19,24 @@
 class UpstreamStandIn:
     """Serves any path; answers in JSON what was run and by which request.
 
-    `runs` counts runs by request identity, `keyed_runs` by idempotency key.
-    `most_running` and `most_connections` are the highest numbers seen at once.
+    `arrivals` counts requests that arrived by their identity, `runs` those that
+    ran, `keyed_runs` runs by idempotency key.
+    `most_running` and `most_connections` are the highest numbers seen at once,
+    `silences` the requests that came over a silent connection, `last_headers`
+    those of the latest request.
     """
 
     def __init__(self, name):
         self.name = name
         self.faults = UpstreamFaults()
+        self.arrivals = Counter()
         self.runs = Counter()
         self.keyed_runs = Counter()
         self.running = 0
         self.most_running = 0
         self.most_connections = 0
+        self.silences = 0
+        self.last_headers = {}
         self._connections = {}
         self._silent = set()
 
@@ -56,6 +62,7 @@
         return web.json_response(
             {
                 "name": self.name,
+                "arrivals": self.arrivals,
                 "runs": self.runs,
                 "keyed_runs": self.keyed_runs,
                 "most_running": self.most_running,
@@ -65,7 +72,10 @@
 
     async def _serve(self, request):
         self._note_connection(request)
+        self.arrivals[request.headers.get(REQUEST_ID, "")] += 1
+        self.last_headers = request.headers
         if id(request.protocol) in self._silent:
+            self.silences += 1
             await asyncio.sleep(NEVER)
         if self.faults.close_early:
             request.transport.abort()
@@ -73,19 +83,23 @@
         if self.faults.refuse:
             headers = {
                 "Peridotspoke-Outcome": "not-run",
-                REQUEST_ID: request.headers.get(REQUEST_ID, ""),
+                REQUEST_ID: _echo(request, self.faults),
             }
             return web.Response(status=503, headers=headers)
         return await self._run(request)
 
-    def _note_connection(self, request):
-        self._connections[id(request.protocol)] = request.protocol
+    def count_connections(self):
+        """Return the connections that have carried a request and are open now."""
         self._connections = {
             key: item
             for key, item in self._connections.items()
             if item.transport is not None
         }
-        self.most_connections = max(self.most_connections, len(self._connections))
+        return len(self._connections)
+
+    def _note_connection(self, request):
+        self._connections[id(request.protocol)] = request.protocol
+        self.most_connections = max(self.most_connections, self.count_connections())
 
     async def _run(self, request):
         faults = self.faults
@@ -118,13 +132,33 @@
                 "padding": "x" * faults.oversize,
             }
         )
-        echoed = "another-request" if faults.cross else request_id
-        headers = {REQUEST_ID: echoed, "Content-Type": "application/json"}
-        if not faults.cut_body:
+        headers = {
+            REQUEST_ID: _echo(request, faults),
+            "Content-Type": "application/json",
+        }
+        if faults.forge:
+            headers |= {"Peridotspoke-Outcome": "not-run", "Peridotspoke-Other": "1"}
+        text = _format_answer(headers, answer)
+        if faults.cut_body:
+            text = text[: -len(answer) // 2]
+        elif faults.unframed:
+            text = _format_answer(headers, answer, framed=False)
+        elif faults.double:
+            text += text
+        else:
             return web.Response(body=answer, headers=headers)
-        headers["Content-Length"] = str(len(answer))
-        response = web.StreamResponse(headers=headers)
-        await response.prepare(request)
-        await response.write(answer[: len(answer) // 2])
-        request.transport.abort()
-        return response
+        request.transport.write(text)
+        request.transport.close()
+        return web.Response()
+
+
+def _echo(request, faults):
+    return "another-request" if faults.cross else request.headers.get(REQUEST_ID, "")
+
+
+def _format_answer(headers, body, framed=True):
+    """Return an answer's bytes, with its length where it is `framed`."""
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {val}" for name, val in headers.items())]
+    if framed:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
