Notice a silent watch and tell each fault of the platform truly

Cause: a watch whose connection has lost its other end looks like a prefix without changes, so a published change would never come into force; a value above a megabyte, a lapsed lease and an answer of another form were reported as lost answers or as bare KeyErrors; clients of a recovering service all came back after the same half second.

A followed prefix that was silent for about 1.5 s is checked by one small read: the count of its keys and those newer than the last change told. Ruled out: the service's own progress notifications, which come every ten minutes by default and by a setting of the service; reading the whole prefix, whose cost grows with the fleet; a second watch, which may be as silent as the first. The check costs one read for each prefix and interval whatever the fleet's size. The watch is kept while checks fail, since it may still tell changes.

--- a/peridotspoke/platform/__init__.py
+++ b/peridotspoke/platform/__init__.py
@@ -5,7 +5,11 @@
     CallPriority,
     open_service,
 )
-from peridotspoke.platform.following import FollowedRecords, follow_prefix
+from peridotspoke.platform.following import (
+    FollowedRecords,
+    FollowingRules,
+    follow_prefix,
+)
 from peridotspoke.platform.gateway import GatewayKeyValueService
 from peridotspoke.platform.instances import (
     HttpInstanceList,
@@ -14,15 +18,19 @@
     parse_instances,
 )
 from peridotspoke.platform.keyvalue import (
+    MAX_VALUE,
     Change,
     KeyValueService,
     Lease,
+    PrefixCheck,
     Record,
     Snapshot,
     SwapResult,
     WatchBatch,
 )
 from peridotspoke.platform.records import (
+    AUDIT_PREFIX,
+    ArchivedChanges,
     ChangeNote,
     Stored,
     decode_record,
@@ -31,17 +39,22 @@
 )
 
 __all__ = [
+    "AUDIT_PREFIX",
+    "ArchivedChanges",
+    "MAX_VALUE",
     "BudgetedKeyValueService",
     "CallPriority",
     "Change",
     "ChangeNote",
     "FollowedRecords",
+    "FollowingRules",
     "GatewayKeyValueService",
     "HttpInstanceList",
     "InstanceList",
     "KeyValueService",
     "Lease",
     "ListedInstance",
+    "PrefixCheck",
     "Record",
     "Snapshot",
     "Stored",
--- a/peridotspoke/platform/budget.py
+++ b/peridotspoke/platform/budget.py
@@ -60,6 +60,11 @@
         await self._take(self._reads, CallPriority.READ)
         return await self._service.read_prefix(prefix)
 
+    async def check_prefix(self, prefix, revision):
+        """Return the `PrefixCheck` of the records newer than `revision`."""
+        await self._take(self._reads, CallPriority.READ)
+        return await self._service.check_prefix(prefix, revision)
+
     async def swap(self, key, value, expected_revision, lease_id=0):
         """Write `value` if the key's revision is `expected_revision`."""
         await self._take(self._writes, CallPriority.SWAP)
--- a/peridotspoke/platform/following.py
+++ b/peridotspoke/platform/following.py
@@ -1,31 +1,65 @@
 """Follows the records under a prefix through one watch."""
 
 import asyncio
+import enum
+import random
 from collections.abc import Mapping
-from dataclasses import dataclass
+from contextlib import aclosing, suppress
+from dataclasses import dataclass, field
 
-from peridotspoke.exceptions import PlatformError
+from peridotspoke.backoff import BackoffRules, compute_backoff
+from peridotspoke.clock import SystemClock
+from peridotspoke.exceptions import PlatformError, PlatformUnavailableError
 from peridotspoke.logs import log_event
 from peridotspoke.platform.keyvalue import Record
 
-__all__ = ["FollowedRecords", "follow_prefix"]
+__all__ = ["FollowedRecords", "FollowingRules", "follow_prefix"]
 
-RETRY_INTERVAL = 0.5  # seconds
+
+@dataclass(frozen=True, slots=True)
+class FollowingRules:
+    """How a followed prefix is checked and tried again.
+
+    Parameters
+    ----------
+    check_interval : float
+        Seconds of a watch's silence after which the prefix is checked by a read.
+    backoff : BackoffRules
+        The waits between tries while the service fails.
+    """
+
+    check_interval: float = 1.5
+    backoff: BackoffRules = field(default_factory=BackoffRules)
 
 
 @dataclass(frozen=True, slots=True)
 class FollowedRecords:
-    """All records under the prefix, and the keys that changed since the last."""
+    """All records under the prefix, and the keys that changed since the last.
+
+    `confirmed_at` is the monotonic time, in seconds, as of which the records were
+    known to be complete.
+    """
 
     records: Mapping[str, Record]
     changed: frozenset[str]
+    confirmed_at: float = 0.0
 
 
-async def follow_prefix(service, prefix, sleep=asyncio.sleep):
-    """Yield `FollowedRecords` for the first snapshot and after each change.
+async def follow_prefix(
+    service,
+    prefix,
+    sleep=asyncio.sleep,
+    rules=FollowingRules(),
+    clock=SystemClock(),
+    chance=random,
+):
+    """Yield `FollowedRecords` for the first snapshot, each change and each check.
 
-    After a lost watch the prefix is read again. The mapping that is yielded is the
-    same object each time; it changes only between yields.
+    The mapping that is yielded is the same object each time; it changes only
+    between yields. After a lost or compacted watch the prefix is read again. A
+    watch that is silent is checked by a small read, since a connection that has
+    lost its other end looks the same as a prefix without changes. While the service
+    fails, the records stay as they are and nothing is yielded.
 
     Parameters
     ----------
@@ -33,19 +67,107 @@
     prefix : str
     sleep : callable, optional
         Coroutine function that waits for seconds.
+    rules : FollowingRules, optional
+    clock : Clock, optional
+    chance : random.Random, optional
+        Spreads the tries of processes that failed together.
     """
     records = {}
+    failures = 0
     while True:
         try:
+            asked_at = clock.read_monotonic()
             snapshot = await service.read_prefix(prefix)
             changed = _replace_records(records, snapshot.records)
-            yield FollowedRecords(records, changed)
-            async for batch in service.watch(prefix, snapshot.revision):
-                if batch.changes:
-                    yield FollowedRecords(records, _apply_batch(records, batch))
+            failures = 0
+            yield FollowedRecords(records, changed, asked_at)
+            follower = _WatchFollower(service, prefix, rules, clock, chance, records)
+            async with aclosing(follower.follow(snapshot.revision)) as steps:
+                async for followed in steps:
+                    yield followed
         except PlatformError as error:
+            failures += 1
             log_event("watch-lost", "WARNING", prefix=prefix, error=error)
-        await sleep(RETRY_INTERVAL)
+            await sleep(compute_backoff(rules.backoff, failures, chance))
+
+
+class _CheckResult(enum.Enum):
+    CONFIRMED = enum.auto()
+    STALE = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+class _WatchFollower:
+    """Follows one watch until it is lost or found to be silent."""
+
+    def __init__(self, service, prefix, rules, clock, chance, records):
+        self._service = service
+        self._prefix = prefix
+        self._rules = rules
+        self._clock = clock
+        self._chance = chance
+        self._records = records
+        self._failed_checks = 0
+
+    async def follow(self, revision):
+        async with aclosing(self._service.watch(self._prefix, revision)) as batches:
+            pending = asyncio.ensure_future(anext(batches, None))
+            try:
+                while True:
+                    done, _ = await asyncio.wait({pending}, timeout=self._draw_wait())
+                    if not done:
+                        result = await self._check(revision)
+                        if result is _CheckResult.STALE:
+                            return
+                        if result is _CheckResult.CONFIRMED:
+                            yield self._report(frozenset())
+                        continue
+                    batch = self._expect_batch(pending.result())
+                    revision = _find_revision(batch)
+                    pending = asyncio.ensure_future(anext(batches, None))
+                    self._confirmed_at = self._clock.read_monotonic()
+                    yield self._report(_apply_batch(self._records, batch))
+            finally:
+                pending.cancel()
+                with suppress(asyncio.CancelledError, PlatformError):
+                    await pending
+
+    def _draw_wait(self):
+        return self._rules.check_interval * self._chance.uniform(0.8, 1.2)
+
+    def _expect_batch(self, batch):
+        if batch is None:
+            raise PlatformUnavailableError(
+                "the watch ended", step="watch", peer=self._prefix
+            )
+        return batch
+
+    async def _check(self, revision):
+        """Read whether the watch has missed a change; a failed read tells nothing."""
+        asked_at = self._clock.read_monotonic()
+        try:
+            check = await self._service.check_prefix(self._prefix, revision)
+        except PlatformError as error:
+            self._failed_checks += 1
+            if self._failed_checks == 1:
+                log_event(
+                    "watch-unchecked", "WARNING", prefix=self._prefix, error=error
+                )
+            return _CheckResult.UNKNOWN
+        self._failed_checks = 0
+        if check.changed or check.count != len(self._records):
+            log_event("watch-silent", "WARNING", prefix=self._prefix, revision=revision)
+            return _CheckResult.STALE
+        self._confirmed_at = asked_at
+        return _CheckResult.CONFIRMED
+
+    def _report(self, changed):
+        return FollowedRecords(self._records, changed, self._confirmed_at)
+
+
+def _find_revision(batch):
+    """Return the revision up to which the watch has told every change."""
+    return batch.changes[-1].revision if batch.changes else batch.revision
 
 
 def _replace_records(records, found):
--- a/peridotspoke/platform/gateway.py
+++ b/peridotspoke/platform/gateway.py
@@ -1,19 +1,22 @@
 """The key-value service over the JSON gateway of the etcd v3 interface."""
 
 import base64
+from contextlib import contextmanager
 
 import aiohttp
 import msgspec
 
 from peridotspoke.exceptions import (
     AnswerLostError,
-    PlatformError,
     PlatformUnavailableError,
+    RecordError,
 )
 from peridotspoke.platform.keyvalue import (
+    MAX_VALUE,
     Change,
     KeyValueService,
     Lease,
+    PrefixCheck,
     Record,
     Snapshot,
     SwapResult,
@@ -23,7 +26,11 @@
 __all__ = ["GatewayKeyValueService", "decode_text", "encode_text", "end_of_prefix"]
 
 HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
 HTTP_TOO_MANY_REQUESTS = 429
+REFUSALS = frozenset({HTTP_BAD_REQUEST, HTTP_NOT_FOUND, HTTP_TOO_MANY_REQUESTS})
+UNPARSED = (LookupError, TypeError, ValueError, AttributeError, msgspec.DecodeError)
 WATCH_LINE_LIMIT = 4 * 1024 * 1024  # bytes
 
 
@@ -79,21 +86,31 @@
     async def read(self, key):
         """Return the `Record` of `key`, or None."""
         answer = await self._call("kv/range", {"key": encode_text(key)})
-        found = answer.get("kvs", [])
-        return _parse_record(found[0]) if found else None
+        with self._parsing("kv/range"):
+            found = answer.get("kvs", [])
+            return _parse_record(found[0]) if found else None
 
     async def read_prefix(self, prefix):
         """Return a `Snapshot` of all records whose keys begin with `prefix`."""
+        answer = await self._call("kv/range", _name_range(prefix))
+        with self._parsing("kv/range"):
+            records = tuple(_parse_record(item) for item in answer.get("kvs", []))
+            return Snapshot(records, _parse_revision(answer))
+
+    async def check_prefix(self, prefix, revision):
+        """Return the `PrefixCheck` of the records newer than `revision`."""
         request = {
-            "key": encode_text(prefix),
-            "range_end": encode_text(end_of_prefix(prefix)),
+            **_name_range(prefix),
+            "min_mod_revision": str(revision + 1),
+            "keys_only": True,
         }
         answer = await self._call("kv/range", request)
-        records = tuple(_parse_record(item) for item in answer.get("kvs", []))
-        return Snapshot(records, _parse_revision(answer))
+        with self._parsing("kv/range"):
+            return PrefixCheck(int(answer.get("count", 0)), bool(answer.get("kvs")))
 
     async def swap(self, key, value, expected_revision, lease_id=0):
         """Write `value` if the key's revision is `expected_revision`."""
+        _check_size(key, value)
         encoded_key = encode_text(key)
         compare = {
             "key": encoded_key,
@@ -114,24 +131,27 @@
             "failure": [{"request_range": {"key": encoded_key}}],
         }
         answer = await self._call("kv/txn", request)
-        revision = _parse_revision(answer)
-        if answer.get("succeeded"):
-            return SwapResult(True, revision)
-        found = answer["responses"][0]["response_range"].get("kvs", [])
-        current = _parse_record(found[0]) if found else None
-        return SwapResult(False, revision, current)
+        with self._parsing("kv/txn"):
+            revision = _parse_revision(answer)
+            if answer.get("succeeded"):
+                return SwapResult(True, revision)
+            found = answer["responses"][0]["response_range"].get("kvs", [])
+            current = _parse_record(found[0]) if found else None
+            return SwapResult(False, revision, current)
 
     async def grant_lease(self, ttl):
         """Return a fresh `Lease` of `ttl` seconds."""
         asked_at = self._clock.read_monotonic()
         answer = await self._call("lease/grant", {"TTL": str(max(1, round(ttl)))})
-        return Lease(int(answer["ID"]), float(answer["TTL"]), asked_at)
+        with self._parsing("lease/grant"):
+            return Lease(int(answer["ID"]), float(answer["TTL"]), asked_at)
 
     async def renew_lease(self, lease):
         """Return the renewed `Lease`, or None where it has expired."""
         asked_at = self._clock.read_monotonic()
         answer = await self._call("lease/keepalive", {"ID": str(lease.lease_id)})
-        ttl = float(answer["result"].get("TTL", 0))
+        with self._parsing("lease/keepalive"):
+            ttl = float(answer["result"].get("TTL", 0))
         return Lease(lease.lease_id, ttl, asked_at) if ttl > 0 else None
 
     async def revoke_lease(self, lease):
@@ -141,8 +161,7 @@
     async def watch(self, prefix, from_revision):
         """Yield a `WatchBatch` for each set of changes after `from_revision`."""
         create = {
-            "key": encode_text(prefix),
-            "range_end": encode_text(end_of_prefix(prefix)),
+            **_name_range(prefix),
             "start_revision": str(from_revision + 1),
             "progress_notify": True,
         }
@@ -166,13 +185,17 @@
     def _parse_watch_line(self, line):
         if not line.strip():
             return None
-        result = msgspec.json.decode(line)["result"]
-        if result.get("canceled"):
-            raise self._make_unavailable("watch", "the watch was cancelled")
-        if result.get("created"):
-            return None
-        changes = tuple(_parse_change(event) for event in result.get("events", []))
-        return WatchBatch(changes, _parse_revision(result))
+        with self._parsing("watch"):
+            result = msgspec.json.decode(line)["result"]
+            if result.get("created"):
+                return None
+            if not result.get("canceled"):
+                events = result.get("events", [])
+                changes = tuple(_parse_change(event) for event in events)
+                return WatchBatch(changes, _parse_revision(result))
+        compacted = result.get("compact_revision", "none")
+        reason = f"the watch was cancelled, compacted revision {compacted}"
+        raise self._make_unavailable("watch", reason)
 
     async def _call(self, method, request):
         try:
@@ -180,30 +203,54 @@
                 f"{self._url}/v3/{method}", json=request, timeout=self._timeout
             ) as response:
                 body = await response.read()
-                if response.status == HTTP_TOO_MANY_REQUESTS:
-                    raise self._make_unavailable(method, "the rate is exceeded")
+                if response.status in REFUSALS:
+                    reason = f"refused with {response.status}: {body[:200]!r}"
+                    raise self._make_unavailable(method, reason)
                 if response.status != HTTP_OK:
                     raise AnswerLostError(
                         f"expected status 200, found {response.status}",
                         step=method,
                         peer=self._url,
                     )
-                return msgspec.json.decode(body)
         except aiohttp.ClientConnectorError as error:
             raise self._make_unavailable(method, repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise AnswerLostError(
                 f"no answer: {error!r}", step=method, peer=self._url
             ) from error
-        except msgspec.DecodeError as error:
-            raise PlatformError(
-                f"expected JSON: {error}", step=method, peer=self._url
+        with self._parsing(method):
+            return msgspec.json.decode(body)
+
+    @contextmanager
+    def _parsing(self, method):
+        """Report an answer of an unexpected form: the call may have had an effect."""
+        try:
+            yield
+        except UNPARSED as error:
+            raise AnswerLostError(
+                f"unexpected answer: {error!r}", step=method, peer=self._url
             ) from error
 
     def _make_unavailable(self, method, reason):
         return PlatformUnavailableError(reason, step=method, peer=self._url)
 
 
+def _name_range(prefix):
+    return {
+        "key": encode_text(prefix),
+        "range_end": encode_text(end_of_prefix(prefix)),
+    }
+
+
+def _check_size(key, value):
+    if value is not None and len(value) > MAX_VALUE:
+        raise RecordError(
+            f"expected at most {MAX_VALUE} bytes, found {len(value)}",
+            step="swap",
+            peer=key,
+        )
+
+
 def _parse_revision(answer):
     return int(answer["header"]["revision"])
 
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -4,15 +4,19 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "MAX_VALUE",
     "Change",
     "KeyValueService",
     "Lease",
+    "PrefixCheck",
     "Record",
     "Snapshot",
     "SwapResult",
     "WatchBatch",
 ]
 
+MAX_VALUE = 1024 * 1024  # bytes
+
 
 @dataclass(frozen=True, slots=True)
 class Record:
@@ -32,6 +36,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class PrefixCheck:
+    """How many records a prefix has, and whether any is newer than a revision."""
+
+    count: int
+    changed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SwapResult:
     """Whether a swap won; the revision, and the record found where it lost."""
@@ -90,6 +102,12 @@
     async def read_prefix(self, prefix):
         """Return a `Snapshot` of all records whose keys begin with `prefix`."""
 
+    async def check_prefix(self, prefix, revision):
+        """Return the `PrefixCheck` of the records newer than `revision`."""
+        found = (await self.read_prefix(prefix)).records
+        newer = any(record.revision > revision for record in found)
+        return PrefixCheck(len(found), newer)
+
     @abstractmethod
     async def swap(self, key, value, expected_revision, lease_id=0):
         """Write `value` if the key's revision is `expected_revision`.
@@ -107,6 +125,11 @@
         Returns
         -------
         SwapResult
+
+        Raises
+        ------
+        RecordError
+            If the value is larger than the service holds.
         """
 
     @abstractmethod
--- a/peridotspoke/standins/faults.py
+++ b/peridotspoke/standins/faults.py
@@ -19,8 +19,12 @@
         So many coming calls take effect, then lose their answers.
     lose_after : str
         Only calls of this method, such as ``kv/txn``, lose their answers.
+    late_effect : float
+        Seconds after which a call whose answer is lost takes effect.
     mute_watches : bool
         Watches stay open and tell nothing.
+    babble : bool
+        Answer each call with a document of another form, without effect.
     list_lag : float
         Seconds by which the instance list lags.
     cut_zones : tuple of str
@@ -31,7 +35,9 @@
     delay: float = 0.0
     lose_answers: int = 0
     lose_after: str = ""
+    late_effect: float = 0.0
     mute_watches: bool = False
+    babble: bool = False
     list_lag: float = 0.0
     cut_zones: tuple[str, ...] = ()
 
--- a/peridotspoke/standins/platform.py
+++ b/peridotspoke/standins/platform.py
@@ -1,6 +1,7 @@
 """The platform's stand-in: key-value service, instance list, switchable faults."""
 
 import asyncio
+from contextlib import suppress
 from dataclasses import replace
 
 import msgspec
@@ -31,13 +32,20 @@
         self._clock = clock
         self._changed = asyncio.Condition()
         self._lists = [(float("-inf"), ())]
-        self._expiry = None
+        self._late = set()
 
     def list_instances(self, instances):
         """Replace the list; readers see it after the lag."""
         now = self._clock.read_monotonic()
         self._lists.append((now, tuple(instances)))
 
+    async def write_record(self, key, value):
+        """Write (None deletes) past the faults, as another client does."""
+        current = self.store.records.get(key)
+        revision = current.revision if current else 0
+        self.store.swap(key, value, revision, 0, self._clock.read_monotonic())
+        await self._announce()
+
     def make_application(self):
         """Return the aiohttp application."""
         application = web.Application(client_max_size=MAX_REQUEST)
@@ -48,6 +56,7 @@
             "/v3/lease/keepalive": self._keepalive,
             "/v3/lease/revoke": self._revoke,
             "/v3/watch": self._watch,
+            "/standin/compact": self._compact,
             "/standin/faults": self._switch_faults,
             "/standin/instances": self._replace_instances,
         }
@@ -62,7 +71,8 @@
     async def _run_expiry(self, application):
         task = asyncio.create_task(self._expire_leases())
         yield
-        task.cancel()
+        for running in (task, *self._late):
+            running.cancel()
 
     async def _expire_leases(self):
         while True:
@@ -84,6 +94,9 @@
         self.store.calls[method] += 1
         if self.faults.down or self._is_cut(request):
             return _drop(request)
+        if self.faults.babble:
+            return web.json_response(["unexpected"])
+        await request.read()
         if self.faults.delay:
             await asyncio.sleep(self.faults.delay)
         loses = self.faults.lose_answers > 0 and self.faults.lose_after in ("", method)
@@ -91,10 +104,24 @@
             self.faults = replace(
                 self.faults, lose_answers=self.faults.lose_answers - 1
             )
-            await handler(request)
+            await self._run_later(request, handler)
             return _drop(request)
         return await handler(request)
 
+    async def _run_later(self, request, handler):
+        """Let a call take effect, at once or later, without an answer."""
+        if not self.faults.late_effect:
+            await handler(request)
+            return
+
+        async def take_effect(delay):
+            await asyncio.sleep(delay)
+            await handler(request)
+
+        task = asyncio.create_task(take_effect(self.faults.late_effect))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     def _is_cut(self, request):
         zone = request.headers.get("Peridotspoke-Zone", "")
         return zone in self.faults.cut_zones
@@ -109,8 +136,13 @@
         else:
             record = self.store.read(key, now)
             records = () if record is None else (record,)
-        found = [_format_record(record) for record in records]
-        return self._answer({"kvs": found, "count": str(len(found))})
+        least = int(body.get("min_mod_revision", 0))
+        found = [
+            _format_record(record, body.get("keys_only", False))
+            for record in records
+            if record.revision >= least
+        ]
+        return self._answer({"kvs": found, "count": str(len(records))})
 
     async def _txn(self, request):
         body = await request.json()
@@ -126,6 +158,8 @@
             result = self.store.swap(key, value, expected, lease_id, now)
         except KeyError:
             return web.json_response({"error": "lease not found"}, status=404)
+        except ValueError as error:
+            return web.json_response({"error": str(error)}, status=400)
         if result.won:
             await self._announce()
             return self._answer({"succeeded": True})
@@ -156,7 +190,18 @@
         sent = int(body.get("start_revision", self.store.revision + 1)) - 1
         response = web.StreamResponse()
         await response.prepare(request)
+        with suppress(ConnectionError):
+            await self._tell_changes(request, response, prefix, sent)
+        return response
+
+    async def _tell_changes(self, request, response, prefix, sent):
         await self._send(response, {"created": True})
+        if sent < self.store.compacted:
+            compacted = str(self.store.compacted)
+            await self._send(
+                response, {"canceled": True, "compact_revision": compacted}
+            )
+            return
         while not self._is_cut(request) and not self.faults.down:
             changes = self.store.list_changes(prefix, sent)
             if changes and not self.faults.mute_watches:
@@ -168,8 +213,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 continue
-        request.transport.abort()
-        return response
+        if request.transport is not None:
+            request.transport.abort()
 
     async def _send(self, response, result):
         header = {"revision": str(self.store.revision)}
@@ -191,6 +236,10 @@
     async def _show_calls(self, request):
         return web.json_response(dict(self.store.calls))
 
+    async def _compact(self, request):
+        self.store.compact()
+        return web.json_response({})
+
     async def _switch_faults(self, request):
         self.faults = msgspec.json.decode(await request.read(), type=PlatformFaults)
         return web.json_response({})
@@ -211,10 +260,10 @@
     return web.Response(status=503)
 
 
-def _format_record(record):
+def _format_record(record, keys_only=False):
     return {
         "key": encode_text(record.key),
-        "value": encode_text(record.value),
+        "value": "" if keys_only else encode_text(record.value),
         "mod_revision": str(record.revision),
         "lease": str(record.lease),
     }
--- a/peridotspoke/standins/store.py
+++ b/peridotspoke/standins/store.py
@@ -4,7 +4,14 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
-from peridotspoke.platform.keyvalue import Change, Record, Snapshot, SwapResult
+from peridotspoke.platform.keyvalue import (
+    MAX_VALUE,
+    Change,
+    PrefixCheck,
+    Record,
+    Snapshot,
+    SwapResult,
+)
 
 __all__ = ["StoreStandIn"]
 
@@ -26,6 +33,7 @@
         self.revision = 1
         self.records = {}
         self.history = []
+        self.compacted = 0
         self.calls = Counter()
         self._leases = {}
         self._lease_ids = itertools.count(1)
@@ -41,8 +49,27 @@
         found = sorted(key for key in self.records if key.startswith(prefix))
         return Snapshot(tuple(self.records[key] for key in found), self.revision)
 
+    def check_prefix(self, prefix, revision, now):
+        """Return the `PrefixCheck` of the records newer than `revision`."""
+        found = self.read_prefix(prefix, now).records
+        return PrefixCheck(len(found), any(item.revision > revision for item in found))
+
+    def compact(self):
+        """Forget the changes so far, for watches that begin later."""
+        self.compacted = self.revision
+
     def swap(self, key, value, expected_revision, lease_id, now):
-        """Write or delete `key` if its revision is the expected one."""
+        """Write or delete `key` if its revision is the expected one.
+
+        Raises
+        ------
+        ValueError
+            If the value is larger than the service holds.
+        KeyError
+            If the lease has expired.
+        """
+        if value is not None and len(value) > MAX_VALUE:
+            raise ValueError(f"expected at most {MAX_VALUE} bytes, found {len(value)}")
         self.expire_leases(now)
         current = self.records.get(key)
         if (current.revision if current else 0) != expected_revision:
