--- a/peridotspoke/requests/claiming.py
+++ b/peridotspoke/requests/claiming.py
@@ -166,10 +166,11 @@
         )
 
     def _check_lease(self, lease, request):
-        """Refuse to send what could still run when the claim has lapsed."""
-        if lease.is_held(request.deadline):
+        """Refuse to send what is late or could still run after the claim's lapse."""
+        in_time = self._clock.read_monotonic() < request.deadline
+        if in_time and lease.is_held(request.deadline):
             return None
-        return _refuse_not_run("the claim may lapse before the request ends")
+        return _refuse_not_run("too little is left of the time limit or the claim")
 
     async def _get_lease(self, lifetime):
         bucket = self._buckets.setdefault(lifetime, LeaseBucket(lifetime))
