--- a/peridotspoke/exceptions.py
+++ b/peridotspoke/exceptions.py
@@ -6,6 +6,8 @@
     "OperationConflictError",
     "PeerError",
     "PeridotspokeError",
+    "PermitRefusedError",
+    "PhaseError",
     "PlatformError",
     "PlatformUnavailableError",
     "RecordError",
@@ -76,3 +78,11 @@
 
 class RequestError(PeridotspokeError):
     """A caller's request is malformed."""
+
+
+class PhaseError(PeridotspokeError):
+    """An instance's record may not change in this way."""
+
+
+class PermitRefusedError(PeridotspokeError):
+    """A pool's disruption ledger does not let an instance out of service."""
