Let the platform's stand-in drain, reboot and lose instances

Cause: maintenance needs the platform's pool actions. A call names the incarnation that it is meant for (If-Match), so that a late or repeated call does nothing to the next one.

--- a/peridotspoke/platform/__init__.py
+++ b/peridotspoke/platform/__init__.py
@@ -1,5 +1,6 @@
 """What the platform gives: key-value service, instance list, pools and workers."""
 
+from peridotspoke.platform.actions import HttpInstanceActions, InstanceActions
 from peridotspoke.platform.budget import (
     BudgetedKeyValueService,
     CallPriority,
@@ -49,7 +50,9 @@
     "FollowedRecords",
     "FollowingRules",
     "GatewayKeyValueService",
+    "HttpInstanceActions",
     "HttpInstanceList",
+    "InstanceActions",
     "InstanceList",
     "KeyValueService",
     "Lease",
--- a/peridotspoke/standins/faults.py
+++ b/peridotspoke/standins/faults.py
@@ -27,6 +27,8 @@
         Answer each call with a document of another form, without effect.
     list_lag : float
         Seconds by which the instance list lags.
+    usage_lag : float
+        Seconds by which the usage reports lag.
     cut_zones : tuple of str
         Zones whose processes don't reach the platform.
     """
@@ -39,6 +41,7 @@
     mute_watches: bool = False
     babble: bool = False
     list_lag: float = 0.0
+    usage_lag: float = 0.0
     cut_zones: tuple[str, ...] = ()
 
 
--- a/peridotspoke/standins/platform.py
+++ b/peridotspoke/standins/platform.py
@@ -5,11 +5,13 @@
 from dataclasses import replace
 
 import msgspec
+import xxhash
 from aiohttp import web
 
 from peridotspoke.platform.gateway import decode_text, encode_text
 from peridotspoke.platform.instances import ListedInstance
 from peridotspoke.standins.faults import PlatformFaults
+from peridotspoke.standins.fleet import FleetStandIn, UsageReport
 from peridotspoke.standins.store import StoreStandIn
 
 __all__ = ["PlatformStandIn"]
@@ -28,16 +30,16 @@
 
     def __init__(self, clock):
         self.store = StoreStandIn()
+        self.fleet = FleetStandIn()
         self.faults = PlatformFaults()
         self._clock = clock
         self._changed = asyncio.Condition()
-        self._lists = [(float("-inf"), ())]
         self._late = set()
 
     def list_instances(self, instances):
         """Replace the list; readers see it after the lag."""
         now = self._clock.read_monotonic()
-        self._lists.append((now, tuple(instances)))
+        self.fleet.replace_instances(instances, now)
 
     async def write_record(self, key, value):
         """Write (None deletes) past the faults, as another client does."""
@@ -59,10 +61,14 @@
             "/standin/compact": self._compact,
             "/standin/faults": self._switch_faults,
             "/standin/instances": self._replace_instances,
+            "/standin/fleet/{action}": self._change_fleet,
+            "/standin/usage": self._replace_usage,
+            "/instances/{instance}/{action:drain|reboot}": self._act_on_instance,
         }
         for path, handler in routes.items():
             application.router.add_post(path, handler)
         application.router.add_get("/instances", self._show_instances)
+        application.router.add_get("/usage", self._show_usage)
         application.router.add_get("/standin/calls", self._show_calls)
         application.middlewares.append(self._apply_faults)
         application.cleanup_ctx.append(self._run_expiry)
@@ -222,16 +228,51 @@
         await response.write(line + b"\n")
 
     async def _show_instances(self, request):
-        horizon = self._clock.read_monotonic() - self.faults.list_lag
-        shown = [listed for listed_at, listed in self._lists if listed_at <= horizon]
-        tag = f'"{len(shown)}"'
-        if request.headers.get("If-None-Match") == tag:
-            return web.Response(status=304, headers={"ETag": tag})
-        return web.Response(
-            body=msgspec.json.encode(shown[-1]),
-            content_type="application/json",
-            headers={"ETag": tag},
+        now = self._clock.read_monotonic()
+        self.fleet.advance(now)
+        listed = self.fleet.read_list(now - self.faults.list_lag)
+        body = msgspec.json.encode(listed)
+        headers = {"ETag": f'"{xxhash.xxh3_64_hexdigest(body)}"'}
+        if request.headers.get("If-None-Match") == headers["ETag"]:
+            return web.Response(status=304, headers=headers)
+        return web.Response(body=body, content_type="application/json", headers=headers)
+
+    async def _show_usage(self, request):
+        horizon = self._clock.read_monotonic() - self.faults.usage_lag
+        body = msgspec.json.encode(self.fleet.read_usage(horizon))
+        return web.Response(body=body, content_type="application/json")
+
+    async def _act_on_instance(self, request):
+        """Drain or reboot the instance if ``If-Match`` names its incarnation."""
+        act = getattr(self.fleet, request.match_info["action"])
+        incarnation = int(request.headers["If-Match"].strip('"'))
+        now = self._clock.read_monotonic()
+        acted = act(request.match_info["instance"], incarnation, now)
+        return web.Response(status=202 if acted else 412)
+
+    async def _change_fleet(self, request):
+        """Let a rack or an instance fail, or an instance come back."""
+        change = msgspec.json.decode(await request.read(), type=dict[str, str])
+        now = self._clock.read_monotonic()
+        match request.match_info["action"]:
+            case "fail":
+                self.fleet.fail(change["instance"], now)
+            case "fail-rack":
+                self.fleet.fail_rack(change["zone"], change["rack"], now)
+            case "bring-back":
+                self.fleet.bring_back(change["instance"], now)
+            case "reboot-time":
+                self.fleet.reboot_time = float(change["seconds"])
+            case _:
+                raise web.HTTPNotFound
+        return web.json_response({})
+
+    async def _replace_usage(self, request):
+        reports = msgspec.json.decode(
+            await request.read(), type=tuple[UsageReport, ...]
         )
+        self.fleet.report_usage(reports, self._clock.read_monotonic())
+        return web.json_response({})
 
     async def _show_calls(self, request):
         return web.json_response(dict(self.store.calls))
