Decide and carry out a controller's rounds

One pure decision turns a view into actions; a writer carries them out by one swap each, and reads before it writes. Pools are owned by keys under the process's lease. Seen to fail (the state machine over two racing controllers): without the budget check of a permit, and with a write that does not compare the record with the one that was decided on. Not seen to fail by random search alone: drains that wait for nobody; the tables of fleet_rules.feature cover those.

--- a/peridotspoke/pools/__init__.py
+++ b/peridotspoke/pools/__init__.py
@@ -1,10 +1,142 @@
-"""Pools: instance records, the disruption ledger, planning and maintenance."""
+"""Pools: instance records, the disruption ledger, drains, moves and maintenance."""
 
+from peridotspoke.pools.actions import (
+    AddRecord,
+    BeginOperation,
+    FleetView,
+    NoteFailures,
+    RebootInstance,
+    ReplaceRecord,
+    ReportLate,
+    RetireRecord,
+    ReturnPermits,
+    RoundBounds,
+)
+from peridotspoke.pools.adoption import Adoption, choose_adoptions
+from peridotspoke.pools.conditions import PoolCondition, observe_pools
+from peridotspoke.pools.controlling import FleetController
+from peridotspoke.pools.drains import (
+    DrainBounds,
+    DrainVerdict,
+    EntryView,
+    InFlight,
+    decide_drain,
+    is_zone_heard,
+)
+from peridotspoke.pools.ledger import (
+    POOLS_PREFIX,
+    Disruption,
+    DisruptionLedger,
+    PermitRequest,
+    Refusal,
+    add_failures,
+    check_budget,
+    decide_permit,
+    key_ledger,
+    remove_disruptions,
+)
+from peridotspoke.pools.maintenance import (
+    LateMaintenance,
+    forecast_late,
+    is_in_window,
+    list_due,
+    next_opening,
+)
+from peridotspoke.pools.observing import FleetObserver
+from peridotspoke.pools.ownership import (
+    OWNERS_PREFIX,
+    OwnerRecord,
+    OwnershipChange,
+    decide_ownership,
+    key_owner,
+    list_owned,
+)
+from peridotspoke.pools.phases import (
+    adopt_instance,
+    begin_operation,
+    check_succession,
+    fence_record,
+    finish_joining,
+    give_back,
+    mark_empty,
+    mark_rebooting,
+    start_joining,
+)
+from peridotspoke.pools.planners import FixedPlanner, MovePlanner
 from peridotspoke.pools.records import (
     INSTANCES_PREFIX,
     InstanceRecord,
+    Operation,
+    OperationKind,
     Phase,
     key_instance,
 )
+from peridotspoke.pools.rounds import decide_round
+from peridotspoke.pools.writing import FleetWriter, PoolStatus, key_status
 
-__all__ = ["INSTANCES_PREFIX", "InstanceRecord", "Phase", "key_instance"]
+__all__ = [
+    "INSTANCES_PREFIX",
+    "POOLS_PREFIX",
+    "AddRecord",
+    "Adoption",
+    "BeginOperation",
+    "Disruption",
+    "DisruptionLedger",
+    "DrainBounds",
+    "DrainVerdict",
+    "EntryView",
+    "FixedPlanner",
+    "FleetController",
+    "FleetObserver",
+    "FleetView",
+    "MovePlanner",
+    "OWNERS_PREFIX",
+    "OwnerRecord",
+    "OwnershipChange",
+    "decide_ownership",
+    "key_owner",
+    "list_owned",
+    "FleetWriter",
+    "InFlight",
+    "InstanceRecord",
+    "LateMaintenance",
+    "NoteFailures",
+    "Operation",
+    "OperationKind",
+    "PermitRequest",
+    "Phase",
+    "PoolCondition",
+    "PoolStatus",
+    "RebootInstance",
+    "Refusal",
+    "ReplaceRecord",
+    "ReportLate",
+    "RetireRecord",
+    "ReturnPermits",
+    "RoundBounds",
+    "add_failures",
+    "adopt_instance",
+    "begin_operation",
+    "check_budget",
+    "check_succession",
+    "choose_adoptions",
+    "decide_drain",
+    "decide_permit",
+    "decide_round",
+    "fence_record",
+    "finish_joining",
+    "forecast_late",
+    "give_back",
+    "is_in_window",
+    "is_zone_heard",
+    "key_instance",
+    "key_ledger",
+    "key_status",
+    "list_due",
+    "mark_empty",
+    "mark_rebooting",
+    "next_opening",
+    "observe_pools",
+    "remove_disruptions",
+    "start_joining",
+]
