--- /dev/null
+++ b/peridotspoke/jobs/estimation.py
@@ -0,0 +1,130 @@
+"""Corrects what jobs declare by what was measured of earlier ones."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from peridotspoke.jobs.placement import Need
+
+__all__ = ["EstimationSettings", "UsageEstimator"]
+
+MILLICORES = 1000
+MEBIBYTE = 1 << 20
+MAX_MILLICORES = 4096 * MILLICORES
+MAX_MEBIBYTES = 1 << 24
+MAX_SECONDS = 30 * 86400
+
+
+@dataclass(frozen=True, slots=True)
+class EstimationSettings:
+    """How measured usage replaces a declaration.
+
+    Parameters
+    ----------
+    min_samples : int
+        Finished jobs of a name from which its measured usage counts.
+    quantile : float
+        Quantile of cores and run time that is taken, per cent.
+    memory_quantile : float
+        Quantile of memory, which can't be squeezed, per cent.
+    memory_margin : float
+        Factor on the measured memory.
+    max_names : int
+        Names kept; the least recently used is forgotten.
+    """
+
+    min_samples: int = 5
+    quantile: float = 90.0
+    memory_quantile: float = 99.0
+    memory_margin: float = 1.15
+    max_names: int = 256
+
+
+class _Usage:
+    def __init__(self):
+        self.cores = HdrHistogram(1, MAX_MILLICORES, 1)
+        self.memory = HdrHistogram(1, MAX_MEBIBYTES, 1)
+        self.run_time = HdrHistogram(1, MAX_SECONDS, 1)
+
+
+class UsageEstimator:
+    """Keeps measured usage for each name of job in histograms [1]_.
+
+    Parameters
+    ----------
+    settings : EstimationSettings, optional
+
+    References
+    ----------
+    .. [1] G. Tene, HdrHistogram, a high dynamic range histogram.
+
+    Examples
+    --------
+    >>> from peridotspoke.jobs.messages import JobSpec
+    >>> estimator = UsageEstimator()
+    >>> spec = JobSpec("cutting-plan", "feldkirch", cores=8)
+    >>> estimator.estimate_need(spec).cores
+    8
+    >>> for _ in range(5):
+    ...     estimator.note_finished("cutting-plan", 2.0, 1 << 28, 30.0)
+    >>> estimator.estimate_need(spec).cores < 2.5
+    True
+    """
+
+    def __init__(self, settings=None):
+        self._settings = settings or EstimationSettings()
+        self._usage = OrderedDict()
+
+    def note_finished(self, name, cores, memory, run_time):
+        """Take the usage of a finished job: peak cores and bytes, and seconds.
+
+        Values that can't be true, such as negative ones, are left out.
+        """
+        if cores < 0 or memory < 0 or run_time < 0:
+            return
+        usage = self._usage.setdefault(name, _Usage())
+        self._usage.move_to_end(name)
+        if len(self._usage) > self._settings.max_names:
+            self._usage.popitem(last=False)
+        _record(usage.run_time, run_time, MAX_SECONDS)
+        if cores and memory:
+            _record(usage.cores, cores * MILLICORES, MAX_MILLICORES)
+            _record(usage.memory, memory / MEBIBYTE, MAX_MEBIBYTES)
+
+    def estimate_need(self, spec, largest=None):
+        """Return the `Need` of a `JobSpec`.
+
+        Parameters
+        ----------
+        spec : JobSpec
+        largest : Need, optional
+            Size of the pool's largest worker, which bounds the estimate.
+        """
+        declared = Need(spec.cores, spec.memory, spec.accelerators)
+        usage = self._usage.get(spec.name)
+        settings = self._settings
+        if usage is None or usage.cores.get_total_count() < settings.min_samples:
+            return declared
+        cores = usage.cores.get_value_at_percentile(settings.quantile) / MILLICORES
+        memory = usage.memory.get_value_at_percentile(settings.memory_quantile)
+        measured = round(memory * MEBIBYTE * settings.memory_margin)
+        if largest is None:
+            return Need(cores, measured, spec.accelerators)
+        return Need(
+            min(cores, max(largest.cores, spec.cores)),
+            min(measured, max(largest.memory, spec.memory)),
+            spec.accelerators,
+        )
+
+    def estimate_run_time(self, spec):
+        """Return the run time of a `JobSpec`, seconds."""
+        usage = self._usage.get(spec.name)
+        settings = self._settings
+        if usage is None or usage.run_time.get_total_count() < settings.min_samples:
+            return spec.run_time
+        return usage.run_time.get_value_at_percentile(settings.quantile)
+
+
+def _record(histogram, value, largest):
+    histogram.record_value(min(max(1, round(value)), largest))
