Accept, show and cancel jobs for callers

Cause: a job is accepted only once it stands in the platform's service, and a caller may repeat an idempotency key at any entry instance.

A submission with a key is one record whose key derives from service and idempotency key, so that the creating swap decides between repeats; others share one record for each pool and 50 ms. Ruled out: a separate record for each idempotency key (a second write for each job), and batches of keyed jobs (two entries would have to agree on the batch first). Cancellations of one batch that come together share a swap, and an entry makes at most 10 such swaps a second, so that a wave of them leaves the service to starts.

--- a/peridotspoke/jobs/__init__.py
+++ b/peridotspoke/jobs/__init__.py
@@ -1,1 +1,67 @@
 """Jobs: accept, queue, place, supervise."""
+
+from peridotspoke.jobs.acceptance import (
+    Acceptance,
+    BatchCollector,
+    CollectorSettings,
+    JobSubmission,
+)
+from peridotspoke.jobs.accepting import JobAcceptor, JobFound
+from peridotspoke.jobs.board import JobBoard
+from peridotspoke.jobs.estimation import EstimationSettings, UsageEstimator
+from peridotspoke.jobs.evidence import EvidenceSettings, FailureEvidence
+from peridotspoke.jobs.messages import (
+    Job,
+    JobBatch,
+    JobPhase,
+    JobSpec,
+    JobState,
+    Urgency,
+)
+from peridotspoke.jobs.placement import (
+    Need,
+    PlacementSettings,
+    WorkerRoom,
+    plan_placements,
+)
+from peridotspoke.jobs.reading import (
+    MAX_SUBMISSION,
+    PoolLimits,
+    check_job,
+    parse_submission,
+)
+from peridotspoke.jobs.records import JOBS_PREFIX, JobId, key_batch, parse_job_id
+from peridotspoke.jobs.settings import BoardSettings
+
+__all__ = [
+    "Acceptance",
+    "BatchCollector",
+    "BoardSettings",
+    "CollectorSettings",
+    "EstimationSettings",
+    "EvidenceSettings",
+    "FailureEvidence",
+    "JOBS_PREFIX",
+    "Job",
+    "JobAcceptor",
+    "JobBatch",
+    "JobBoard",
+    "JobFound",
+    "JobId",
+    "JobPhase",
+    "JobSpec",
+    "JobState",
+    "JobSubmission",
+    "MAX_SUBMISSION",
+    "Need",
+    "PlacementSettings",
+    "PoolLimits",
+    "Urgency",
+    "UsageEstimator",
+    "WorkerRoom",
+    "check_job",
+    "key_batch",
+    "parse_job_id",
+    "parse_submission",
+    "plan_placements",
+]
