--- a/peridotspoke/standins/__init__.py
+++ b/peridotspoke/standins/__init__.py
@@ -1,6 +1,6 @@
-"""Small stand-ins for the platform and the upstreams, with switchable faults."""
+"""Small stand-ins for the platform, upstreams and workers, with faults."""
 
-from peridotspoke.standins.faults import PlatformFaults, UpstreamFaults
+from peridotspoke.standins.faults import PlatformFaults, UpstreamFaults, WorkerFaults
 from peridotspoke.standins.fleet import FleetStandIn, UsageReport
 from peridotspoke.standins.local import FaultyKeyValueService
 from peridotspoke.standins.memory import MemoryKeyValueService
@@ -8,6 +8,7 @@
 from peridotspoke.standins.servers import start_server
 from peridotspoke.standins.store import StoreStandIn
 from peridotspoke.standins.upstream import UpstreamStandIn
+from peridotspoke.standins.worker import TaskRunner, WorkerStandIn
 
 __all__ = [
     "FaultyKeyValueService",
@@ -16,8 +17,11 @@
     "PlatformFaults",
     "PlatformStandIn",
     "StoreStandIn",
+    "TaskRunner",
     "UpstreamFaults",
     "UpstreamStandIn",
     "UsageReport",
+    "WorkerFaults",
+    "WorkerStandIn",
     "start_server",
 ]
