Keep membership, pass configuration and leaving news between peers

Cause: entries knew one another only by the platform's list of records, so a cut or an outage left each alone, and a leaving upstream was learnt by one path only. What: Membership and LeavingView are decisions without I/O; PeerNode owns the tasks around them; UpstreamFollower joins records, list, news and refusals to one routing table and rebuilds it at once. A view is dated only by whole readings and by answers to own questions: a request may have been delayed for any time, so its age proves nothing. Ruled out: pushing news to all on each change (n squared messages, as every process hears it from the platform as well); a rate limit on leaving lists, which would have broken the dating of views.

--- a/peridotspoke/peers/__init__.py
+++ b/peridotspoke/peers/__init__.py
@@ -1,34 +1,53 @@
 """gRPC between the system's own processes."""
 
+from peridotspoke.peers.answers import PeerAnswerDirectory
 from peridotspoke.peers.client import GrpcLink, InFlightSource, PeerClient, PeerLink
 from peridotspoke.peers.lease import ProcessLease
+from peridotspoke.peers.leaving import LeavingRules, LeavingView
+from peridotspoke.peers.membership import (
+    Membership,
+    MembershipRules,
+    MemberState,
+    MemberView,
+)
 from peridotspoke.peers.messages import (
-    AnswerState,
     InFlightReport,
     LeavingNews,
-    PeerAnswer,
     PeerView,
     SlotLoan,
     SlotsAnswer,
     SlotsRequest,
     SlotWish,
 )
-from peridotspoke.peers.records import MEMBERS_PREFIX, MemberRecord, key_member
+from peridotspoke.peers.node import PeerNode, PeerStatus
+from peridotspoke.peers.records import (
+    MEMBERS_PREFIX,
+    MemberRecord,
+    key_member,
+    make_member,
+)
 from peridotspoke.peers.server import PeerHandlers, PeerServer
 
 __all__ = [
     "MEMBERS_PREFIX",
-    "AnswerState",
     "GrpcLink",
     "InFlightReport",
     "InFlightSource",
+    "LeavingRules",
+    "LeavingView",
     "LeavingNews",
     "MemberRecord",
-    "PeerAnswer",
+    "MemberState",
+    "MemberView",
+    "Membership",
+    "MembershipRules",
+    "PeerAnswerDirectory",
     "PeerClient",
     "PeerHandlers",
     "PeerLink",
+    "PeerNode",
     "PeerServer",
+    "PeerStatus",
     "PeerView",
     "ProcessLease",
     "SlotLoan",
@@ -36,4 +55,5 @@
     "SlotsAnswer",
     "SlotsRequest",
     "key_member",
+    "make_member",
 ]
--- /dev/null
+++ b/peridotspoke/peers/answers.py
@@ -0,0 +1,21 @@
+"""Remembered answers of keyed requests, asked of other entry instances."""
+
+from peridotspoke.requests import AnswerDirectory
+
+__all__ = ["PeerAnswerDirectory"]
+
+
+class PeerAnswerDirectory(AnswerDirectory):
+    """Asks the holder of a claim over gRPC.
+
+    Parameters
+    ----------
+    client : PeerClient
+    """
+
+    def __init__(self, client):
+        self._client = client
+
+    async def fetch_answer(self, claim, answer_key):
+        """Return the `RememberedAnswer` of the entry that `claim` names."""
+        return await self._client.fetch_answer(claim, answer_key)
--- a/peridotspoke/peers/client.py
+++ b/peridotspoke/peers/client.py
@@ -171,11 +171,13 @@
         answer = await self._link.call(address, "LendSlots", wire)
         return _decode("LendSlots", address, codec.decode_slots_answer, answer)
 
-    async def fetch_answer(self, address, key):
-        """Return the `PeerAnswer` of the request that `key` names."""
-        wire = peers_pb2.AnswerRequest(key=key)
-        answer = await self._link.call(address, "FetchAnswer", wire)
-        return _decode("FetchAnswer", address, codec.decode_answer, answer)
+    async def fetch_answer(self, claim, answer_key):
+        """Return the `RememberedAnswer` of the process that holds `claim`."""
+        wire = peers_pb2.AnswerRequest(
+            key=answer_key, holder=claim.entry, incarnation=claim.incarnation
+        )
+        answer = await self._link.call(claim.address, "FetchAnswer", wire)
+        return _decode("FetchAnswer", claim.address, codec.decode_answer, answer)
 
     async def report_in_flight(self, address, epochs):
         """Return `InFlightReport` by instance from the entry at `address`."""
--- a/peridotspoke/peers/codec.py
+++ b/peridotspoke/peers/codec.py
@@ -10,10 +10,8 @@
 from peridotspoke.peers import peers_pb2
 from peridotspoke.peers.messages import (
     PROTOCOL,
-    AnswerState,
     InFlightReport,
     LeavingNews,
-    PeerAnswer,
     PeerView,
     SlotLoan,
     SlotsAnswer,
@@ -21,6 +19,7 @@
     SlotWish,
 )
 from peridotspoke.peers.records import MemberRecord
+from peridotspoke.requests import AnswerState, RememberedAnswer, UpstreamAnswer
 
 __all__ = [
     "decode_answer",
@@ -38,6 +37,12 @@
 NO_VIEW = -1.0
 _ADDRESS = re.compile(r"\d+\.\d+\.\d+\.\d+:\d+")
 _ROLES = ("entry", "control")
+_STATES = (
+    AnswerState.UNKNOWN,
+    AnswerState.RUNNING,
+    AnswerState.FINISHED,
+    AnswerState.NOT_RUN,
+)
 
 
 def encode_view(view):
@@ -58,6 +63,7 @@
                 epoch=news.epoch,
                 returned=news.returned,
                 age=news.age,
+                pool=news.pool,
             )
             for news in view.leaving
         ],
@@ -132,7 +138,8 @@
     _expect(bool(wire.instance), "instance", "a name", wire.instance)
     _expect(wire.epoch >= 0, "epoch", "0 or more", wire.epoch)
     _expect_seconds("age", wire.age)
-    return LeavingNews(wire.instance, wire.epoch, wire.returned, wire.age)
+    _expect(bool(wire.pool) or not wire.returned, "pool", "a name", wire.pool)
+    return LeavingNews(wire.instance, wire.epoch, wire.returned, wire.pool, wire.age)
 
 
 def _decode_head(data):
@@ -165,24 +172,35 @@
     return reports
 
 
-def encode_answer(answer):
-    """Return the wire form of a `PeerAnswer`."""
-    return peers_pb2.RememberedAnswer(
-        state=int(answer.state),
-        status=answer.status,
-        headers=dict(answer.headers),
-        body=answer.body,
+def encode_answer(remembered):
+    """Return the wire form of a `RememberedAnswer`."""
+    wire = peers_pb2.RememberedAnswer(
+        state=_STATES.index(remembered.state),
+        fingerprint=remembered.fingerprint,
+        operation=remembered.operation,
+        unused=sorted(remembered.unused),
     )
+    answer = remembered.answer
+    if answer is not None:
+        wire.status = answer.status
+        wire.body = answer.body
+        for name, value in answer.headers:
+            wire.headers.add(name=name, value=value)
+    return wire
 
 
 def decode_answer(wire):
-    """Return the `PeerAnswer` of its wire form."""
-    states = [int(state) for state in AnswerState]
-    _expect(wire.state in states, "state", states, wire.state)
-    state = AnswerState(wire.state)
+    """Return the `RememberedAnswer` of its wire form."""
+    _expect(wire.state < len(_STATES), "state", _STATES, wire.state)
+    state = _STATES[wire.state]
+    answer = None
     if state is AnswerState.FINISHED:
         _expect(200 <= wire.status <= 599, "status", "200 to 599", wire.status)
-    return PeerAnswer(state, wire.status, dict(wire.headers), wire.body)
+        headers = tuple((header.name, header.value) for header in wire.headers)
+        answer = UpstreamAnswer(wire.status, headers, wire.body)
+    return RememberedAnswer(
+        state, answer, wire.fingerprint, wire.operation, frozenset(wire.unused)
+    )
 
 
 def encode_slots_request(request):
--- a/peridotspoke/peers/lease.py
+++ b/peridotspoke/peers/lease.py
@@ -18,7 +18,7 @@
 
     The lease is counted from before the call was sent, on the monotonic clock, so
     that the holder stops before the service frees the lease [1]_. `grants` counts
-    the leases that were granted; each gap in holding ends with a fresh one.
+    the leases that the service granted; it grows after each expiry there.
 
     Parameters
     ----------
--- a/peridotspoke/peers/messages.py
+++ b/peridotspoke/peers/messages.py
@@ -1,18 +1,14 @@
 """What the system's processes tell each other."""
 
-import enum
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from peridotspoke.declarations import ConfigurationHead
 from peridotspoke.peers.records import MemberRecord
 
 __all__ = [
     "PROTOCOL",
-    "AnswerState",
     "InFlightReport",
     "LeavingNews",
-    "PeerAnswer",
     "PeerView",
     "SlotLoan",
     "SlotWish",
@@ -25,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingNews:
-    """An instance that leaves, or serves again, since `epoch`.
+    """An instance that leaves, or serves `pool` again, since `epoch`.
 
     `age` is the time in seconds since the news arose, by the teller's count.
     """
@@ -33,6 +29,7 @@
     instance: str
     epoch: int
     returned: bool = False
+    pool: str = ""
     age: float = 0.0
 
 
@@ -75,25 +72,6 @@
     seen: bool
 
 
-class AnswerState(enum.IntEnum):
-    """What a process knows of a keyed request."""
-
-    UNKNOWN = 0
-    RUNNING = 1
-    FINISHED = 2
-    NOT_RUN = 3
-
-
-@dataclass(frozen=True, slots=True)
-class PeerAnswer:
-    """The remembered answer of a keyed request; empty unless it is finished."""
-
-    state: AnswerState
-    status: int = 0
-    headers: Mapping[str, str] = field(default_factory=dict)
-    body: bytes = b""
-
-
 @dataclass(frozen=True, slots=True)
 class SlotWish:
     """Slots of one executor that a borrower uses now, and those that it wants."""
--- a/peridotspoke/peers/records.py
+++ b/peridotspoke/peers/records.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
-__all__ = ["MEMBERS_PREFIX", "MemberRecord", "key_member"]
+__all__ = ["MEMBERS_PREFIX", "MemberRecord", "key_member", "make_member"]
 
 MEMBERS_PREFIX = "members/"
 
@@ -28,3 +28,18 @@
 def key_member(name):
     """Return the key of a process's record."""
     return MEMBERS_PREFIX + name
+
+
+def make_member(settings, role, clock):
+    """Return the `MemberRecord` of a process that starts; its address is set later.
+
+    Parameters
+    ----------
+    settings : EntrySettings or ControlSettings
+    role : str
+        ``entry`` or ``control``.
+    clock : Clock
+        The wall clock gives the incarnation, in milliseconds.
+    """
+    incarnation = int(clock.read_wall() * 1000)
+    return MemberRecord(settings.name, role, settings.zone, "", incarnation)
--- a/peridotspoke/peers/server.py
+++ b/peridotspoke/peers/server.py
@@ -30,7 +30,7 @@
     lend_slots : callable, optional
         From a `SlotsRequest` to a `SlotsAnswer`.
     fetch_answer : callable, optional
-        Coroutine function from an idempotency key to a `PeerAnswer`.
+        Coroutine function from an answer's key to a `RememberedAnswer`.
     report_in_flight : callable, optional
         From epochs by instance to `InFlightReport` by instance.
     """
@@ -126,7 +126,9 @@
         """Return the remembered answer of a keyed request."""
 
         async def answer():
-            found = await self._get("fetch_answer")(request.key)
+            fetch_answer = self._get("fetch_answer")
+            self._check_holder(request)
+            found = await fetch_answer(request.key)
             return codec.encode_answer(found)
 
         return await self._answer("FetchAnswer", request, context, answer)
@@ -146,6 +148,14 @@
             raise PeerError(f"{self._name} does not answer {method}", step=method)
         return handler
 
+    def _check_holder(self, request):
+        found = (request.holder, request.incarnation)
+        own = (self._name, self._incarnation)
+        if found != own:
+            raise PeerError(
+                f"holder: expected {own}, found {found}", step="FetchAnswer"
+            )
+
     async def _answer(self, method, request, context, answer):
         self.bytes_received += request.ByteSize()
         try:
--- a/peridotspoke/peers/tests/test_calling.py
+++ b/peridotspoke/peers/tests/test_calling.py
@@ -10,20 +10,25 @@
 
 from peridotspoke.exceptions import PeerError
 from peridotspoke.peers import (
-    AnswerState,
     GrpcLink,
     InFlightReport,
     MemberRecord,
-    PeerAnswer,
     PeerClient,
     PeerHandlers,
     PeerServer,
     PeerView,
     codec,
 )
+from peridotspoke.requests import (
+    AnswerState,
+    ClaimRecord,
+    RememberedAnswer,
+    UpstreamAnswer,
+)
 
 scenarios("calling.feature")
 
+HEADERS = (("Set-Cookie", "a=1"), ("Set-Cookie", "b=2"))
 VIEW = PeerView(MemberRecord("e1", "entry", "vlbg-a", "127.0.0.1:9", 1), 0, 0)
 
 
@@ -83,8 +88,9 @@
 def start_remembering(runner, peer, status, body, key):
     async def fetch(asked):
         if asked != key:
-            return PeerAnswer(AnswerState.UNKNOWN)
-        return PeerAnswer(AnswerState.FINISHED, status, {}, body.encode())
+            return RememberedAnswer(AnswerState.UNKNOWN)
+        found = UpstreamAnswer(status, HEADERS, body.encode())
+        return RememberedAnswer(AnswerState.FINISHED, found)
 
     start(runner, peer, fetch_answer=fetch)
 
@@ -92,12 +98,16 @@
 @when(parsers.parse('it is asked for the answer of key "{key}"'))
 def ask_answer(runner, peer, key):
     client = PeerClient(peer["link"])
-    peer["found"] = runner.run(client.fetch_answer(peer["address"], key))
+    claim = ClaimRecord("e2", 1, peer["address"])
+    peer["found"] = runner.run(client.fetch_answer(claim, key)).answer
+    stale = ClaimRecord("e2", 0, peer["address"])
+    with pytest.raises(PeerError, match="holder: expected"):
+        runner.run(client.fetch_answer(stale, key))
 
 
 @then(parsers.parse('the answer has status {status:d} and body "{body}"'))
 def check_answer(peer, status, body):
-    assert (peer["found"].status, peer["found"].body) == (status, body.encode())
+    assert peer["found"] == UpstreamAnswer(status, HEADERS, body.encode())
 
 
 @given(parsers.parse('a peer whose fault is "{fault}"'))
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -11,6 +11,13 @@
 from peridotspoke.exceptions import OperationConflictError, PlatformError
 from peridotspoke.identities import make_operation_id
 from peridotspoke.logs import log_event
+from peridotspoke.peers import (
+    GrpcLink,
+    PeerClient,
+    PeerHandlers,
+    PeerNode,
+    make_member,
+)
 from peridotspoke.platform import (
     ChangeNote,
     HttpInstanceList,
@@ -40,7 +47,7 @@
         self._clock = clock
         self._random = random
         self._configuration = None
-        self._lease = None
+        self.node = None
         self._tasks = []
         self._stack = AsyncExitStack()
 
@@ -56,9 +63,19 @@
         )
         follower = ConfigurationFollower(service)
         follower.configurations.subscribe(self._apply_configuration)
+        self.node = PeerNode(
+            make_member(settings, "control", self._clock),
+            settings,
+            service,
+            follower,
+            PeerClient(GrpcLink()),
+            self._clock,
+            self._random,
+        )
+        await self.node.start(PeerHandlers())
+        self._stack.push_async_callback(self.node.stop)
         self._tasks = [
             asyncio.create_task(follower.run()),
-            asyncio.create_task(self._hold_lease(service)),
             asyncio.create_task(self._plan(service, instance_list)),
         ]
         log_event("control-started")
@@ -74,33 +91,16 @@
     def _apply_configuration(self, configuration):
         self._configuration = configuration
 
-    async def _hold_lease(self, service):
-        ttl = self._settings.lease_ttl
-        while True:
-            try:
-                if self._lease is not None:
-                    self._lease = await service.renew_lease(self._lease)
-                if self._lease is None:
-                    self._lease = await service.grant_lease(ttl)
-                    log_event("lease-granted", lease=self._lease.lease_id)
-            except PlatformError as error:
-                log_event("lease-not-renewed", "WARNING", error=error)
-            await asyncio.sleep(ttl / 3)
-
     async def _plan(self, service, instance_list):
         while True:
             await asyncio.sleep(self._settings.plan_interval)
-            if self._configuration is None or not self._may_act():
+            if self._configuration is None or not self.node.lease.is_held():
                 continue
             try:
                 await self._adopt_instances(service, instance_list)
             except PlatformError as error:
                 log_event("round-abandoned", "WARNING", error=error)
 
-    def _may_act(self):
-        now = self._clock.read_monotonic()
-        return self._lease is not None and self._lease.is_held(now)
-
     async def _adopt_instances(self, service, instance_list):
         listed = await instance_list.read_instances()
         snapshot = await service.read_prefix(INSTANCES_PREFIX)
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -3,23 +3,26 @@
 import asyncio
 import random
 from contextlib import AsyncExitStack
+from dataclasses import asdict
 
 import aiohttp
 from aiohttp import web
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import ConfigurationFollower
-from peridotspoke.exceptions import PlatformError, RecordError
 from peridotspoke.identities import split_address
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
-from peridotspoke.platform import (
-    HttpInstanceList,
-    decode_record,
-    follow_prefix,
-    open_service,
+from peridotspoke.peers import (
+    GrpcLink,
+    InFlightReport,
+    PeerAnswerDirectory,
+    PeerClient,
+    PeerHandlers,
+    PeerNode,
+    make_member,
 )
-from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
+from peridotspoke.platform import HttpInstanceList, open_service
 from peridotspoke.programs.admin import (
     Health,
     HealthSource,
@@ -28,21 +31,20 @@
 from peridotspoke.programs.callers import CallerServer
 from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
 from peridotspoke.programs.settings import EntrySettings
+from peridotspoke.programs.upstreams import UpstreamFollower
 from peridotspoke.requests import (
+    AnswerState,
     BodyMemory,
     ClaimRecord,
     FixedShares,
     Forwarder,
     KeyedRunner,
-    NoAnswerDirectory,
+    RememberedAnswer,
     RequestPipeline,
-    build_routing_table,
 )
 
 __all__ = ["EntryInstance", "main"]
 
-INCARNATION_BITS = 48
-
 
 class EntryInstance(HealthSource):
     """One entry instance: its sockets, its followers and the request pipeline.
@@ -58,14 +60,13 @@
         self.metrics = MetricsRegistry()
         self.address = ""
         self.admin_address = ""
-        self.incarnation = random.getrandbits(INCARNATION_BITS)
         self.pipeline = None
         self._callers = None
         self._settings = settings
         self._clock = clock
         self._random = random
-        self._listed = ()
-        self._records = {}
+        self.node = None
+        self._upstreams = None
         self._tasks = []
         self._stack = AsyncExitStack()
 
@@ -79,21 +80,37 @@
         instance_list = HttpInstanceList(
             settings.platform, settings.platform_timeout, session
         )
+        follower = ConfigurationFollower(service)
+        self.node = PeerNode(
+            make_member(settings, "entry", self._clock),
+            settings,
+            service,
+            follower,
+            PeerClient(GrpcLink()),
+            self._clock,
+            self._random,
+        )
+        handlers = PeerHandlers(
+            report_in_flight=self._report_in_flight, fetch_answer=self._recall_answer
+        )
         memory = BodyMemory(settings.body_memory)
         forwarder = Forwarder(settings, self._clock, memory)
         self._stack.push_async_callback(forwarder.close)
+        await self.node.start(handlers)
+        self._stack.push_async_callback(self.node.stop)
         self.pipeline = self._make_pipeline(service, forwarder)
         self._callers = CallerServer(
             settings, self._clock, self._random, self.pipeline, memory, self.metrics
         )
         self._stack.push_async_callback(self._callers.stop)
-        follower = ConfigurationFollower(service)
+        self._upstreams = UpstreamFollower(
+            settings, service, instance_list, self.node, self._clock, self._apply_routes
+        )
         follower.configurations.subscribe(self._apply_configuration)
         self._tasks = [
             asyncio.create_task(forwarder.run()),
             asyncio.create_task(follower.run()),
-            asyncio.create_task(self._follow_records(service)),
-            asyncio.create_task(self._follow_list(instance_list)),
+            asyncio.create_task(self._upstreams.run()),
         ]
         await self._callers.start()
         self.address = self._callers.address
@@ -104,13 +121,14 @@
 
     def _make_pipeline(self, service, forwarder):
         settings = self._settings
-        identity = ClaimRecord(settings.name, self.incarnation, settings.peer_listen)
+        own = self.node.own
+        identity = ClaimRecord(own.name, own.incarnation, own.address)
         keyed = KeyedRunner(
             settings,
             self._clock,
             self._random,
             service,
-            NoAnswerDirectory(),
+            PeerAnswerDirectory(self.node.client),
             identity,
         )
         shares = FixedShares(settings.entry_instances)
@@ -120,7 +138,7 @@
 
     async def drain(self):
         """Stop to be ready, refuse, and finish what runs within ``stop_limit``."""
-        await self._callers.drain()
+        await asyncio.gather(self.node.announce_stop(), self._callers.drain())
 
     async def stop(self):
         """End all tasks and close all sockets."""
@@ -140,7 +158,7 @@
             ready=not reasons,
             reasons=tuple(reasons),
             details={
-                "version": configuration.version if configuration else 0,
+                **asdict(self.node.get_status()),
                 "running": self.pipeline.count_running(),
             },
         )
@@ -155,34 +173,27 @@
 
     def _apply_configuration(self, configuration):
         self.pipeline.configuration = configuration
-
-    async def _follow_records(self, service):
-        async for followed in follow_prefix(service, INSTANCES_PREFIX):
-            for key in followed.changed:
-                self._take_record(key, followed.records.get(key))
-            self._apply_routes()
-
-    def _take_record(self, key, record):
-        instance = key.removeprefix(INSTANCES_PREFIX)
-        if record is None:
-            self._records.pop(instance, None)
-            return
-        try:
-            self._records[instance] = decode_record(record, InstanceRecord).body
-        except RecordError as error:
-            log_event("record-rejected", "ERROR", error=error)
-
-    async def _follow_list(self, instance_list):
-        while True:
-            try:
-                self._listed = await instance_list.read_instances()
-                self._apply_routes()
-            except PlatformError as error:
-                log_event("instance-list-unread", "WARNING", error=error)
-            await asyncio.sleep(self._settings.list_interval)
-
-    def _apply_routes(self):
-        self.pipeline.routes = build_routing_table(self._listed, self._records)
+        if configuration is not None:
+            self._upstreams.view_bound = configuration.deployment.view_bound
+
+    def _apply_routes(self, routes):
+        self.pipeline.routes = routes
+
+    async def _recall_answer(self, answer_key):
+        if self.pipeline is None:
+            return RememberedAnswer(AnswerState.UNKNOWN)
+        return self.pipeline.keyed.recall_answer(answer_key)
+
+    def _report_in_flight(self, epochs):
+        if self.pipeline is None:
+            return {name: InFlightReport(0, False) for name in epochs}
+        return {
+            instance: InFlightReport(
+                self.pipeline.count_in_flight(instance),
+                self.node.leaving.has_seen(instance, epoch),
+            )
+            for instance, epoch in epochs.items()
+        }
 
 
 async def _run(settings):
--- a/peridotspoke/programs/settings.py
+++ b/peridotspoke/programs/settings.py
@@ -13,6 +13,7 @@
 ]
 
 ADDRESS = r"^\d+\.\d+\.\d+\.\d+:\d+$"
+ADDRESSES = r"^(\d+(\.\d+){3}:\d+(,\d+(\.\d+){3}:\d+)*)?$"
 
 
 class EntrySettings(ProgramSettings):
@@ -29,6 +30,15 @@
     peer_listen: str = Field(
         "127.0.0.1:8082", pattern=ADDRESS, description="address for peers"
     )
+    seed_peers: str = Field(
+        "",
+        pattern=ADDRESSES,
+        description="addresses of peers for a start without the platform, "
+        "separated by commas",
+    )
+    lease_ttl: float = Field(
+        6.0, ge=1, description="time to live of the process's lease, seconds"
+    )
     entry_instances: int = Field(
         8, ge=1, le=64, description="most entry instances alive at once, a number"
     )
@@ -80,8 +90,17 @@
 
     name: str = Field(min_length=1, description="name of this controller")
     zone: str = Field(min_length=1, description="availability zone of this instance")
+    peer_listen: str = Field(
+        "127.0.0.1:8083", pattern=ADDRESS, description="address for peers"
+    )
+    seed_peers: str = Field(
+        "",
+        pattern=ADDRESSES,
+        description="addresses of peers for a start without the platform, "
+        "separated by commas",
+    )
     lease_ttl: float = Field(
-        6.0, ge=1, description="time to live of the controller's lease, seconds"
+        6.0, ge=1, description="time to live of the process's lease, seconds"
     )
     plan_interval: float = Field(
         1.0, gt=0, description="time between two rounds of planning, seconds"
--- a/peridotspoke/programs/trial.py
+++ b/peridotspoke/programs/trial.py
@@ -73,7 +73,11 @@
         list_interval=0.2,
     )
     control_settings = ControlSettings(
-        name="control-1", zone="zone-0", platform=url, plan_interval=0.2
+        name="control-1",
+        zone="zone-0",
+        platform=url,
+        plan_interval=0.2,
+        peer_listen="127.0.0.1:0",
     )
     controller = Controller(control_settings, clock, chance)
     await controller.start()
--- /dev/null
+++ b/peridotspoke/programs/upstreams.py
@@ -0,0 +1,122 @@
+"""Keeps an entry's routing table in step with all news of the upstreams."""
+
+import asyncio
+
+from peridotspoke.exceptions import PlatformError, RecordError
+from peridotspoke.logs import log_event
+from peridotspoke.platform import decode_record, follow_prefix
+from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
+from peridotspoke.requests import build_routing_table
+
+__all__ = ["UpstreamFollower"]
+
+TICK = 0.25  # seconds between two looks at the age of the view
+DEFAULT_VIEW_BOUND = 5.0  # seconds, until a configuration declares it
+
+
+class UpstreamFollower:
+    """Joins records, the platform's list and peers' news to a routing table.
+
+    The table is rebuilt at once when any of them changes. Where no peer has
+    confirmed the view for half of its bound, the records are read as a whole.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    service : KeyValueService
+    instance_list : InstanceList
+    node : PeerNode
+    clock : Clock
+    apply_routes : callable
+        Takes each new `RoutingTable`.
+    """
+
+    def __init__(self, settings, service, instance_list, node, clock, apply_routes):
+        self.view_bound = DEFAULT_VIEW_BOUND
+        self._settings = settings
+        self._service = service
+        self._instance_list = instance_list
+        self._node = node
+        self._clock = clock
+        self._apply_routes = apply_routes
+        self._records = {}
+        self._revisions = {}
+        self._listed = ()
+        self._routes = None
+
+    async def run(self):
+        """Follow until cancelled."""
+        await asyncio.gather(
+            self._follow_records(),
+            self._follow_list(),
+            self._follow_news(),
+            self._confirm_view(),
+        )
+
+    async def _follow_records(self):
+        async for followed in follow_prefix(self._service, INSTANCES_PREFIX):
+            for key in followed.changed:
+                self._take_record(key, followed.records.get(key))
+            self._node.take_instances(self._records, None)
+
+    def _take_record(self, key, record):
+        instance = key.removeprefix(INSTANCES_PREFIX)
+        if record is None:
+            self._records.pop(instance, None)
+            return
+        if record.revision < self._revisions.get(instance, 0):
+            return
+        self._revisions[instance] = record.revision
+        try:
+            self._records[instance] = decode_record(record, InstanceRecord).body
+        except RecordError as error:
+            log_event("record-rejected", "ERROR", error=error)
+
+    async def _follow_list(self):
+        while True:
+            try:
+                self._listed = await self._instance_list.read_instances()
+                self._node.leaving.take_list(self._listed)
+                self._rebuild_routes()
+            except PlatformError as error:
+                log_event("instance-list-unread", "WARNING", error=error)
+            await asyncio.sleep(self._settings.list_interval)
+
+    async def _follow_news(self):
+        """Rebuild after each news, and by the clock as the view grows old."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK):
+                    await self._node.leaving_changed.wait()
+            except TimeoutError:
+                pass
+            self._node.leaving_changed.clear()
+            self._rebuild_routes()
+
+    async def _confirm_view(self):
+        while True:
+            await asyncio.sleep(TICK)
+            now = self._clock.read_monotonic()
+            age = self._node.leaving.get_age(now)
+            if age is not None and age < self.view_bound / 2:
+                continue
+            try:
+                snapshot = await self._service.read_prefix(INSTANCES_PREFIX)
+            except PlatformError as error:
+                log_event("view-unconfirmed", "WARNING", error=error)
+                await asyncio.sleep(self.view_bound / 4)
+                continue
+            for record in snapshot.records:
+                self._take_record(record.key, record)
+            self._node.take_instances(self._records, now)
+
+    def _rebuild_routes(self):
+        leaving = self._node.leaving
+        now = self._clock.read_monotonic()
+        listed = leaving.select_listed(
+            self._listed, self._settings.zone, self.view_bound, now
+        )
+        routes = build_routing_table(listed, leaving.select_records())
+        if routes != self._routes:
+            self._routes = routes
+            self._apply_routes(routes)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -82,7 +82,8 @@
 
     def start_control(self, name="control-0", zone="vlbg-a", **flags):
         """Start a controller and return its process."""
-        flags = {"platform": self.platform, **flags}
+        ports = {"peer_listen": FREE_PORTS["peer_listen"]}
+        flags = {**ports, "platform": self.platform, **flags}
         process = self._start("control", name=name, zone=zone, **flags)
         process.wait_for_event("control-started")
         return process
