Watch for the stop signal before a program opens its sockets

Cause: SIGTERM that came between the log line of the start and the handler ended the process by the signal's default action (status -15, seen once in the run of the documented commands). A stop asked for at the start is a planned one too. What: watch_signals installs the handlers first and returns the event.

--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -26,7 +26,7 @@
     swap_stored,
 )
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord, Phase, key_instance
-from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
+from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import ControlSettings
 
 __all__ = ["Controller", "main"]
@@ -135,10 +135,11 @@
 
 
 async def _run(settings):
+    stop = watch_signals()
     controller = Controller(settings, SystemClock(), random.SystemRandom())
     await controller.start()
     try:
-        await wait_for_stop()
+        await stop.wait()
     finally:
         await controller.stop()
 
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -29,7 +29,7 @@
     make_admin_application,
 )
 from peridotspoke.programs.callers import CallerServer
-from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
+from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.programs.upstreams import UpstreamFollower
 from peridotspoke.requests import (
@@ -197,10 +197,11 @@
 
 
 async def _run(settings):
+    stop = watch_signals()
     entry = EntryInstance(settings, SystemClock(), random.SystemRandom())
     await entry.start()
     try:
-        await wait_for_stop()
+        await stop.wait()
         await entry.drain()
     finally:
         await entry.stop()
--- a/peridotspoke/programs/running.py
+++ b/peridotspoke/programs/running.py
@@ -17,7 +17,7 @@
     "EXIT_USAGE",
     "make_command",
     "run_commands",
-    "wait_for_stop",
+    "watch_signals",
 ]
 
 EXIT_FAILURE = 1
@@ -103,8 +103,12 @@
     return "\n".join([usage, "", *summaries, "", f"{program} COMMAND --help: flags"])
 
 
-async def wait_for_stop():
-    """Return after the first SIGTERM or SIGINT; later ones are only logged."""
+def watch_signals():
+    """Return an event that is set by the first SIGTERM or SIGINT.
+
+    It is called before a program opens its sockets, so that a stop asked for while
+    it starts is a planned one as well. Later signals are only logged.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
 
@@ -114,4 +118,4 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, note_signal, number)
-    await stop.wait()
+    return stop
--- a/peridotspoke/programs/standin.py
+++ b/peridotspoke/programs/standin.py
@@ -3,7 +3,7 @@
 from peridotspoke.clock import SystemClock
 from peridotspoke.identities import split_address
 from peridotspoke.logs import log_event
-from peridotspoke.programs.running import make_command, run_commands, wait_for_stop
+from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import StandinSettings
 from peridotspoke.standins import PlatformStandIn, UpstreamStandIn, start_server
 
@@ -19,10 +19,11 @@
 
 
 async def _serve(application, settings):
+    stop = watch_signals()
     runner, address = await start_server(application, *split_address(settings.listen))
     log_event("standin-started", listen=address)
     try:
-        await wait_for_stop()
+        await stop.wait()
     finally:
         await runner.cleanup()
 
