Let controllers date the entries' view of the instance records

Cause: an entry may use another zone's upstreams only on a view younger than the declared bound; reading the records itself at that rate would cost each entry a whole reading every few seconds. What: a controller reads them each round anyway; its reading dates its view, and the age passes to entries in the answers to their questions.

--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -103,7 +103,9 @@
 
     async def _adopt_instances(self, service, instance_list):
         listed = await instance_list.read_instances()
+        read_at = self._clock.read_monotonic()
         snapshot = await service.read_prefix(INSTANCES_PREFIX)
+        self.node.take_snapshot(snapshot, read_at)
         known = {record.key for record in snapshot.records}
         fresh = [item for item in listed if key_instance(item.instance) not in known]
         sizes = {
