Check declarations across keys and files

Cause: a need above its pool, a budget that leaves no instance, windows too short for the pool's maintenance, an overflow without a spare and a second deployment file were accepted and would have failed at work.

Each fault names file, line, key, what was found and what is expected, and all are told at once. Checks that concern a default alone are left out: the default need follows from the pool's size instead. Jobs get a table for their classes.

--- a/peridotspoke/declarations/reading.py
+++ b/peridotspoke/declarations/reading.py
@@ -1,15 +1,22 @@
 """Reads and checks declaration files."""
 
 import tomllib
-from dataclasses import dataclass
 from pathlib import Path
 
 from pydantic import TypeAdapter, ValidationError
 
+from peridotspoke.declarations.checking import (
+    Fault,
+    Source,
+    check_source,
+    check_together,
+    fill_defaults,
+    find_line,
+)
 from peridotspoke.declarations.schema import DeploymentDeclaration, ServiceDeclaration
 from peridotspoke.exceptions import DeclarationError
 
-__all__ = ["Fault", "parse_declaration", "read_declarations"]
+__all__ = ["parse_declaration", "read_declarations"]
 
 _ADAPTERS = {
     "service": TypeAdapter(ServiceDeclaration),
@@ -17,22 +24,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """One fault of a file: where it is, what was found, what was expected."""
-
-    file: str
-    line: int
-    key: str
-    found: str
-    expected: str
-
-    def __str__(self):
-        """Return the fault as one line."""
-        place = f"{self.file}:{self.line}"
-        return f"{place}: {self.key}: found {self.found}, expected {self.expected}"
-
-
 def read_declarations(directory):
     """Return the text of each declaration below `directory` by its name.
 
@@ -47,22 +38,37 @@
             "expected at least one .toml file, found none", peer=str(directory)
         )
     faults = []
-    texts = {}
+    sources = {}
     for path in paths:
-        text = path.read_text(encoding="utf-8")
-        found = _check_text(str(path), text)
-        if isinstance(found, list):
-            faults += found
+        source, found = _read_source(path)
+        faults += found
+        if source is None:
             continue
-        name = _name_declaration(found)
-        if name in texts:
-            faults.append(Fault(str(path), 1, "service", name, "a name used once"))
-        texts[name] = text
+        name = _name_declaration(source.declaration)
+        if name in sources:
+            key = name.partition("/")[0]
+            other = f"{name}, also in {sources[name].file}"
+            faults.append(source.make_fault(key, other, "a name used once"))
+        sources.setdefault(name, source)
+    faults += check_together(tuple(sources.values()))
     if faults:
         raise DeclarationError(
             "\n".join(str(fault) for fault in faults), step="check declarations"
         )
-    return texts
+    return {name: source.text for name, source in sources.items()}
+
+
+def _read_source(path):
+    """Return the `Source` of a file, or None, and the file's faults."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return None, [Fault(str(path), 1, "file", str(error), "UTF-8 text")]
+    found = _check_text(str(path), text)
+    if isinstance(found, list):
+        return None, found
+    source = Source(str(path), text, found)
+    return source, check_source(source)
 
 
 def parse_declaration(name, text):
@@ -96,7 +102,8 @@
     if kind is None:
         return [Fault(file, 1, "service", "nothing", "the key service or deployment")]
     try:
-        return _ADAPTERS[kind].validate_python(data)
+        filled = fill_defaults(data) if kind == "service" else data
+        return _ADAPTERS[kind].validate_python(filled)
     except ValidationError as error:
         return [_describe_fault(file, text, item) for item in error.errors()]
 
@@ -109,7 +116,7 @@
 
 def _describe_fault(file, text, item):
     keys = [str(key) for key in item["loc"]]
-    line = _find_line(text, keys)
+    line = find_line(text, keys)
     found = repr(item["input"])
     return Fault(file, line, ".".join(keys), found, _describe_expectation(item))
 
@@ -118,19 +125,3 @@
     if item["type"] == "unexpected_keyword_argument":
         return "no such key here"
     return item["msg"]
-
-
-def _find_line(text, keys):
-    """Return the line of the last key of the path that the text names."""
-    section = ""
-    best = 1
-    wanted_section = ".".join(keys[:-1])
-    for number, line in enumerate(text.splitlines(), start=1):
-        stripped = line.strip()
-        if stripped.startswith("["):
-            section = stripped.strip("[]").strip()
-            if section == wanted_section or section == ".".join(keys):
-                best = number
-        elif section == wanted_section and stripped.split("=")[0].strip() == keys[-1]:
-            return number
-    return best
--- a/peridotspoke/declarations/schema.py
+++ b/peridotspoke/declarations/schema.py
@@ -5,7 +5,7 @@
 """
 
 from dataclasses import field
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import ConfigDict, Field
 from pydantic.dataclasses import dataclass
@@ -13,6 +13,7 @@
 __all__ = [
     "BudgetDeclaration",
     "DeploymentDeclaration",
+    "JobsDeclaration",
     "MaintenanceDeclaration",
     "NeedDeclaration",
     "PoolDeclaration",
@@ -59,10 +60,14 @@
 
 @dataclass(frozen=True, config=_STRICT)
 class MaintenanceDeclaration:
-    """How often each instance is maintained, and when, in UTC times of day."""
+    """How often each instance is maintained, and when, in UTC times of day.
+
+    `duration_minutes` is the longest time that one instance is out.
+    """
 
     period_days: PositiveCount = 28
     windows: tuple[Window, ...] = ("00:00-23:59",)
+    duration_minutes: PositiveCount = 30
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -96,6 +101,31 @@
     key_lifetime: Seconds = 600.0
 
 
+JobClass = Literal["urgent", "normal", "may-wait"]
+
+
+@dataclass(frozen=True, config=_STRICT)
+class JobsDeclaration:
+    """Which classes of jobs a service takes.
+
+    Parameters
+    ----------
+    classes : tuple of str
+        ``urgent``, ``normal`` and ``may-wait``; urgent jobs start first.
+    default_class : str
+        The class of a job that names none.
+    most_attempts : int
+        Starts on different workers after which a failing job is set aside.
+    time_limit : float
+        Longest run of one attempt, seconds.
+    """
+
+    classes: tuple[JobClass, ...] = ("urgent", "normal", "may-wait")
+    default_class: JobClass = "normal"
+    most_attempts: PositiveCount = 3
+    time_limit: Annotated[float, Field(gt=0, le=7 * 86400)] = 86400.0
+
+
 @dataclass(frozen=True, config=_STRICT)
 class QuotaDeclaration:
     """What one team may hold at once of the service's workers."""
@@ -106,7 +136,7 @@
 
 @dataclass(frozen=True, config=_STRICT)
 class ServiceDeclaration:
-    """One service: its pool, need, budget, maintenance, requests and quotas."""
+    """One service: its pool, need, budget, maintenance, requests, jobs and quotas."""
 
     service: Name
     pool: PoolDeclaration = field(default_factory=PoolDeclaration)
@@ -114,6 +144,7 @@
     budget: BudgetDeclaration = field(default_factory=BudgetDeclaration)
     maintenance: MaintenanceDeclaration = field(default_factory=MaintenanceDeclaration)
     requests: RequestsDeclaration = field(default_factory=RequestsDeclaration)
+    jobs: JobsDeclaration = field(default_factory=JobsDeclaration)
     quota: dict[Name, QuotaDeclaration] = field(default_factory=dict)
 
 
