--- a/peridotspoke/declarations/following.py
+++ b/peridotspoke/declarations/following.py
@@ -7,8 +7,9 @@
     PARTS_PREFIX,
     ConfigurationHead,
     assemble_configuration,
+    digest_part,
 )
-from peridotspoke.exceptions import PeridotspokeError, RecordError
+from peridotspoke.exceptions import DeclarationError, PlatformError, RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.platform import decode_record, follow_prefix
 
@@ -41,20 +42,32 @@
 
     async def run(self):
         """Follow until cancelled."""
+        done_revision = 0
         async for followed in follow_prefix(self._service, HEAD_PREFIX):
-            for key in followed.changed:
-                record = followed.records.get(key)
-                if record is not None:
-                    await self._take_record(record)
+            record = followed.records.get(HEAD_KEY)
+            if record is None or record.revision == done_revision:
+                continue
+            if await self._take_record(record):
+                done_revision = record.revision
 
     async def _take_record(self, record):
-        if record.key != HEAD_KEY:
-            return
+        """Take a head into force; return False where it is to be tried again."""
         try:
             head = decode_record(record, ConfigurationHead).body
+            if head.version < self.version:
+                log_event(
+                    "configuration-older",
+                    "ERROR",
+                    found=head.version,
+                    kept=self.version,
+                )
             await self.take_head(head, self._fetch_part)
-        except PeridotspokeError as error:
+        except (DeclarationError, RecordError) as error:
             log_event("configuration-rejected", "ERROR", error=error)
+        except PlatformError as error:
+            log_event("configuration-incomplete", "WARNING", error=error)
+            return False
+        return True
 
     async def take_head(self, head, fetch_part):
         """Take `head` into force if it is newer, fetching the parts it lacks.
@@ -68,7 +81,7 @@
         if head.version <= self.version:
             return
         texts = {
-            digest: self._texts.get(digest) or await fetch_part(digest)
+            digest: await self._find_text(digest, fetch_part)
             for digest in head.parts.values()
         }
         configuration = assemble_configuration(head, texts)
@@ -79,6 +92,19 @@
         log_event("configuration-in-force", version=head.version)
         self.configurations.on_next(configuration)
 
+    async def _find_text(self, digest, fetch_part):
+        text = self._texts.get(digest)
+        if text is not None:
+            return text
+        text = await fetch_part(digest)
+        if digest_part(text) != digest:
+            raise RecordError(
+                f"expected the digest {digest}, found {digest_part(text)}",
+                step="fetch part",
+                peer=digest,
+            )
+        return text
+
     def get_part(self, digest):
         """Return the text of a part in force, or None."""
         return self._texts.get(digest)
@@ -86,7 +112,7 @@
     async def _fetch_part(self, digest):
         record = await self._service.read(PARTS_PREFIX + digest)
         if record is None:
-            raise RecordError(
+            raise PlatformError(
                 "expected a part, found none", step="fetch part", peer=digest
             )
         return record.value.decode()
--- /dev/null
+++ b/peridotspoke/programs/output.py
@@ -0,0 +1,29 @@
+"""Output of the operators' commands: a table for people, JSON lines for programs."""
+
+import msgspec
+from tabulate import tabulate
+
+__all__ = ["print_rows"]
+
+
+def print_rows(rows, form):
+    """Print data classes or dicts as a table, or as one JSON document a line.
+
+    Parameters
+    ----------
+    rows : iterable
+    form : {"table", "json"}
+    """
+    plain = [msgspec.to_builtins(row) for row in rows]
+    if form == "json":
+        for row in plain:
+            print(msgspec.json.encode(row).decode(), flush=True)
+    elif plain:
+        cells = [
+            {key: _format_cell(cell) for key, cell in row.items()} for row in plain
+        ]
+        print(tabulate(cells, headers="keys", disable_numparse=True), flush=True)
+
+
+def _format_cell(value):
+    return ", ".join(map(str, value)) if isinstance(value, list | tuple) else value
--- a/peridotspoke/programs/publish.py
+++ b/peridotspoke/programs/publish.py
@@ -1,17 +1,61 @@
-"""peridotspoke-publish: check, publish and show the operators' declarations."""
+"""peridotspoke-publish: check, compare, publish and show the declarations.
 
+Exit statuses
+-------------
+0
+    Done.
+1
+    The declarations are invalid, or the platform failed; nothing was published.
+2
+    Bad flags or settings.
+3
+    The version was published, but isn't in force everywhere within the limit.
+4
+    Another operator published meanwhile; nothing was published.
+5
+    It is unknown whether the version was published.
+"""
+
+import asyncio
 import random
+import sys
+from contextlib import asynccontextmanager
+from datetime import UTC, datetime
 
 import aiohttp
 
 from peridotspoke.clock import SystemClock
-from peridotspoke.declarations import publish_declarations, read_declarations
-from peridotspoke.declarations.publishing import read_head
-from peridotspoke.platform import GatewayKeyValueService
+from peridotspoke.declarations import (
+    compare_texts,
+    measure_roll_out,
+    publish_declarations,
+    read_declarations,
+    read_head,
+    read_members,
+    read_texts,
+)
+from peridotspoke.exceptions import (
+    AnswerLostError,
+    OperationConflictError,
+    PlatformError,
+)
+from peridotspoke.platform import open_service
+from peridotspoke.programs.output import print_rows
 from peridotspoke.programs.running import make_command, run_commands
-from peridotspoke.programs.settings import OperatorSettings
+from peridotspoke.programs.settings import PublishSettings
+
+__all__ = ["EXIT_CONFLICT", "EXIT_INCOMPLETE", "EXIT_UNKNOWN", "main"]
+
+EXIT_INCOMPLETE = 3
+EXIT_CONFLICT = 4
+EXIT_UNKNOWN = 5
+WAIT_INTERVAL = 0.25  # seconds
+
 
-__all__ = ["main"]
+@asynccontextmanager
+async def _open_platform(settings):
+    async with aiohttp.ClientSession() as session:
+        yield open_service(settings, SystemClock(), session)
 
 
 async def _check(settings):
@@ -19,47 +63,101 @@
     print(f"{len(texts)} declarations are valid")
 
 
+async def _diff(settings):
+    texts = read_declarations(settings.directory)
+    async with _open_platform(settings) as service:
+        stored, _ = await read_head(service)
+        before = await read_texts(service, stored.body) if stored else {}
+    changes = compare_texts(before, texts)
+    if settings.output == "table":
+        version = stored.body.version if stored else 0
+        print(f"{len(changes)} keys differ from version {version}")
+    print_rows(changes, settings.output)
+
+
 async def _publish(settings):
     texts = read_declarations(settings.directory)
+    async with _open_platform(settings) as service:
+        try:
+            publication = await publish_declarations(
+                service,
+                texts,
+                settings.operator,
+                settings.reason,
+                SystemClock(),
+                random.SystemRandom(),
+                settings.expected_version,
+            )
+        except OperationConflictError as error:
+            return _fail(error, EXIT_CONFLICT)
+        except AnswerLostError as error:
+            return _fail(error, EXIT_UNKNOWN)
+        if settings.output == "json":
+            print_rows([publication], "json")
+        else:
+            names = ", ".join(publication.changed) or "nothing changed"
+            print(f"version {publication.version}: {names}", flush=True)
+        if settings.wait:
+            return await _wait(service, settings, publication.version)
+    return 0
+
+
+def _fail(error, status):
+    print(f"peridotspoke-publish: {error}", file=sys.stderr)
+    return status
+
+
+async def _wait(service, settings, version):
+    """Print the progress by zone until each process has the version."""
     clock = SystemClock()
-    async with aiohttp.ClientSession() as session:
-        service = GatewayKeyValueService(
-            settings.platform, settings.platform_timeout, clock, session
-        )
-        publication = await publish_declarations(
-            service,
-            texts,
-            settings.operator,
-            settings.reason,
-            clock,
-            random.SystemRandom(),
-        )
-    if publication.changed:
-        print(f"version {publication.version}: {', '.join(publication.changed)}")
-    else:
-        print(f"version {publication.version}: nothing changed")
+    started_at = clock.read_monotonic()
+    shown = None
+    while True:
+        taken = clock.read_monotonic() - started_at
+        try:
+            roll_out = measure_roll_out(version, await read_members(service))
+        except PlatformError as error:
+            print(f"waiting for the platform: {error}", file=sys.stderr, flush=True)
+            roll_out = None
+        if roll_out is not None and roll_out != shown:
+            shown = roll_out
+            print_rows(roll_out.zones, settings.output)
+            print(f"after {taken:.2f} s", file=sys.stderr, flush=True)
+        if roll_out is not None and roll_out.is_complete():
+            return 0
+        if taken > settings.wait_limit:
+            return _fail(
+                f"version {version} isn't in force everywhere after {taken:.1f} s",
+                EXIT_INCOMPLETE,
+            )
+        await asyncio.sleep(WAIT_INTERVAL)
 
 
 async def _status(settings):
-    async with aiohttp.ClientSession() as session:
-        service = GatewayKeyValueService(
-            settings.platform, settings.platform_timeout, SystemClock(), session
-        )
+    async with _open_platform(settings) as service:
         stored, _ = await read_head(service)
-    print(f"version {stored.body.version if stored else 0}")
+        members = await read_members(service)
+    version = stored.body.version if stored else 0
+    if settings.output == "table":
+        print(f"version {version}")
+        for note in stored.changes[:1] if stored else ():
+            at = datetime.fromtimestamp(note.at, UTC).isoformat(timespec="seconds")
+            print(f"{note.action}, by {note.author} at {at}: {note.reason}")
+    print_rows(measure_roll_out(version, members).zones, settings.output)
 
 
 def main():
     """Run the command line."""
     commands = {
         "check": (_check, "Check the declarations."),
+        "diff": (_diff, "Show which keys differ from the published version."),
         "publish": (_publish, "Check and publish the declarations."),
-        "status": (_status, "Show the published version."),
+        "status": (_status, "Show the published version and where it is in force."),
     }
     run_commands(
         "peridotspoke-publish",
         {
-            name: make_command("publish", OperatorSettings, run, summary)
+            name: make_command("publish", PublishSettings, run, summary)
             for name, (run, summary) in commands.items()
         },
     )
--- a/peridotspoke/programs/settings.py
+++ b/peridotspoke/programs/settings.py
@@ -5,9 +5,10 @@
 from peridotspoke.settings import ProgramSettings
 
 __all__ = [
+    "AuditSettings",
     "ControlSettings",
     "EntrySettings",
-    "OperatorSettings",
+    "PublishSettings",
     "StandinSettings",
     "TrialSettings",
 ]
@@ -88,14 +89,33 @@
     )
 
 
-class OperatorSettings(ProgramSettings):
-    """Settings of the operators' commands."""
+class PublishSettings(ProgramSettings):
+    """Settings of peridotspoke-publish."""
 
     directory: str = Field(
         ".", description="directory of the declaration files, searched in depth"
     )
     operator: str = Field("operator", min_length=1, description="who publishes")
     reason: str = Field("", description="why this is published")
+    expected_version: int | None = Field(
+        None, ge=0, description="version that the operator saw; the head's by default"
+    )
+    wait: bool = Field(
+        False, description="whether to wait until the version is in force everywhere"
+    )
+    wait_limit: float = Field(30.0, gt=0, description="longest such wait, seconds")
+    output: str = Field(
+        "table", pattern="^(table|json)$", description="form of the output"
+    )
+
+
+class AuditSettings(ProgramSettings):
+    """Settings of peridotspoke-audit."""
+
+    key: str = Field("", description="key whose changes are shown")
+    instance: str = Field("", description="instance whose changes are shown")
+    pool: str = Field("", description="pool whose changes are shown")
+    last: int = Field(1000, ge=1, description="most changes shown, the newest")
     output: str = Field(
         "table", pattern="^(table|json)$", description="form of the output"
     )
