Prove the fleet under faults, case by case

Found by the cases and mended: a lost answer to the release of a pool ended the round with an error, so that the controller stood still until it was restarted; the round is now abandoned and the next one goes on.

--- a/peridotspoke/pools/controlling.py
+++ b/peridotspoke/pools/controlling.py
@@ -132,18 +132,29 @@
         """Run one round; nothing is done without a configuration and a held lease."""
         if self._observer.configuration is None or not self._process.is_held():
             return
+        try:
+            await self._run_round()
+        except PlatformError as error:
+            self.outcomes["round-abandoned"] += 1
+            log_event("round-abandoned", "WARNING", error=error)
+
+    async def _run_round(self):
         if self._was_paused():
             await self._read_again()
         self._rounds_at = self._clock.read_monotonic()
         await self._share_pools()
         await self._poll_entries()
-        owned = list_owned(self._owners, self._make_owner(""))
+        owned = self.list_owned()
         if not owned:
             return
         now, wall = self._clock.read_monotonic(), self._clock.read_wall()
         self._views.on_next(self._observer.make_view(owned, now, wall, self._refusals))
         await self._act(self._pending.pop())
 
+    def list_owned(self):
+        """Return the frozenset of pools that this controller holds."""
+        return list_owned(self._owners, self._make_owner(""))
+
     def _was_paused(self):
         """Return whether so long has passed that the view may be of another time."""
         if self._rounds_at is None:
@@ -183,8 +194,8 @@
             )
             try:
                 await write_ownership(self._service, change, owner, note)
-            except OperationConflictError as error:
-                log_event("pool-not-claimed", error=error)
+            except PlatformError as error:
+                log_event("pool-not-shared", pool=change.pool, error=error)
                 continue
             if change.claims:
                 self._owners[change.pool] = owner
--- a/peridotspoke/pools/planners.py
+++ b/peridotspoke/pools/planners.py
@@ -22,8 +22,8 @@
     """
 
     def __init__(self, moves=()):
-        self._moves = moves
+        self.moves = moves
 
     def plan(self, view):
         """Return the fixed moves."""
-        return self._moves
+        return self.moves
--- a/peridotspoke/standins/site.py
+++ b/peridotspoke/standins/site.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 
 from peridotspoke.clock import ManualClock
-from peridotspoke.exceptions import OperationConflictError, PeerError
+from peridotspoke.exceptions import OperationConflictError, PeerError, RecordError
 from peridotspoke.identities import make_operation_id
 from peridotspoke.peers import InFlightReport, InFlightSource, MemberRecord
-from peridotspoke.platform import InstanceActions, ListedInstance
+from peridotspoke.platform import InstanceActions, ListedInstance, decode_record
 from peridotspoke.platform.keyvalue import Change
 from peridotspoke.pools import (
     INSTANCES_PREFIX,
@@ -18,13 +18,20 @@
     FleetController,
     FleetObserver,
     FleetWriter,
+    InstanceRecord,
     RoundBounds,
 )
 from peridotspoke.standins.fleet import FleetStandIn
 from peridotspoke.standins.local import FaultyKeyValueService
 from peridotspoke.standins.store import StoreStandIn
 
-__all__ = ["EntriesStandIn", "FleetSite", "SiteController", "list_machines"]
+__all__ = [
+    "EntriesStandIn",
+    "FleetSite",
+    "RunningRequest",
+    "SiteController",
+    "list_machines",
+]
 
 PREFIXES = (INSTANCES_PREFIX, POOLS_PREFIX, OWNERS_PREFIX)
 BOUNDS = RoundBounds(DrainBounds(view=5.0, request=10.0, silence=3.0))
@@ -69,35 +76,98 @@
             )
 
 
+@dataclass(frozen=True, slots=True)
+class RunningRequest:
+    """A request in flight from an entry instance to an instance."""
+
+    entry: str
+    instance: str
+    ends_at: float
+
+
 class EntriesStandIn(InFlightSource):
-    """Entry instances that answer what is in flight.
+    """Entry instances that use the instances of their view, one in each zone.
+
+    One that is cut off keeps its view. It uses the instances of its own zone
+    whatever the view's age, and others while it is younger than the bound.
+
+    Parameters
+    ----------
+    zones : list of str
+    bounds : DrainBounds
+    read_records : callable
+        Returns the `InstanceRecord` by instance, as they stand in the store.
 
     Attributes
     ----------
     members : dict of str to MemberRecord
-    silent : set of str
-        Those that don't answer.
-    running : dict of tuple of (str, str) to int
-        Requests in flight by entry instance and instance.
+        Those whose lease is held.
+    requests : list of RunningRequest
     """
 
-    def __init__(self, zones):
-        self.members = {
-            f"entry-{zone}": MemberRecord(
-                f"entry-{zone}", "entry", zone, f"entry-{zone}", 1
-            )
-            for zone in zones
-        }
-        self.silent = set()
-        self.running = {}
+    def __init__(self, zones, bounds, read_records):
+        self.members = {}
+        self.requests = []
+        self._bounds = bounds
+        self._read_records = read_records
+        self._views = {}
+        self._seen_at = {}
+        self._cut_at = {}
+        self._known = {}
+        self._now = 0.0
+        for zone in zones:
+            name = f"entry-{zone}"
+            self._known[name] = MemberRecord(name, "entry", zone, name, 1)
+        self.members.update(self._known)
+
+    def cut(self, name):
+        """Cut an entry instance off from the platform and from the controllers."""
+        self._cut_at.setdefault(name, self._now)
+
+    def join(self, name):
+        """End the cut."""
+        self._cut_at.pop(name, None)
+        self.members[name] = self._known[name]
+        self.pass_time(self._now)
+
+    def kill(self, name):
+        """End an entry instance with its requests."""
+        self.cut(name)
+        self._views[name] = {}
+        self.requests = [item for item in self.requests if item.entry != name]
+
+    def pass_time(self, now):
+        """End requests that are done, refresh the views, let leases lapse."""
+        self._now = now
+        self.requests = [item for item in self.requests if item.ends_at > now]
+        for name in self._known:
+            if name not in self._cut_at:
+                self._views[name] = self._read_records()
+                self._seen_at[name] = now
+            elif now - self._cut_at[name] > LEASE_TTL:
+                self.members.pop(name, None)
+
+    def send(self, name, instance, seconds):
+        """Send a request of `seconds` if the entry instance's view allows it."""
+        record = self._views.get(name, {}).get(instance)
+        if record is None or record.phase != "serving":
+            return
+        near = record.zone == self._known[name].zone
+        if near or self._now - self._seen_at[name] <= self._bounds.view:
+            ends_at = self._now + min(seconds, self._bounds.request)
+            self.requests.append(RunningRequest(name, instance, ends_at))
 
     async def report_in_flight(self, address, epochs):
         """Return `InFlightReport` by instance."""
-        if address in self.silent or address not in self.members:
+        if address in self._cut_at or address not in self.members:
             raise PeerError("no answer", step="report in flight", peer=address)
+        view = self._views[address]
+        running = [item.instance for item in self.requests if item.entry == address]
         return {
-            name: InFlightReport(self.running.get((address, name), 0), True)
-            for name in epochs
+            name: InFlightReport(
+                running.count(name), name in view and view[name].epoch >= epoch
+            )
+            for name, epoch in epochs.items()
         }
 
 
@@ -137,11 +207,12 @@
         self._renew(lease_id)
         self.observer = FleetObserver(name, site.bounds)
         self.observer.configuration = site.configuration
+        self.writer = FleetWriter(
+            self.service, site.actions, site.clock, name, site.make_id
+        )
         self.controller = FleetController(
             observer=self.observer,
-            writer=FleetWriter(
-                self.service, site.actions, site.clock, name, site.make_id
-            ),
+            writer=self.writer,
             service=self.service,
             process=self.process,
             in_flight_source=site.entries,
@@ -159,9 +230,9 @@
 
     async def run_round(self, renews=True):
         """Renew the lease, take the news of the store and the list, run a round."""
-        if renews:
+        if renews and not self.service.down:
             self._renew(self.process.lease_id)
-        if not self.blind:
+        if not self.blind and not self.service.down:
             self.take_news()
         await self.controller.run_round()
 
@@ -212,13 +283,33 @@
         self.fleet = FleetStandIn(reboot_time)
         self.fleet.replace_instances(machines, 0.0)
         self.actions = _FleetActions(self.fleet, self.clock)
-        self.entries = EntriesStandIn(sorted({item.zone for item in machines}))
+        self.entries = EntriesStandIn(
+            sorted({item.zone for item in machines}), bounds.drain, self.read_records
+        )
         self.configuration = configuration
         self.bounds = bounds
         self.list_lag = 0.0
         self.list_is_up = True
         self.controllers = []
         self._random = random.Random(seed)
+        self._records = {}
+        self._records_at = None
+
+    def read_records(self):
+        """Return the last `InstanceRecord` of each that could be read."""
+        if self._records_at == self.store.revision:
+            return self._records
+        self._records_at = self.store.revision
+        found = {}
+        for key, record in self.store.records.items():
+            if key.startswith(INSTANCES_PREFIX):
+                name = key.removeprefix(INSTANCES_PREFIX)
+                try:
+                    found[name] = decode_record(record, InstanceRecord).body
+                except RecordError:
+                    found[name] = self._records[name]
+        self._records = found
+        return self._records
 
     def make_id(self):
         """Return a fresh operation id."""
@@ -230,10 +321,18 @@
         self.controllers.append(controller)
         return controller
 
+    async def run_second(self, controllers=None):
+        """Let a second pass, then run a round of each controller in turn."""
+        self.clock.advance(1.0)
+        self.entries.pass_time(self.clock.read_monotonic())
+        for controller in self.controllers if controllers is None else controllers:
+            await controller.run_round()
+
     def list_members(self):
         """Return the records of all live processes."""
         controllers = [
             MemberRecord(item.name, "control", "", item.name, 1)
             for item in self.controllers
+            if item.process.is_held()
         ]
         return [*self.entries.members.values(), *controllers]
