Show that a returned permit fences off the controller that held it

With the fence taken out and orphaned permits returned all the same, the case 'a move ... 120 ... has no effect' fails (the frozen controller's drain takes effect with no entry in the ledger); with it the case passes. The case of a wave alone does not show it: the other controller maintains the same instance first.

--- a/peridotspoke/pools/tests/fleet_faults.feature
+++ b/peridotspoke/pools/tests/fleet_faults.feature
@@ -87,14 +87,16 @@
       | second |
 
   Scenario Outline: A permit without an operation is fenced off before it is returned
-    Given two controllers, and every instance due for maintenance
+    Given two controllers, and <work>
     When the owner freezes for <seconds> s between the permit and the drain
     Then the frozen controller's drain <outcome> and nothing was violated
 
     Examples:
-      | seconds | outcome         |
-      | 2       | takes effect    |
-      | 120     | has no effect   |
+      | work                                   | seconds | outcome       |
+      | every instance due for maintenance     | 2       | takes effect  |
+      | every instance due for maintenance     | 120     | has no effect |
+      | a move of one instance from left to right | 2    | takes effect  |
+      | a move of one instance from left to right | 120  | has no effect |
 
   Scenario Outline: Bad input is told once and moves nothing
     Given two controllers, and a fleet at rest
--- a/peridotspoke/pools/tests/test_fleet_faults.py
+++ b/peridotspoke/pools/tests/test_fleet_faults.py
@@ -408,6 +408,7 @@
         story.owner.service.pause = None
         story.instance = key.removeprefix("instances/")
         story.before = story.site.read_records()[story.instance]
+        story.planner.moves = ()
         for _ in range(seconds):
             await story.site.run_second(others)
         story.others = story.site.read_records()[story.instance]
@@ -427,7 +428,9 @@
         assert record.operation is None or (
             record.operation.started_by != story.owner.name
         )
-    check_wave(story)
+    story.pass_seconds(500)
+    assert all_serve(story)
+    assert_ledgers_empty(story)
 
 
 @when(parsers.parse("the controllers meet {given_input} for 60 s"))
