Let a controller follow, plan and act on the fleet

The thin controller gave listed instances to pools in the order of the list. It is replaced by tasks that feed FleetController: one watch for each of instances/, pools/ and owners/, the list, the members.

--- a/peridotspoke/pools/__init__.py
+++ b/peridotspoke/pools/__init__.py
@@ -47,6 +47,7 @@
     OWNERS_PREFIX,
     OwnerRecord,
     OwnershipChange,
+    ProcessIdentity,
     decide_ownership,
     key_owner,
     list_owned,
@@ -62,7 +63,7 @@
     mark_rebooting,
     start_joining,
 )
-from peridotspoke.pools.planners import FixedPlanner, MovePlanner
+from peridotspoke.pools.planners import FixedPlanner, IncrementalPlanner, MovePlanner
 from peridotspoke.pools.records import (
     INSTANCES_PREFIX,
     InstanceRecord,
@@ -93,6 +94,8 @@
     "OWNERS_PREFIX",
     "OwnerRecord",
     "OwnershipChange",
+    "IncrementalPlanner",
+    "ProcessIdentity",
     "decide_ownership",
     "key_owner",
     "list_owned",
--- a/peridotspoke/pools/controlling.py
+++ b/peridotspoke/pools/controlling.py
@@ -128,6 +128,12 @@
         entries = [item for item in members if item.role == "entry"]
         self._observer.entries.take_members(entries, now)
 
+    def change_drain_bounds(self, drain):
+        """Take other `DrainBounds` into force and return the `RoundBounds`."""
+        self._bounds = replace(self._bounds, drain=drain)
+        self._observer.change_bounds(self._bounds)
+        return self._bounds
+
     async def run_round(self):
         """Run one round; nothing is done without a configuration and a held lease."""
         if self._observer.configuration is None or not self._process.is_held():
--- a/peridotspoke/pools/observing.py
+++ b/peridotspoke/pools/observing.py
@@ -105,6 +105,10 @@
             self._list_faults.add(str(error))
             log_event("instance-list-rejected", "WARNING", error=error)
 
+    def change_bounds(self, bounds):
+        """Take other `RoundBounds` into force."""
+        self._bounds = bounds
+
     def note_told(self, instance, now):
         """Note that the platform was asked for a reboot."""
         self._told_at[instance] = now
--- a/peridotspoke/pools/ownership.py
+++ b/peridotspoke/pools/ownership.py
@@ -1,5 +1,6 @@
 """Shares the pools between the live controllers by rendezvous and leases."""
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
 from peridotspoke.exceptions import OperationConflictError
@@ -11,6 +12,7 @@
     "OWNERS_PREFIX",
     "OwnerRecord",
     "OwnershipChange",
+    "ProcessIdentity",
     "decide_ownership",
     "key_owner",
     "list_owned",
@@ -20,6 +22,25 @@
 OWNERS_PREFIX = "owners/"
 
 
+class ProcessIdentity(ABC):
+    """A process that acts under its lease.
+
+    Its attributes are `name`, `incarnation` and `lease_id`, 0 without a lease.
+    """
+
+    name: str
+    incarnation: int
+    lease_id: int
+
+    @abstractmethod
+    def is_held(self):
+        """Return whether the process may act under its lease now.
+
+        It counts the lease from before the renewal was sent, on its monotonic
+        clock, so that it stops before the service frees the lease.
+        """
+
+
 @dataclass(frozen=True, slots=True)
 class OwnerRecord:
     """The controller of a pool; the record ends with its holder's lease.
--- a/peridotspoke/pools/planners.py
+++ b/peridotspoke/pools/planners.py
@@ -1,8 +1,16 @@
-"""The interface between a controller's round and the planning of moves."""
+"""The stage of a controller's round that asks planning for moves."""
 
 from abc import ABC, abstractmethod
 
-__all__ = ["FixedPlanner", "MovePlanner"]
+from peridotspoke.planning import (
+    InstanceView,
+    PastMove,
+    PlanningRules,
+    PoolView,
+    plan_moves,
+)
+
+__all__ = ["FixedPlanner", "IncrementalPlanner", "MovePlanner"]
 
 
 class MovePlanner(ABC):
@@ -27,3 +35,85 @@
     def plan(self, view):
         """Return the fixed moves."""
         return self.moves
+
+
+class IncrementalPlanner(MovePlanner):
+    """Plans by `plan_moves`, now and then.
+
+    An instance that is out for maintenance, or that has been missing for less than
+    `patience`, counts as available: it will be back before a move would pay.
+
+    Parameters
+    ----------
+    interval : float, optional
+        Seconds between two plans.
+    patience : float, optional
+        Seconds.
+    """
+
+    def __init__(self, interval=10.0, patience=120.0):
+        self._interval = interval
+        self._patience = patience
+        self._planned_at = float("-inf")
+        self._moves = ()
+        self._pools = {}
+        self._history = []
+
+    def plan(self, view):
+        """Return the moves of the last plan, or of a new one where that is old."""
+        self._note_moves(view)
+        if view.monotonic - self._planned_at < self._interval:
+            return self._moves
+        self._planned_at = view.monotonic
+        self._moves = () if self._is_unsure(view) else self._make_plan(view)
+        return self._moves
+
+    def _is_unsure(self, view):
+        """Return whether the list is late, or some instance has no record yet."""
+        if view.list_age > self._patience:
+            return True
+        return any(
+            item.state == "live" and name not in view.records
+            for name, item in view.listed.items()
+        )
+
+    def _make_plan(self, view):
+        weights = view.configuration.deployment.weights
+        rules = PlanningRules(buffer=weights.buffer, move=weights.move)
+        pools = [
+            self._make_pool(view, declaration)
+            for declaration in view.configuration.services.values()
+        ]
+        return plan_moves(pools, rules, view.monotonic, self._history).moves
+
+    def _make_pool(self, view, declaration):
+        name = declaration.service
+        instances = tuple(
+            InstanceView(
+                record.instance,
+                record.zone,
+                record.rack,
+                self._is_available(view, record.instance),
+            )
+            for record in view.records.values()
+            if record.pool == name
+        )
+        return PoolView(
+            pool=name,
+            need=declaration.need.instances,
+            max_unavailable=declaration.budget.max_unavailable,
+            instances=instances,
+            spare=declaration.pool.spare,
+        )
+
+    def _is_available(self, view, instance):
+        missing_since = view.missing_since.get(instance, view.monotonic)
+        return view.monotonic - missing_since < self._patience
+
+    def _note_moves(self, view):
+        pools = {name: record.pool for name, record in view.records.items()}
+        for name, pool in pools.items():
+            source = self._pools.get(name, pool)
+            if source != pool:
+                self._history.append(PastMove(name, source, pool, view.monotonic))
+        self._pools = pools
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -8,8 +8,6 @@
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import ConfigurationFollower
-from peridotspoke.exceptions import OperationConflictError, PlatformError
-from peridotspoke.identities import make_operation_id
 from peridotspoke.logs import log_event
 from peridotspoke.peers import (
     GrpcLink,
@@ -18,14 +16,8 @@
     PeerNode,
     make_member,
 )
-from peridotspoke.platform import (
-    ChangeNote,
-    HttpInstanceList,
-    Stored,
-    open_service,
-    swap_stored,
-)
-from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord, Phase, key_instance
+from peridotspoke.platform import HttpInstanceActions, HttpInstanceList, open_service
+from peridotspoke.programs.fleet import FleetTasks
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import ControlSettings
 
@@ -33,7 +25,7 @@
 
 
 class Controller:
-    """Gives each listed instance without a record to a pool.
+    """One controller: its sockets, its peers and the tasks on the fleet.
 
     Parameters
     ----------
@@ -46,7 +38,6 @@
         self._settings = settings
         self._clock = clock
         self._random = random
-        self._configuration = None
         self.node = None
         self._tasks = []
         self._stack = AsyncExitStack()
@@ -62,7 +53,6 @@
             settings.platform, settings.platform_timeout, session
         )
         follower = ConfigurationFollower(service)
-        follower.configurations.subscribe(self._apply_configuration)
         self.node = PeerNode(
             make_member(settings, "control", self._clock),
             settings,
@@ -74,12 +64,26 @@
         )
         await self.node.start(PeerHandlers())
         self._stack.push_async_callback(self.node.stop)
+        fleet = FleetTasks(
+            settings,
+            service,
+            instance_list,
+            HttpInstanceActions(settings.platform, settings.platform_timeout, session),
+            self.node,
+            self._clock,
+            self._random,
+        )
+        follower.configurations.subscribe(fleet.apply_configuration)
         self._tasks = [
             asyncio.create_task(follower.run()),
-            asyncio.create_task(self._plan(service, instance_list)),
+            asyncio.create_task(fleet.run()),
         ]
         log_event("control-started")
 
+    async def wait_for_failure(self):
+        """Raise the error of the first task that ends by one."""
+        await asyncio.gather(*self._tasks)
+
     async def stop(self):
         """End all tasks and close all sockets."""
         for task in self._tasks:
@@ -88,58 +92,18 @@
         await self._stack.aclose()
         log_event("control-stopped")
 
-    def _apply_configuration(self, configuration):
-        self._configuration = configuration
-
-    async def _plan(self, service, instance_list):
-        while True:
-            await asyncio.sleep(self._settings.plan_interval)
-            if self._configuration is None or not self.node.lease.is_held():
-                continue
-            try:
-                await self._adopt_instances(service, instance_list)
-            except PlatformError as error:
-                log_event("round-abandoned", "WARNING", error=error)
-
-    async def _adopt_instances(self, service, instance_list):
-        listed = await instance_list.read_instances()
-        snapshot = await service.read_prefix(INSTANCES_PREFIX)
-        known = {record.key for record in snapshot.records}
-        fresh = [item for item in listed if key_instance(item.instance) not in known]
-        sizes = {
-            name: declaration.pool.instances
-            for name, declaration in self._configuration.services.items()
-        }
-        pools = [name for name, size in sorted(sizes.items()) for _ in range(size)]
-        for item, pool in zip(fresh, pools[len(known) :], strict=False):
-            await self._adopt_instance(service, item, pool)
-
-    async def _adopt_instance(self, service, item, pool):
-        record = InstanceRecord(
-            item.instance, pool, Phase.SERVING, 1, item.zone, item.rack
-        )
-        note = ChangeNote(
-            operation=make_operation_id(self._random),
-            author=self._settings.name,
-            action=f"adopt into pool {pool}",
-            reason="listed without a record",
-            at=self._clock.read_wall(),
-        )
-        try:
-            await swap_stored(
-                service, key_instance(item.instance), Stored(record, (note,)), 0
-            )
-            log_event("instance-adopted", instance=item.instance, pool=pool)
-        except OperationConflictError as error:
-            log_event("adoption-lost", error=error)
-
 
 async def _run(settings):
     stop = watch_signals()
     controller = Controller(settings, SystemClock(), random.SystemRandom())
     await controller.start()
+    waits = [
+        asyncio.create_task(stop.wait()),
+        asyncio.create_task(controller.wait_for_failure()),
+    ]
     try:
-        await stop.wait()
+        done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        done.pop().result()
     finally:
         await controller.stop()
 
--- /dev/null
+++ b/peridotspoke/programs/fleet.py
@@ -0,0 +1,156 @@
+"""The tasks by which a controller follows, plans and acts on the fleet."""
+
+import asyncio
+from functools import partial
+
+import xxhash
+
+from peridotspoke.exceptions import PlatformError
+from peridotspoke.identities import make_operation_id
+from peridotspoke.platform import follow_prefix
+from peridotspoke.pools import (
+    INSTANCES_PREFIX,
+    OWNERS_PREFIX,
+    POOLS_PREFIX,
+    DrainBounds,
+    FleetController,
+    FleetObserver,
+    FleetWriter,
+    IncrementalPlanner,
+    ProcessIdentity,
+    RoundBounds,
+)
+
+__all__ = ["FleetTasks"]
+
+PREFIXES = (INSTANCES_PREFIX, POOLS_PREFIX, OWNERS_PREFIX)
+DEFAULT_REQUEST = 10.0  # seconds, until a configuration declares it
+DEFAULT_VIEW = 5.0  # seconds, until a configuration declares it
+SILENCE = 3.0  # seconds
+
+
+class NodeIdentity(ProcessIdentity):
+    """The identity of this process and its lease.
+
+    Parameters
+    ----------
+    node : PeerNode
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    @property
+    def name(self):
+        """The process's name."""
+        return self._node.own.name
+
+    @property
+    def incarnation(self):
+        """Differs each time that the process starts."""
+        return self._node.own.incarnation
+
+    @property
+    def lease_id(self):
+        """Identity of the lease; 0 without one."""
+        lease = self._node.lease.lease
+        return lease.lease_id if lease else 0
+
+    def is_held(self):
+        """Return whether the process may act under its lease now."""
+        return self._node.lease.is_held()
+
+
+class FleetTasks:
+    """Feeds a `FleetController` and lets it run a round at each interval.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+    service : KeyValueService
+    instance_list : InstanceList
+    instance_actions : InstanceActions
+    node : PeerNode
+    clock : Clock
+    random : random.Random
+    """
+
+    def __init__(
+        self, settings, service, instance_list, instance_actions, node, clock, random
+    ):
+        make_id = partial(make_operation_id, random)
+        self.bounds = RoundBounds(
+            DrainBounds(DEFAULT_VIEW, DEFAULT_REQUEST, SILENCE),
+            pause=max(5.0, 3 * settings.plan_interval),
+        )
+        self.observer = FleetObserver(settings.name, self.bounds)
+        self.controller = FleetController(
+            observer=self.observer,
+            writer=FleetWriter(
+                service, instance_actions, clock, settings.name, make_id
+            ),
+            service=service,
+            process=NodeIdentity(node),
+            in_flight_source=node.client,
+            planner=IncrementalPlanner(),
+            clock=clock,
+            bounds=self.bounds,
+            make_id=make_id,
+        )
+        self._settings = settings
+        self._service = service
+        self._instance_list = instance_list
+        self._node = node
+        self._clock = clock
+        self._followed = set()
+
+    def apply_configuration(self, configuration):
+        """Take a configuration; the bounds of drains never shrink."""
+        if configuration is None:
+            return
+        drain = self.bounds.drain
+        limits = [item.requests.time_limit for item in configuration.services.values()]
+        drain = DrainBounds(
+            view=max(drain.view, configuration.deployment.view_bound),
+            request=max([drain.request, *limits]),
+            silence=drain.silence,
+        )
+        self.bounds = self.controller.change_drain_bounds(drain)
+        self.observer.configuration = configuration
+
+    async def run(self):
+        """Follow and run rounds until cancelled."""
+        follows = [self._follow(prefix) for prefix in PREFIXES]
+        await asyncio.gather(*follows, self._follow_list(), self._run_rounds())
+
+    async def _follow(self, prefix):
+        async for followed in follow_prefix(self._service, prefix):
+            self.controller.take_followed(followed)
+            self._followed.add(prefix)
+
+    async def _follow_list(self):
+        while True:
+            asked_at = self._clock.read_monotonic()
+            try:
+                listed = await self._instance_list.read_instances()
+                self.observer.take_list(listed, asked_at)
+            except PlatformError as error:
+                self.observer.reject_list(error)
+            await asyncio.sleep(self._settings.plan_interval)
+
+    async def _run_rounds(self):
+        """Run a round at each interval, each process at its own time within it."""
+        interval = self._settings.plan_interval
+        phase = xxhash.xxh32_intdigest(self._settings.name.encode()) / 2**32
+        await asyncio.sleep(phase * interval)
+        while True:
+            if len(self._followed) == len(PREFIXES):
+                self._take_members()
+                await self.controller.run_round()
+            await asyncio.sleep(interval)
+
+    def _take_members(self):
+        now = self._clock.read_monotonic()
+        members = self._node.membership.list_members(now)
+        listed = [item.record for item in members if item.listed]
+        self.controller.take_members([*listed, self._node.own])
--- a/peridotspoke/standins/site.py
+++ b/peridotspoke/standins/site.py
@@ -19,6 +19,7 @@
     FleetObserver,
     FleetWriter,
     InstanceRecord,
+    ProcessIdentity,
     RoundBounds,
 )
 from peridotspoke.standins.fleet import FleetStandIn
@@ -171,12 +172,12 @@
         }
 
 
-@dataclass
-class _Process:
-    name: str
-    incarnation: int
-    lease: object
-    clock: ManualClock
+class _Process(ProcessIdentity):
+    def __init__(self, name, clock):
+        self.name = name
+        self.incarnation = 1
+        self.lease = None
+        self.clock = clock
 
     @property
     def lease_id(self):
@@ -203,7 +204,7 @@
         self._site = site
         self._reached = 0
         lease_id = site.store.grant_lease(LEASE_TTL, site.clock.read_monotonic())
-        self.process = _Process(name, 1, None, site.clock)
+        self.process = _Process(name, site.clock)
         self._renew(lease_id)
         self.observer = FleetObserver(name, site.bounds)
         self.observer.configuration = site.configuration
