--- a/peridotspoke/programs/callers.py
+++ b/peridotspoke/programs/callers.py
@@ -155,7 +155,7 @@
             return await self._pipeline.serve(admitted)
         limit = admitted.rules.body_limit
         held = limit if length is None else length
-        if not self._memory.take(held):
+        if not self._memory.take_request(held):
             detail = "the memory for bodies is in use"
             refusal = Refusal(503, Outcome.NOT_RUN, "No memory", detail, 1)
             return self._pipeline.conclude(request_id, refusal)
--- a/peridotspoke/requests/forwarding.py
+++ b/peridotspoke/requests/forwarding.py
@@ -172,7 +172,9 @@
         size = 0
         try:
             async for chunk in response.content.iter_any():
-                if size + len(chunk) > limit or not self._memory.take(len(chunk)):
+                if size + len(chunk) > limit or not self._memory.take_answer(
+                    len(chunk)
+                ):
                     return None
                 size += len(chunk)
                 chunks.append(chunk)
--- a/peridotspoke/requests/memory.py
+++ b/peridotspoke/requests/memory.py
@@ -4,10 +4,15 @@
 
 __all__ = ["BodyMemory", "ExpiringMap"]
 
+REQUEST_SHARE = 0.5
+
 
 class BodyMemory:
     """Counts the bytes of all bodies held at once.
 
+    Bodies of requests take at most half, so that answers to requests that have run
+    find room.
+
     Parameters
     ----------
     limit : int
@@ -18,9 +23,16 @@
         self.held = 0
         self._limit = limit
 
-    def take(self, size):
-        """Count `size` bytes more; return False, counting none, if they don't fit."""
-        if self.held + size > self._limit:
+    def take_request(self, size):
+        """Count a request's body; return False, counting none, if it doesn't fit."""
+        return self._take(size, REQUEST_SHARE * self._limit)
+
+    def take_answer(self, size):
+        """Count an answer's body; return False, counting none, if it doesn't fit."""
+        return self._take(size, self._limit)
+
+    def _take(self, size, limit):
+        if self.held + size > limit:
             return False
         self.held += size
         return True
