--- /dev/null
+++ b/benchmarks/latency.py
@@ -0,0 +1,191 @@
+"""Latency and requests a second through an entry instance and without it.
+
+The same client sends the same requests to an upstream directly and through an entry
+instance, each of the three in a process of its own, in turns of the same run::
+
+    python benchmarks/latency.py --requests 4000 --concurrency 1
+    python benchmarks/latency.py --requests 8000 --concurrency 32
+
+Prints one line of key=value pairs for each way and method.
+"""
+
+import asyncio
+import multiprocessing
+import random
+import time
+
+import aiohttp
+import fire
+import psutil
+import uvloop
+from aiohttp import web
+from hdrh.histogram import HdrHistogram
+
+from peridotspoke.clock import SystemClock
+from peridotspoke.declarations import Configuration
+from peridotspoke.declarations.schema import (
+    DeploymentDeclaration,
+    RequestsDeclaration,
+    ServiceDeclaration,
+)
+from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.programs.callers import CallerServer
+from peridotspoke.programs.settings import EntrySettings
+from peridotspoke.requests import (
+    BodyMemory,
+    ClaimRecord,
+    FixedShares,
+    Forwarder,
+    KeyedRunner,
+    NoAnswerDirectory,
+    RequestPipeline,
+    RoutingTable,
+    Upstream,
+)
+
+MICROSECONDS = 1_000_000
+ROUNDS = 5
+EXECUTORS = 8  # of 8 slots each
+SERVICE = "feldkirch"
+BODY = b"t" * 512
+ANSWER = b"a" * 1024
+
+
+async def _serve_upstream(ready):
+    async def answer(request):
+        await request.read()
+        request_id = request.headers.get("Peridotspoke-Request-Id", "")
+        headers = {"Peridotspoke-Request-Id": request_id}
+        return web.Response(body=ANSWER, headers=headers)
+
+    application = web.Application()
+    application.router.add_route("*", "/{path:.*}", answer)
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    for _ in range(EXECUTORS):
+        await web.TCPSite(runner, "127.0.0.1", 0, backlog=1024).start()
+    ready.send([port for _, port in runner.addresses])
+    await asyncio.Event().wait()
+
+
+async def _serve_entry(ready, ports):
+    settings = EntrySettings(name="entry", zone="z", listen="127.0.0.1:0")
+    clock = SystemClock()
+    chance = random.Random(1)
+    memory = BodyMemory(settings.body_memory)
+    forwarder = Forwarder(settings, clock, memory)
+    identity = ClaimRecord("entry", 1, "127.0.0.1:1")
+    keyed = KeyedRunner(settings, clock, chance, None, NoAnswerDirectory(), identity)
+    shares = FixedShares(1)
+    pipeline = RequestPipeline(settings, clock, chance, forwarder, shares, keyed)
+    rules = RequestsDeclaration(queue_limit=10_000)
+    declared = {SERVICE: ServiceDeclaration(service=SERVICE, requests=rules)}
+    deployment = DeploymentDeclaration(deployment="vorarlberg")
+    pipeline.configuration = Configuration(1, deployment, declared)
+    upstreams = tuple(
+        Upstream(f"i{port}", f"127.0.0.1:{port}", "z", "r", 8, 64) for port in ports
+    )
+    pipeline.routes = RoutingTable({SERVICE: upstreams})
+    callers = CallerServer(settings, clock, chance, pipeline, memory, MetricsRegistry())
+    await callers.start()
+    ready.send(int(callers.address.rpartition(":")[2]))
+    await asyncio.Event().wait()
+
+
+def _run(loop, serve, ready, *arguments):
+    runner = uvloop.run if loop == "uvloop" else asyncio.run
+    runner(serve(ready, *arguments))
+
+
+def _start(context, loop, serve, *arguments):
+    ours, theirs = context.Pipe()
+    process = context.Process(
+        target=_run, args=(loop, serve, theirs, *arguments), daemon=True
+    )
+    process.start()
+    return process, ours.recv()
+
+
+async def _send(session, url, method, requests, concurrency, histogram):
+    left = iter(range(requests))
+
+    async def send_in_turn():
+        for _ in left:
+            started = time.perf_counter()
+            data = BODY if method == "POST" else None
+            async with session.request(method, url, data=data) as response:
+                assert await response.read() == ANSWER, response.status
+            taken = time.perf_counter() - started
+            histogram.record_value(max(1, round(taken * MICROSECONDS)))
+
+    await asyncio.gather(*(send_in_turn() for _ in range(concurrency)))
+
+
+class _Way:
+    """What was measured on one way with one method."""
+
+    def __init__(self, url, process):
+        self.url = url
+        self.process = psutil.Process(process.pid)
+        self.histogram = HdrHistogram(1, 60 * MICROSECONDS, 4)
+        self.seconds = 0.0
+        self.server_seconds = 0.0
+
+    def read_processor(self):
+        times = self.process.cpu_times()
+        return times.user + times.system
+
+
+async def _measure(ways, method, requests, concurrency):
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        for turn in range(ROUNDS + 1):
+            for way in ways:
+                histogram = way.histogram
+                if turn == 0:  # Warms up connections and caches.
+                    histogram = HdrHistogram(1, 60 * MICROSECONDS, 4)
+                processor, started = way.read_processor(), time.perf_counter()
+                count = max(concurrency, requests // ROUNDS)
+                await _send(session, way.url, method, count, concurrency, histogram)
+                if turn:
+                    way.seconds += time.perf_counter() - started
+                    way.server_seconds += way.read_processor() - processor
+
+
+def _report(name, method, loop, concurrency, way, direct):
+    def read(quantile):
+        return way.histogram.get_value_at_percentile(quantile) / 1000
+
+    added = read(50) - direct.histogram.get_value_at_percentile(50) / 1000
+    count = way.histogram.get_total_count()
+    print(
+        f"way={name} method={method} loop={loop} concurrency={concurrency} "
+        f"requests={count} p50_ms={read(50):.3f} p99_ms={read(99):.3f} "
+        f"p999_ms={read(99.9):.3f} added_p50_ms={added:.3f} "
+        f"per_second={count / way.seconds:.0f} "
+        f"per_core_second={count / way.server_seconds:.0f} "
+        f"share_of_direct={direct.seconds / way.seconds:.2f}",
+        flush=True,
+    )
+
+
+def main(requests=4000, concurrency=1, loop="uvloop"):
+    """Measure both ways; `loop` is that of both servers: uvloop or asyncio."""
+    context = multiprocessing.get_context("spawn")
+    upstream, ports = _start(context, loop, _serve_upstream)
+    entry, entry_port = _start(context, loop, _serve_entry, ports)
+    try:
+        for method in ("GET", "POST"):
+            direct = _Way(f"http://127.0.0.1:{ports[0]}/a", upstream)
+            through = _Way(f"http://127.0.0.1:{entry_port}/{SERVICE}/a", entry)
+            uvloop.run(_measure((direct, through), method, requests, concurrency))
+            for name, way in (("direct", direct), ("entry", through)):
+                _report(name, method, loop, concurrency, way, direct)
+    finally:
+        for process in (entry, upstream):
+            process.kill()
+            process.join()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
