Connect to upstreams by their IP numbers directly

Cause: of a POST's processor time in the entry a third went into aiohttp's resolver, address race and socket set-up; bodies that had already arrived were read through a timer, and heads were checked twice.

A connector on BaseConnector's own hook calls loop.create_connection. Ruled out: keeping connections for POST, since one that goes silent while idle loses a request that may not run twice.

--- a/peridotspoke/programs/callers.py
+++ b/peridotspoke/programs/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from dataclasses import replace
 
 import aiohttp
 from aiohttp import web
@@ -14,7 +15,6 @@
     Outcome,
     Refusal,
     admit_head,
-    admit_request,
     split_target,
 )
 
@@ -160,26 +160,16 @@
             refusal = Refusal(503, Outcome.NOT_RUN, "No memory", detail, 1)
             return self._pipeline.conclude(request_id, refusal)
         try:
-            return await self._serve_with_body(request, incoming, limit)
+            return await self._serve_with_body(request, admitted, limit)
         finally:
             self._memory.give_back(held)
 
-    async def _serve_with_body(self, request, incoming, limit):
+    async def _serve_with_body(self, request, admitted, limit):
         body = await self._read_body(request, limit)
-        if not isinstance(body, Refusal):
-            whole = IncomingRequest(
-                request_id=incoming.request_id,
-                service=incoming.service,
-                method=incoming.method,
-                path=incoming.path,
-                headers=incoming.headers,
-                body=body,
-                received_at=incoming.received_at,
-            )
-            body = admit_request(whole, self._pipeline.configuration)
         if isinstance(body, Refusal):
-            return self._pipeline.conclude(incoming.request_id, body)
-        return await self._pipeline.serve(body)
+            return self._pipeline.conclude(admitted.incoming.request_id, body)
+        incoming = replace(admitted.incoming, body=body)
+        return await self._pipeline.serve(replace(admitted, incoming=incoming))
 
     def _read_head(self, request, request_id, received_at):
         target = split_target(request.raw_path)
@@ -201,6 +191,11 @@
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(CONTINUE)
             request.writer.output_size = 0
+        if request.content.is_eof():
+            body = request.content.read_nowait()
+            if len(body) > limit:
+                return _refuse_body(413, f"at most {limit} bytes", f"{len(body)}")
+            return body
         chunks = []
         size = 0
         try:
--- a/peridotspoke/requests/forwarding.py
+++ b/peridotspoke/requests/forwarding.py
@@ -38,6 +38,30 @@
         raise ConnectionLostError(repr(error)) from error
 
 
+class DirectConnector(aiohttp.BaseConnector):
+    """Opens connections to IP numbers, without names, proxies or TLS.
+
+    Upstreams are known by IP numbers, so nothing is to be resolved and no address
+    races another. With uvloop this takes three quarters of the processor time that
+    `aiohttp.TCPConnector` takes for a request over a fresh connection.
+    """
+
+    allowed_protocol_schema_set = frozenset({"http"})
+
+    async def _create_connection(self, req, traces, timeout):
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                _, protocol = await loop.create_connection(
+                    self._factory, req.url.raw_host, req.url.port
+                )
+        except TimeoutError:
+            raise
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+        return protocol
+
+
 class Forwarder:
     """Owns the connections to the upstreams.
 
@@ -89,13 +113,13 @@
             return AttemptFailure(FailureKind.EXPIRED, "the time limit has passed")
         if not request.idempotent:
             if self._fresh is None:
-                connector = aiohttp.TCPConnector(limit=0, force_close=True)
+                connector = DirectConnector(limit=0, force_close=True)
                 self._fresh = _open_session(connector)
             return await self._try(request, upstream, limit, self._fresh, False)
         connection = self._idle.take(upstream.address, now)
         reused = connection is not None
         if connection is None:
-            session = _open_session(aiohttp.TCPConnector(limit=1))
+            session = _open_session(DirectConnector(limit=1))
             connection = Connection(upstream.address, now, session)
         result = None
         try:
@@ -166,8 +190,16 @@
     async def _read_body(self, response, limit):
         """Return the body, or None where it exceeds `limit` or the memory."""
         length = response.content_length
-        if length is not None and length > limit and response.method != "HEAD":
+        if length is None or response.method == "HEAD":
+            return await self._read_chunks(response, limit)
+        if length > limit or not self._memory.take_answer(length):
             return None
+        try:
+            return await response.read()
+        finally:
+            self._memory.give_back(length)
+
+    async def _read_chunks(self, response, limit):
         chunks = []
         size = 0
         try:
@@ -180,7 +212,7 @@
                 chunks.append(chunk)
         finally:
             self._memory.give_back(size)
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        return b"".join(chunks)
 
 
 def _open_session(connector):
