--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -184,12 +184,10 @@
         for row in rows
         if row["key"] == key_instance(name) and "to" in row["action"].split()
     ]
-    assert sorted(actions) == sorted(
-        [
-            "serving to draining",
-            "draining to empty",
-            "empty to rebooting",
-            "rebooting to joining",
-            "joining to serving",
-        ]
-    )
+    assert actions == [
+        "serving to draining",
+        "draining to empty",
+        "empty to rebooting",
+        "rebooting to joining",
+        "joining to serving",
+    ]
