Give controllers an admin port, and bound the view bound from below

Cause: a controller had no readiness and no metrics. Ruled out: checking more often for a smaller bound, which costs each process more reads of the service.

--- a/peridotspoke/declarations/schema.py
+++ b/peridotspoke/declarations/schema.py
@@ -158,8 +158,13 @@
 
 @dataclass(frozen=True, config=_STRICT)
 class DeploymentDeclaration:
-    """What holds for the whole deployment."""
+    """What holds for the whole deployment.
+
+    `view_bound` is how old a view may be on which another zone's upstreams are
+    used, seconds. A view is checked about each 1.5 s; the least bound leaves room
+    for one lost check.
+    """
 
     deployment: Name
     weights: WeightsDeclaration = field(default_factory=WeightsDeclaration)
-    view_bound: Seconds = 5.0
+    view_bound: Annotated[float, Field(ge=4, le=3600)] = 5.0
--- a/peridotspoke/declarations/tests/checking.feature
+++ b/peridotspoke/declarations/tests/checking.feature
@@ -37,6 +37,7 @@
       | the deployment is declared twice  | deployment         | deployment              | a name used once     |
       | a file is not UTF-8               | file               | can't decode            | UTF-8 text           |
       | a file is not TOML                | syntax             | Invalid value           | TOML                 |
+      | the deployment's view_bound is 1.0 | view_bound        | 1.0                     | greater than or equal to 4 |
       | a file has neither key            | service            | nothing                 | service or deployment |
       | the spare overflows               | requests.overflow  | true                    | this pool is the spare |
 
--- a/peridotspoke/declarations/tests/test_checking.py
+++ b/peridotspoke/declarations/tests/test_checking.py
@@ -84,6 +84,12 @@
     (folder / "bad.toml").write_bytes(texts.get(fault, b"x = 1"))
 
 
+@when("the deployment's view_bound is 1.0")
+def lower_view_bound(folder):
+    text = 'deployment = "vorarlberg"\nview_bound = 1.0\n'
+    (folder / "deployment.toml").write_text(text, encoding="utf-8")
+
+
 @then(parsers.parse("the fault at {key} says {found} and {expected}"))
 def check_fault(folder, key, found, expected):
     with pytest.raises(DeclarationError) as caught:
--- a/peridotspoke/programs/admin.py
+++ b/peridotspoke/programs/admin.py
@@ -5,7 +5,9 @@
 
 from aiohttp import web
 
-__all__ = ["Health", "HealthSource", "make_admin_application"]
+from peridotspoke.identities import split_address
+
+__all__ = ["Health", "HealthSource", "make_admin_application", "serve_admin"]
 
 HTTP_UNAVAILABLE = 503
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -64,3 +66,23 @@
     application.router.add_get("/ready", show_ready)
     application.router.add_get("/metrics", show_metrics)
     return application
+
+
+async def serve_admin(stack, listen, metrics, source):
+    """Serve the admin port until `stack` is closed, and return its address.
+
+    Parameters
+    ----------
+    stack : contextlib.AsyncExitStack
+    listen : str
+        Address such as ``127.0.0.1:8081``; port 0 takes a free one.
+    metrics : MetricsRegistry
+    source : HealthSource
+    """
+    host, port = split_address(listen)
+    application = make_admin_application(metrics, source)
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, host, port).start()
+    return f"{host}:{runner.addresses[0][1]}"
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 from contextlib import AsyncExitStack
+from dataclasses import asdict
 
 import aiohttp
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import ConfigurationFollower
 from peridotspoke.logs import log_event
+from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.peers import (
     GrpcLink,
     PeerClient,
@@ -17,6 +19,7 @@
     make_member,
 )
 from peridotspoke.platform import HttpInstanceActions, HttpInstanceList, open_service
+from peridotspoke.programs.admin import Health, HealthSource, serve_admin
 from peridotspoke.programs.fleet import FleetTasks
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import ControlSettings
@@ -24,7 +27,7 @@
 __all__ = ["Controller", "main"]
 
 
-class Controller:
+class Controller(HealthSource):
     """One controller: its sockets, its peers and the tasks on the fleet.
 
     Parameters
@@ -39,6 +42,8 @@
         self._clock = clock
         self._random = random
         self.node = None
+        self.metrics = MetricsRegistry()
+        self.admin_address = ""
         self._tasks = []
         self._stack = AsyncExitStack()
 
@@ -78,7 +83,20 @@
             asyncio.create_task(follower.run()),
             asyncio.create_task(fleet.run()),
         ]
-        log_event("control-started")
+        self.admin_address = await serve_admin(
+            self._stack, settings.admin, self.metrics, self
+        )
+        log_event("control-started", admin=self.admin_address)
+
+    def read_health(self):
+        """Return the `Health` at this moment."""
+        status = self.node.get_status()
+        reasons = []
+        if not status.version:
+            reasons.append("no configuration is in force")
+        if not self.node.lease.is_held():
+            reasons.append("the process's lease is not held")
+        return Health(not reasons, tuple(reasons), asdict(status))
 
     async def wait_for_failure(self):
         """Raise the error of the first task that ends by one."""
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -6,11 +6,9 @@
 from dataclasses import asdict
 
 import aiohttp
-from aiohttp import web
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import ConfigurationFollower
-from peridotspoke.identities import split_address
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.peers import (
@@ -26,7 +24,7 @@
 from peridotspoke.programs.admin import (
     Health,
     HealthSource,
-    make_admin_application,
+    serve_admin,
 )
 from peridotspoke.programs.callers import CallerServer
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
@@ -114,8 +112,8 @@
         ]
         await self._callers.start()
         self.address = self._callers.address
-        self.admin_address = await self._serve(
-            settings.admin, make_admin_application(self.metrics, self)
+        self.admin_address = await serve_admin(
+            self._stack, settings.admin, self.metrics, self
         )
         log_event("entry-started", listen=self.address, admin=self.admin_address)
 
@@ -163,14 +161,6 @@
             },
         )
 
-    async def _serve(self, listen, application):
-        host, port = split_address(listen)
-        runner = web.AppRunner(application, access_log=None)
-        await runner.setup()
-        self._stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, host, port).start()
-        return f"{host}:{runner.addresses[0][1]}"
-
     def _apply_configuration(self, configuration):
         self.pipeline.configuration = configuration
         if configuration is not None:
--- a/peridotspoke/programs/fleet.py
+++ b/peridotspoke/programs/fleet.py
@@ -126,13 +126,8 @@
             self.controller.take_followed(followed)
             self._followed.add(prefix)
             if prefix == INSTANCES_PREFIX:
-                self._tell_peers(followed)
-
-    def _tell_peers(self, followed):
-        """Pass the records on; only a whole reading dates the view of them."""
-        whole = not followed.changed
-        read_at = followed.confirmed_at if whole else None
-        self._node.take_instances(self.observer.records, read_at)
+                records = self.observer.records
+                self._node.take_instances(records, followed.confirmed_at)
 
     async def _follow_list(self):
         while True:
--- a/peridotspoke/programs/settings.py
+++ b/peridotspoke/programs/settings.py
@@ -94,6 +94,9 @@
     peer_listen: str = Field(
         "127.0.0.1:8083", pattern=ADDRESS, description="address for peers"
     )
+    admin: str = Field(
+        "127.0.0.1:8084", pattern=ADDRESS, description="address for metrics and health"
+    )
     seed_peers: str = Field(
         "",
         pattern=ADDRESSES,
--- a/peridotspoke/programs/trial.py
+++ b/peridotspoke/programs/trial.py
@@ -76,6 +76,7 @@
         name="control-1",
         zone="zone-0",
         platform=url,
+        admin="127.0.0.1:0",
         plan_interval=0.2,
         peer_listen="127.0.0.1:0",
     )
