Lend executors' slots for short times under an exact right

Cause: fixed shares leave the slots of quiet entries idle while others refuse. What: SlotKeeper, SlotBorrower and KeeperRight are decisions without I/O. A keeper counts the most that each borrower may use; a borrower counts its loan from before it asked and accepts only the answer to its latest request. The right to lend is a record of the platform's service written by compare-and-swap; without its lease a keeper goes on only while every elector of its zone has promised not to replace it, and a successor waits out loan and longest request. Setting: slot_shares, fixed by default, lent as the other way.

--- a/peridotspoke/peers/__init__.py
+++ b/peridotspoke/peers/__init__.py
@@ -4,6 +4,7 @@
 from peridotspoke.peers.client import GrpcLink, InFlightSource, PeerClient, PeerLink
 from peridotspoke.peers.lease import ProcessLease
 from peridotspoke.peers.leaving import LeavingRules, LeavingView
+from peridotspoke.peers.lending import LentShares, SlotLending
 from peridotspoke.peers.membership import (
     Membership,
     MembershipRules,
@@ -26,15 +27,33 @@
     key_member,
     make_member,
 )
+from peridotspoke.peers.rights import (
+    KEEPERS_PREFIX,
+    KeeperRecord,
+    KeeperRight,
+    RightRules,
+    key_keeper,
+)
 from peridotspoke.peers.server import PeerHandlers, PeerServer
+from peridotspoke.peers.slots import (
+    LendingRules,
+    SlotBorrower,
+    SlotKeeper,
+    divide_slots,
+)
 
 __all__ = [
     "MEMBERS_PREFIX",
     "GrpcLink",
     "InFlightReport",
     "InFlightSource",
+    "KEEPERS_PREFIX",
+    "KeeperRecord",
+    "KeeperRight",
     "LeavingRules",
     "LeavingView",
+    "LendingRules",
+    "LentShares",
     "LeavingNews",
     "MemberRecord",
     "MemberState",
@@ -50,10 +69,16 @@
     "PeerStatus",
     "PeerView",
     "ProcessLease",
+    "RightRules",
+    "SlotBorrower",
+    "SlotKeeper",
+    "SlotLending",
     "SlotLoan",
     "SlotWish",
     "SlotsAnswer",
     "SlotsRequest",
+    "divide_slots",
+    "key_keeper",
     "key_member",
     "make_member",
 ]
--- a/peridotspoke/peers/codec.py
+++ b/peridotspoke/peers/codec.py
@@ -211,13 +211,17 @@
         zone=request.zone,
         wishes=[
             peers_pb2.SlotWish(
-                executor=wish.executor, held=wish.held, wanted=wish.wanted
+                executor=wish.executor,
+                held=wish.held,
+                wanted=wish.wanted,
+                kept=wish.kept,
             )
             for wish in request.wishes
         ],
         epoch=request.epoch,
         keeper_time=request.keeper_time,
         promises=request.promises,
+        sequence=request.sequence,
     )
 
 
@@ -231,7 +235,8 @@
         _expect(bool(wish.executor), "executor", "a name", wish.executor)
         _expect(wish.held >= 0, "held", "0 or more", wish.held)
         _expect(wish.wanted >= 0, "wanted", "0 or more", wish.wanted)
-        wishes.append(SlotWish(wish.executor, wish.held, wish.wanted))
+        _expect(wish.kept >= wish.held, "kept", "held or more", wish.kept)
+        wishes.append(SlotWish(wish.executor, wish.held, wish.wanted, wish.kept))
     names = {wish.executor for wish in wishes}
     _expect(len(names) == len(wishes), "wishes", "each executor once", len(wishes))
     return SlotsRequest(
@@ -242,6 +247,7 @@
         epoch=wire.epoch,
         keeper_time=wire.keeper_time,
         promises=wire.promises,
+        sequence=wire.sequence,
     )
 
 
--- /dev/null
+++ b/peridotspoke/peers/lending.py
@@ -0,0 +1,308 @@
+"""The tasks by which an entry lends and borrows slots of executors."""
+
+import asyncio
+from dataclasses import replace
+
+from peridotspoke.exceptions import (
+    AnswerLostError,
+    OperationConflictError,
+    PeerError,
+    PlatformError,
+)
+from peridotspoke.identities import make_operation_id
+from peridotspoke.logs import log_event
+from peridotspoke.peers.records import MemberRecord, key_member
+from peridotspoke.peers.rights import (
+    KEEPERS_PREFIX,
+    KeeperRecord,
+    KeeperRight,
+    key_keeper,
+)
+from peridotspoke.peers.slots import LendingRules, SlotBorrower, SlotKeeper
+from peridotspoke.platform import (
+    ChangeNote,
+    Stored,
+    decode_record,
+    follow_prefix,
+    swap_stored,
+)
+from peridotspoke.requests import SlotShares
+
+__all__ = ["LentShares", "SlotLending"]
+
+RENEWAL = 0.8  # seconds between two requests to a keeper whose loans suffice
+SHORT_INTERVAL = 0.05  # seconds between two requests while slots are short
+CONTENDED_INTERVAL = 0.25  # seconds, where the keeper has no more to lend
+RIGHT_INTERVAL = 1.0  # seconds between two looks at the right to lend
+FAILED_INTERVAL = 0.5  # seconds after a request that failed
+
+
+class LentShares(SlotShares):
+    """Shares of slots that keepers lend for a short time.
+
+    Parameters
+    ----------
+    lending : SlotLending
+    """
+
+    def __init__(self, lending):
+        super().__init__()
+        self._lending = lending
+        lending.changed = self.announce_change
+
+    def get_share(self, upstream, now):
+        """Return the slots of `upstream` that are lent at the time `now`."""
+        return self._lending.borrower.get_share(upstream.instance, now)
+
+    def note_use(self, upstream, in_use, wanted, now):
+        """Take note of the slots in use and of those wanted."""
+        self._lending.borrower.note_use(
+            upstream.instance, upstream.zone, in_use, wanted, now
+        )
+        self._lending.wake()
+
+
+class SlotLending:
+    """Keeps the zone's right where it is this process's, lends, and borrows.
+
+    Parameters
+    ----------
+    node : PeerNode
+        Started, so that its address is known.
+    service : KeyValueService
+    get_slots : callable
+        Returns the slots by instance of the zone's executors.
+    clock : Clock
+    random : random.Random
+    rules : LendingRules, optional
+    right_rules : RightRules, optional
+    """
+
+    def __init__(
+        self, node, service, get_slots, clock, random, rules=None, right_rules=None
+    ):
+        own = node.own
+        rules = rules or LendingRules()
+        self.identity = _identify(own)
+        self.borrower = SlotBorrower(own.name, own.incarnation, rules)
+        self.keeper = SlotKeeper(self.identity, own.zone, rules)
+        self.right = KeeperRight(self.identity, own.zone, right_rules)
+        self.calls = 0
+        self.changed = None
+        self._node = node
+        self._service = service
+        self._get_slots = get_slots
+        self._clock = clock
+        self._random = random
+        self._records = {}
+        self._due_at = {}
+        self._awake = asyncio.Event()
+        self._calls = {}
+
+    def set_longest_request(self, seconds):
+        """Wait so long for requests of loans that lapsed.
+
+        The time only grows: requests that began under a longer limit may still run.
+        """
+        longest = max(seconds, self.keeper.rules.longest_request)
+        rules = replace(self.keeper.rules, longest_request=longest)
+        self.keeper.rules = rules
+        self.borrower.rules = rules
+
+    def wake(self):
+        """Look at once whether slots are short."""
+        self._awake.set()
+
+    async def run(self):
+        """Lend and borrow until cancelled."""
+        try:
+            await asyncio.gather(
+                self._follow_keepers(), self._keep_right(), self._borrow()
+            )
+        finally:
+            for task in self._calls.values():
+                task.cancel()
+
+    def answer_request(self, request):
+        """Return the `SlotsAnswer` to a `SlotsRequest`.
+
+        Raises
+        ------
+        PeerError
+            If the borrower is not known or this process may not lend now.
+        """
+        now = self._clock.read_monotonic()
+        known = {record.name for record in self._node.membership.list_known()}
+        if request.borrower not in known:
+            raise PeerError(
+                f"borrower: expected a known member, found {request.borrower}",
+                step="lend slots",
+            )
+        if request.promises:
+            elector = f"{request.borrower}@{request.incarnation}"
+            self.right.take_promise(elector, request.epoch, request.keeper_time)
+        self._note_lease()
+        if not self.right.may_lend(now):
+            raise PeerError(
+                f"{self.identity} is not the keeper of {request.zone}",
+                step="lend slots",
+            )
+        return self.keeper.lend(request, self._get_slots(), now)
+
+    def _note_lease(self):
+        lease = self._node.lease.lease
+        if lease is not None:
+            ends_at = lease.asked_at + lease.ttl
+            self.right.note_lease(self._node.lease.grants, ends_at)
+
+    async def _follow_keepers(self):
+        async for followed in follow_prefix(self._service, KEEPERS_PREFIX):
+            for key in followed.changed:
+                self._take_record(key, followed.records.get(key))
+
+    def _take_record(self, key, record):
+        if record is None:
+            return
+        known = self._records.get(key)
+        if known is not None and known[1] >= record.revision:
+            return
+        try:
+            body = decode_record(record, KeeperRecord).body
+        except PlatformError as error:
+            log_event("record-rejected", "ERROR", error=error)
+            return
+        self._records[key] = (body, record.revision)
+        if body.zone == self._node.own.zone:
+            self.right.take_record(body)
+
+    async def _keep_right(self):
+        while True:
+            if self._node.lease.is_held():
+                try:
+                    await self._propose()
+                except PlatformError as error:
+                    log_event("right-unsettled", "WARNING", error=error)
+            await asyncio.sleep(RIGHT_INTERVAL)
+
+    async def _propose(self):
+        grant = self._node.lease.grants
+        self._note_lease()
+        now = self._clock.read_monotonic()
+        listed = await self._is_keeper_listed()
+        electors = self._list_electors()
+        key = key_keeper(self._node.own.zone)
+        revision = self._records[key][1] if key in self._records else 0
+        record = self.right.propose(electors, grant, listed, now)
+        if record is not None:
+            await self._write_record(key, record, revision, grant)
+
+    async def _is_keeper_listed(self):
+        record = self.right.record
+        if record is None or self.right.is_keeper() or not record.keeper:
+            return False
+        name = record.keeper.rpartition("@")[0]
+        found = await self._service.read(key_member(name))
+        if found is None:
+            return False
+        return _identify(decode_record(found, MemberRecord).body) == record.keeper
+
+    def _list_electors(self):
+        now = self._clock.read_monotonic()
+        zone = self._node.own.zone
+        return [
+            _identify(view.record)
+            for view in self._node.membership.list_members(now)
+            if view.listed and view.record.role == "entry" and view.record.zone == zone
+        ]
+
+    async def _write_record(self, key, record, revision, grant):
+        lease = self._node.lease.lease
+        ends_at = lease.asked_at + lease.ttl if lease else float("-inf")
+        note = ChangeNote(
+            operation=make_operation_id(self._random),
+            author=self._node.own.name,
+            action=f"keep the slots of {record.zone}",
+            reason=f"epoch {record.epoch}, electors {', '.join(record.electors)}",
+            at=self._clock.read_wall(),
+        )
+        won = None
+        try:
+            stored = Stored(record, (note,))
+            written = await swap_stored(self._service, key, stored, revision)
+            self._records[key] = (record, written.revision)
+            won = True
+        except AnswerLostError:
+            log_event("right-unknown", "WARNING", zone=record.zone)
+        except (OperationConflictError, PlatformError):
+            won = False
+        taken = self.right.conclude(won, grant, ends_at)
+        if won:
+            self._take_right(record, taken)
+
+    def _take_right(self, record, taken):
+        if taken or self.keeper.epoch == 0:
+            now = self._clock.read_monotonic()
+            self.keeper.begin(record.epoch, now, taken)
+            log_event("keeper-began", zone=record.zone, epoch=record.epoch, quiet=taken)
+        self.keeper.move_epoch(record.epoch)
+
+    async def _borrow(self):
+        while True:
+            now = self._clock.read_monotonic()
+            for zone in self.borrower.list_zones():
+                if zone not in self._calls and now >= self._get_due(zone, now):
+                    self._calls[zone] = asyncio.create_task(self._ask(zone))
+            self._awake.clear()
+            try:
+                async with asyncio.timeout(SHORT_INTERVAL):
+                    await self._awake.wait()
+            except TimeoutError:
+                continue
+
+    def _get_due(self, zone, now):
+        asked_at, contended = self._due_at.get(zone, (float("-inf"), False))
+        if not self.borrower.is_short(zone, now):
+            return asked_at + RENEWAL
+        return asked_at + (CONTENDED_INTERVAL if contended else SHORT_INTERVAL)
+
+    async def _ask(self, zone):
+        now = self._clock.read_monotonic()
+        contended = False
+        try:
+            contended = await self._ask_keeper(zone, now)
+        except PeerError as error:
+            log_event("slots-not-lent", "WARNING", zone=zone, error=error)
+            now += FAILED_INTERVAL - SHORT_INTERVAL
+        finally:
+            self._due_at[zone] = (now, contended)
+            self._calls.pop(zone, None)
+
+    async def _ask_keeper(self, zone, now):
+        record, _ = self._records.get(key_keeper(zone), (None, 0))
+        if record is None:
+            raise PeerError("no keeper is known", step="borrow slots", peer=zone)
+        epoch = self.borrower.get_epoch(zone)
+        own_zone = zone == self._node.own.zone
+        promises = own_zone and self.right.make_promise(epoch, now)
+        request = self.borrower.make_request(zone, now, promises)
+        answer = await self._call_keeper(record.keeper, request)
+        answered_at = self._clock.read_monotonic()
+        self.borrower.take_answer(request, answer, answered_at)
+        if self.changed is not None:
+            self.changed()
+        return any(loan.recalled for loan in answer.loans)
+
+    async def _call_keeper(self, keeper, request):
+        if keeper == self.identity:
+            return self.answer_request(request)
+        self.calls += 1
+        name = keeper.rpartition("@")[0]
+        for record in self._node.membership.list_known():
+            if record.name == name:
+                return await self._node.client.lend_slots(record.address, request)
+        raise PeerError("the keeper is not known", step="borrow slots", peer=keeper)
+
+
+def _identify(member):
+    """Return the identity of one life of a process."""
+    return f"{member.name}@{member.incarnation}"
--- a/peridotspoke/peers/membership.py
+++ b/peridotspoke/peers/membership.py
@@ -156,6 +156,10 @@
             for _, peer in sorted(self._peers.items())
         )
 
+    def list_known(self):
+        """Return the `MemberRecord` of all that are not gone, own included."""
+        return (self.own, *(peer.record for peer in self._peers.values()))
+
     def list_alive(self, now, role=None, zone=None):
         """Return the `MemberRecord` of those alive and not stopping, own included."""
         found = [self.own]
--- a/peridotspoke/peers/messages.py
+++ b/peridotspoke/peers/messages.py
@@ -74,11 +74,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotWish:
-    """Slots of one executor that a borrower uses now, and those that it wants."""
+    """Slots of one executor that a borrower uses now, and those that it wants.
+
+    `kept` is the most that it uses from the sending of the wish until an answer.
+    """
 
     executor: str
     held: int
     wanted: int
+    kept: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +100,8 @@
 
     `epoch` and `keeper_time` are those of the keeper's last answer. `promises`
     says that the borrower won't take the keeper's right over for a while.
+    `sequence` grows with each request of a borrower. An executor that is not named
+    is not used and not wanted.
     """
 
     borrower: str
@@ -105,6 +111,7 @@
     epoch: int = 0
     keeper_time: float = 0.0
     promises: bool = False
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -10,16 +10,19 @@
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import ConfigurationFollower
+from peridotspoke.exceptions import PeerError
 from peridotspoke.identities import split_address
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.peers import (
     GrpcLink,
     InFlightReport,
+    LentShares,
     PeerAnswerDirectory,
     PeerClient,
     PeerHandlers,
     PeerNode,
+    SlotLending,
     make_member,
 )
 from peridotspoke.platform import HttpInstanceList, open_service
@@ -67,6 +70,7 @@
         self._random = random
         self.node = None
         self._upstreams = None
+        self._lending = None
         self._tasks = []
         self._stack = AsyncExitStack()
 
@@ -91,7 +95,9 @@
             self._random,
         )
         handlers = PeerHandlers(
-            report_in_flight=self._report_in_flight, fetch_answer=self._recall_answer
+            report_in_flight=self._report_in_flight,
+            fetch_answer=self._recall_answer,
+            lend_slots=self._lend_slots,
         )
         memory = BodyMemory(settings.body_memory)
         forwarder = Forwarder(settings, self._clock, memory)
@@ -112,6 +118,8 @@
             asyncio.create_task(follower.run()),
             asyncio.create_task(self._upstreams.run()),
         ]
+        if self._lending is not None:
+            self._tasks.append(asyncio.create_task(self._lending.run()))
         await self._callers.start()
         self.address = self._callers.address
         self.admin_address = await self._serve(
@@ -131,11 +139,28 @@
             PeerAnswerDirectory(self.node.client),
             identity,
         )
-        shares = FixedShares(settings.entry_instances)
+        shares = self._make_shares(service)
         return RequestPipeline(
             settings, self._clock, self._random, forwarder, shares, keyed
         )
 
+    def _make_shares(self, service):
+        settings = self._settings
+        if settings.slot_shares == "fixed":
+            return FixedShares(settings.entry_instances)
+        self._lending = SlotLending(
+            self.node, service, self._get_slots, self._clock, self._random
+        )
+        return LentShares(self._lending)
+
+    def _get_slots(self):
+        return self._upstreams.get_slots()
+
+    def _lend_slots(self, request):
+        if self._lending is None:
+            raise PeerError("slots are not lent here", step="lend slots")
+        return self._lending.answer_request(request)
+
     async def drain(self):
         """Stop to be ready, refuse, and finish what runs within ``stop_limit``."""
         await asyncio.gather(self.node.announce_stop(), self._callers.drain())
@@ -175,6 +200,11 @@
         self.pipeline.configuration = configuration
         if configuration is not None:
             self._upstreams.view_bound = configuration.deployment.view_bound
+        if configuration is not None and self._lending is not None:
+            limits = [
+                item.requests.time_limit for item in configuration.services.values()
+            ]
+            self._lending.set_longest_request(max(limits, default=10.0))
 
     def _apply_routes(self, routes):
         self.pipeline.routes = routes
--- a/peridotspoke/programs/settings.py
+++ b/peridotspoke/programs/settings.py
@@ -40,6 +40,12 @@
     lease_ttl: float = Field(
         6.0, ge=1, description="time to live of the process's lease, seconds"
     )
+    slot_shares: str = Field(
+        "fixed",
+        pattern="^(fixed|lent)$",
+        description="how the slots of executors are shared: fixed or lent; the same "
+        "in all entry instances",
+    )
     entry_instances: int = Field(
         8, ge=1, le=64, description="most entry instances alive at once, a number"
     )
--- a/peridotspoke/programs/upstreams.py
+++ b/peridotspoke/programs/upstreams.py
@@ -92,6 +92,11 @@
             self._node.leaving_changed.clear()
             self._rebuild_routes()
 
+    def get_slots(self):
+        """Return the slots by instance of the own zone's listed executors."""
+        zone = self._settings.zone
+        return {item.instance: item.slots for item in self._listed if item.zone == zone}
+
     def _rebuild_routes(self):
         leaving = self._node.leaving
         now = self._clock.read_monotonic()
