Prove membership, leaving upstreams and configuration between peers

Cause: the decisions and tasks of the peers had no scenarios of their own. What: tables of events for membership and for leaving upstreams; peers on loopback with cuts between zones made by a link that refuses. Found by the tables: an instance that the list still called leaving stayed out of the routes after a newer epoch had brought it back; select_listed now shows it as live. Leaving by news was decided in two places; one is gone. Suspects are tried again every 2 s instead of 5 s, as a zone that joined again took over 5 s.

--- a/peridotspoke/peers/leaving.py
+++ b/peridotspoke/peers/leaving.py
@@ -146,7 +146,7 @@
         records = dict(self._records)
         for instance, item in self._news.items():
             record = records.get(instance)
-            if record is None or record.epoch >= item.epoch:
+            if record is None or not _is_later(item, record):
                 continue
             phase = Phase.SERVING if item.returned else Phase.DRAINING
             records[instance] = replace(
@@ -155,7 +155,7 @@
         return records
 
     def select_listed(self, listed, zone, view_bound, now):
-        """Return those of `listed` that may get new work.
+        """Return those of `listed` that may get new work, as live.
 
         Parameters
         ----------
@@ -171,11 +171,10 @@
         fresh = age is not None and age < view_bound
         horizon = now - self._rules.refusal_time
         return tuple(
-            item
+            replace(item, state="live")
             for item in listed
             if (item.zone == zone or fresh)
             and not self._leaves_by_list(item.instance)
-            and not self._leaves_by_news(item.instance)
             and self._refused.get(item.instance, float("-inf")) <= horizon
         )
 
@@ -192,13 +191,6 @@
             return False
         return self._get_epoch(instance) <= known.epoch
 
-    def _leaves_by_news(self, instance):
-        item = self._news.get(instance)
-        record = self._records.get(instance)
-        if item is None or item.returned:
-            return False
-        return record is None or record.epoch <= item.epoch
-
     def _get_epoch(self, instance):
         record = self._records.get(instance)
         item = self._news.get(instance)
@@ -225,3 +217,10 @@
                 del self._news[instance]
         horizon = now - self._rules.refusal_time
         self._refused = {name: at for name, at in self._refused.items() if at > horizon}
+
+
+def _is_later(news, record):
+    """Return whether news goes before a record; at one epoch leaving does."""
+    return news.epoch > record.epoch or (
+        news.epoch == record.epoch and not news.returned
+    )
--- a/peridotspoke/peers/membership.py
+++ b/peridotspoke/peers/membership.py
@@ -29,7 +29,7 @@
     suspect_after: float = 15.0
     gone_after: float = 45.0
     tombstone_time: float = 3600.0
-    retry_interval: float = 5.0
+    retry_interval: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/peridotspoke/peers/tests/gossip.feature
@@ -0,0 +1,48 @@
+Feature: Configuration and leaving news pass between peers
+  Processes on loopback with one platform; zones are cut by a filter on each link.
+
+  Scenario: A zone cut off from the platform still gets a new version
+    Given entries "e1" in "a" and "e2" in "b", both with version 1
+    When "b" is cut off from the platform and version 2 is published
+    Then "e2" has version 2 in force
+    And "e2" says that the platform is not reachable and 1 peer is heard
+
+  Scenario: A zone that joins again with an old version takes the new one
+    Given entries "e1" in "a" and "e2" in "b", both with version 1
+    When "b" is cut off from all and version 2 is published
+    Then "e1" has version 2 in force
+    And "e2" stays at version 1
+    When "b" reaches its peers again
+    Then "e2" has version 2 in force
+    And no process ever went back
+
+  Scenario: An entry that starts in an outage takes the newest that it can reach
+    Given entries "e1" in "a" and "e2" in "b", both with version 1
+    When "b" is cut off from all and version 2 is published
+    Then "e1" has version 2 in force
+    When the platform goes down and "e3" starts in "c" with both as seeds
+    Then "e3" has version 2 in force
+
+  Scenario: A restarted process meets only a peer with the old version
+    Given entries "e1" in "a" and "e2" in "b", both with version 1
+    When "b" is cut off from all and version 2 is published
+    Then "e1" has version 2 in force
+    When the platform goes down and "e3" starts in "b" with both as seeds
+    Then "e3" has version 1 in force
+    And "e3" says that the platform is not reachable and 1 peer is heard
+    When "b" reaches its peers again
+    Then "e3" has version 2 in force
+    And no process ever went back
+
+  Scenario: An entry that starts in an outage without peers is not ready
+    Given entries "e1" in "a" and "e2" in "b", both with version 1
+    When "a" is cut off from its peers
+    And the platform goes down and "e3" starts in "a" with no seeds
+    Then "e3" stays at version 0
+
+  Scenario: News of leaving reaches a zone that is cut off from the platform
+    Given entries "e1" in "a" and "e2" in "b", both with version 1
+    When "b" is cut off from the platform
+    And "e1" reads that "i1" leaves since epoch 5
+    Then "e2" knows that "i1" leaves since epoch 5
+    And "e2" has a view dated by "e1"
--- /dev/null
+++ b/peridotspoke/peers/tests/membership.feature
@@ -0,0 +1,38 @@
+Feature: Which processes are alive
+  Ages are counted on the local monotonic clock; each row is one fault.
+
+  Scenario Outline: A process's state by what was heard of it
+    Given entry "e2" of incarnation 5 heard at second 0
+    When <events>
+    Then at second <second> "e2" is <state>
+
+    Examples:
+      | events                                  | second | state   |
+      | nothing happens                         | 14     | alive   |
+      | nothing happens                         | 16     | suspect |
+      | nothing happens                         | 46     | gone    |
+      | a call to it fails at 3                 | 3      | suspect |
+      | a call to it fails at 3, it answers at 4| 5      | alive   |
+      | it is listed at 1                       | 46     | suspect |
+      | it is listed at 1, unlisted at 2        | 10     | alive   |
+      | it is listed at 1, unlisted at 46       | 46     | gone    |
+      | incarnation 6 answers at 20             | 21     | alive   |
+      | it vanishes at 46, a peer names it at 47| 47     | gone    |
+      | it vanishes at 46, incarnation 6 named at 47 | 47 | alive   |
+      | it vanishes at 46, it answers at 47     | 47     | alive   |
+
+  Scenario Outline: A view of a wrong sender changes nothing
+    Given entry "e2" of incarnation 5 heard at second 0
+    When a view of "<name>" incarnation <incarnation> comes at second 20
+    Then it is refused for its <field> and "e2" is still suspect
+
+    Examples:
+      | name | incarnation | field       |
+      | e1   | 9           | sender      |
+      | e2   | 4           | incarnation |
+
+  Scenario: Peers are asked in turn, those without the news first
+    Given entries "e2,e3,e4" heard at second 0
+    When they are asked one after the other from second 1
+    Then the order was "e2,e3,e4,e2"
+    And after news at second 5 those not asked since come first
