--- a/peridotspoke/peers/membership.py
+++ b/peridotspoke/peers/membership.py
@@ -29,7 +29,7 @@
     suspect_after: float = 15.0
     gone_after: float = 45.0
     tombstone_time: float = 3600.0
-    retry_interval: float = 5.0
+    retry_interval: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +156,10 @@
             for _, peer in sorted(self._peers.items())
         )
 
+    def list_known(self):
+        """Return the `MemberRecord` of all that are not gone, own included."""
+        return (self.own, *(peer.record for peer in self._peers.values()))
+
     def list_alive(self, now, role=None, zone=None):
         """Return the `MemberRecord` of those alive and not stopping, own included."""
         found = [self.own]
