--- a/peridotspoke/planning/__init__.py
+++ b/peridotspoke/planning/__init__.py
@@ -5,6 +5,12 @@
     measure_evenness,
     plan_moves,
 )
+from peridotspoke.planning.estimation import (
+    EstimationRules,
+    NeedEstimate,
+    NeedEstimator,
+    UsageSample,
+)
 from peridotspoke.planning.exposure import Assignment
 from peridotspoke.planning.views import (
     InstanceView,
@@ -16,12 +22,16 @@
 
 __all__ = [
     "Assignment",
+    "EstimationRules",
     "InstanceView",
+    "NeedEstimate",
+    "NeedEstimator",
     "PastMove",
     "Plan",
     "PlannedMove",
     "PlanningRules",
     "PoolView",
+    "UsageSample",
     "measure_evenness",
     "plan_moves",
 ]
--- a/peridotspoke/planning/assignment.py
+++ b/peridotspoke/planning/assignment.py
@@ -43,7 +43,8 @@
     the largest excess. Then the exposure to the loss of any one rack is repaired.
     Last, where the rules' weights say that it pays, idle instances are collected in
     the spare. No move takes a pool below its need or beyond its availability
-    budget, in which instances that are out already count.
+    budget, in which instances that are out already count, and no pool both gives
+    and receives in one plan.
 
     Parameters
     ----------
@@ -112,6 +113,8 @@
         }
         self._gave = Counter(item.source for item in history)
         self._received = Counter(item.target for item in history)
+        self._givers = set()
+        self._receivers = set()
         self._moves = []
 
     def make_plan(self):
@@ -129,7 +132,9 @@
             short = [
                 name
                 for name in self._pools
-                if self._assignment.get_excess(name) < 0 and name not in blocked
+                if self._assignment.get_excess(name) < 0
+                and name not in blocked
+                and name not in self._givers
             ]
             if not short:
                 return
@@ -150,7 +155,8 @@
             worst, total = self._assignment.measure_exposure()
             if worst == 0:
                 return
-            targets = {*self._spares, *self._assignment.list_exposed_pools()}
+            exposed = self._assignment.list_exposed_pools()
+            targets = {*self._spares, *exposed} - self._givers
             candidates = [
                 (source, rack, target)
                 for source, rack in self._list_givers(settled=self._settled)
@@ -169,8 +175,9 @@
             self._move(*best[1], reason)
 
     def collect_idle(self):
-        while not self._is_full() and self._spares:
-            target = self._spares[0]
+        targets = [name for name in self._spares if name not in self._givers]
+        while not self._is_full() and targets:
+            target = targets[0]
             before = self._assignment.measure_exposure()
             candidates = [
                 (source, rack, target)
@@ -194,6 +201,8 @@
     def _list_givers(self, settled=frozenset()):
         """Yield each pool and rack that may give an instance now."""
         for name, racks in self._free.items():
+            if name in self._receivers:
+                continue
             if self._budget[name] <= 0 or self._assignment.get_excess(name) <= 0:
                 continue
             for rack, instances in racks.items():
@@ -233,6 +242,8 @@
         instance = instances.pop(0)
         self._assignment.move(rack, source, target)
         self._budget[source] -= 1
+        self._givers.add(source)
+        self._receivers.add(target)
         self._gave[source] += 1
         self._received[target] += 1
         self._moves.append(PlannedMove(instance, source, target, reason))
