Hold a need for as long as a move away and back costs

The highest need holds for 2 x move / buffer hours (8 h there, 0.5 h in Lima), the break-even point of keeping an instance, and the excess is always collected. Ruled out: a horizon that is a setting, which has no good value for both.

--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -1,7 +1,7 @@
 """Buffer cost and moves of planning against baselines, on traces with fixed seeds.
 
-Run: ``python -m benchmarks.planning [DAYS] [SEEDS] [POLICY]``. One line for each deployment,
-policy and seed, in hours of one instance:
+Run: ``python -m benchmarks.planning [DAYS] [SEEDS] [POLICY]``. One line for each
+deployment, policy and seed, in hours of one instance:
 
 ``idle_h``
     Held instances beyond the mean demand. What the plan says can be released isn't
@@ -31,6 +31,7 @@
     PlanningRules,
     PoolView,
     UsageSample,
+    compute_hold,
     measure_evenness,
     plan_moves,
 )
@@ -121,7 +122,8 @@
 
     def __init__(self, deployment, rules=None, estimation=None):
         self.rules = rules or PlanningRules(deployment.buffer, deployment.move)
-        self.estimator = NeedEstimator(estimation or EstimationRules())
+        hold = compute_hold(deployment.buffer, deployment.move)
+        self.estimator = NeedEstimator(estimation or EstimationRules(hold=hold))
         self.history = []
 
     def observe(self, simulation, now):
--- a/peridotspoke/planning/__init__.py
+++ b/peridotspoke/planning/__init__.py
@@ -10,6 +10,7 @@
     NeedEstimate,
     NeedEstimator,
     UsageSample,
+    compute_hold,
 )
 from peridotspoke.planning.exposure import Assignment
 from peridotspoke.planning.views import (
@@ -32,6 +33,7 @@
     "PlanningRules",
     "PoolView",
     "UsageSample",
+    "compute_hold",
     "measure_evenness",
     "plan_moves",
 ]
--- a/peridotspoke/planning/assignment.py
+++ b/peridotspoke/planning/assignment.py
@@ -17,8 +17,6 @@
     ----------
     buffer, move : float
         What an idle instance-hour and a move cost, relative to each other.
-    horizon : float
-        Hours for which an instance stays idle if it isn't moved.
     settle : float
         Seconds for which an instance that moved stays, unless a pool is short.
     most_moves : int
@@ -27,24 +25,20 @@
 
     buffer: float = 1.0
     move: float = 0.25
-    horizon: float = 6.0
     settle: float = 3600.0
     most_moves: int = 16
 
-    def pays_to_collect(self):
-        """Return whether moving an idle instance away and back costs less."""
-        return self.buffer * self.horizon > 2 * self.move
-
 
 def plan_moves(pools, rules, now=0.0, history=()):
     """Return the `Plan` for the next round.
 
     First pools that are short now are filled, from the spare before the pools with
     the largest excess. Then the exposure to the loss of any one rack is repaired.
-    Last, where the rules' weights say that it pays, idle instances are collected in
-    the spare. No move takes a pool below its need or beyond its availability
-    budget, in which instances that are out already count, and no pool both gives
-    and receives in one plan.
+    Last, instances beyond the need are collected in the spare; a need that holds
+    for as long as a move away and back costs makes that worth its moves. No move
+    takes a pool below its need or beyond its availability budget, in which
+    instances that are out already count, and no pool both gives and receives in
+    one plan.
 
     Parameters
     ----------
@@ -74,7 +68,7 @@
     planner = _Planner(pools, rules, now, tuple(history))
     planner.fill_shortages()
     planner.reduce_exposure()
-    if rules.pays_to_collect():
+    if rules.buffer > 0:
         planner.collect_idle()
     return planner.make_plan()
 
--- a/peridotspoke/planning/estimation.py
+++ b/peridotspoke/planning/estimation.py
@@ -6,11 +6,18 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["EstimationRules", "NeedEstimate", "NeedEstimator", "UsageSample"]
+__all__ = [
+    "EstimationRules",
+    "NeedEstimate",
+    "NeedEstimator",
+    "UsageSample",
+    "compute_hold",
+]
 
 UNITS = 100  # recorded per instance
 MOST_UNITS = 10_000 * UNITS
 DIGITS = 2
+HOUR = 3600.0  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +77,7 @@
     most_lead : float
         Seconds by which a sample's clock may be ahead.
     hold : float
-        Seconds for which a lower need must last before it counts.
+        Seconds for which the highest need stays in force.
     """
 
     block: float = 300.0
@@ -89,8 +96,31 @@
 class _PoolUsage:
     blocks: dict = field(default_factory=dict)
     slices: dict = field(default_factory=dict)
-    need: int = 0
-    lower_since: float | None = None
+    raised: list = field(default_factory=list)
+
+
+def compute_hold(buffer, move):
+    """Return the seconds for which an idle instance is kept before it is moved.
+
+    Keeping it until its idle time has cost as much as moving it away and back costs
+    at most twice as much as knowing when it is needed again [1]_.
+
+    Parameters
+    ----------
+    buffer, move : float
+        What an idle instance-hour and a move cost, relative to each other.
+
+    References
+    ----------
+    .. [1] A. Karlin, M. Manasse, L. Rudolph, D. Sleator, "Competitive snoopy
+       caching", Algorithmica 3, 1988.
+
+    Examples
+    --------
+    >>> compute_hold(buffer=4.0, move=1.0)
+    1800.0
+    """
+    return HOUR * 2 * move / buffer if buffer > 0 else math.inf
 
 
 class NeedEstimator:
@@ -174,7 +204,7 @@
         merged = self._merge(usage, now)
         blocks = merged.get_total_count() if merged is not None else 0
         if not blocks:
-            need = usage.need or declared
+            need = usage.raised[0][1] if usage.raised else declared
             return NeedEstimate(pool, need, declared, 0.0, 0)
         value = merged.get_value_at_percentile(100 * quantile) / UNITS
         measured = max(value / self._rules.utilisation, 1 / UNITS)
@@ -215,14 +245,14 @@
         return merged
 
     def _hold_need(self, usage, need, now):
-        """Raise the need at once; lower it after it was lower for long enough."""
-        if need >= usage.need:
-            usage.need, usage.lower_since = need, None
-        elif usage.lower_since is None:
-            usage.lower_since = now
-        elif now - usage.lower_since >= self._rules.hold:
-            usage.need, usage.lower_since = need, None
-        return usage.need
+        """Return the highest need of the last `hold` seconds.
+
+        `raised` keeps, by falling need, when each need was last the highest.
+        """
+        since = now - self._rules.hold
+        kept = [(at, past) for at, past in usage.raised if past > need and at >= since]
+        usage.raised = [*kept, (now, need)]
+        return usage.raised[0][1]
 
 
 def _make_histogram():
