Leave instances that return soon out of the plan's shortages

Cause: each maintenance of half an hour and each move of two minutes made its pool short by one, which took a move from the spare and one back.

A returning instance meets the need, counts as out in the budget, isn't moved.

--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -180,7 +180,11 @@
                 MAX_UNAVAILABLE,
                 tuple(
                     InstanceView(
-                        item.name, "zone", item.rack, self.is_available(item, now)
+                        item.name,
+                        "zone",
+                        item.rack,
+                        self.is_available(item, now),
+                        not self.trace.is_lost(item.rack, now),
                     )
                     for item in self.list_pool(pool)
                 ),
--- a/peridotspoke/planning/exposure.py
+++ b/peridotspoke/planning/exposure.py
@@ -6,7 +6,7 @@
 
 
 class Assignment:
-    """Counts of available instances by pool and rack, changed by trial moves.
+    """Counts of instances that meet needs, by pool and rack, changed by trial moves.
 
     Parameters
     ----------
@@ -24,7 +24,7 @@
     def __init__(self, pools):
         self.pools = {pool.pool: pool for pool in pools}
         self.racks = {
-            name: Counter(item.rack for item in pool.instances if item.available)
+            name: Counter(item.rack for item in pool.instances if item.is_counted())
             for name, pool in self.pools.items()
         }
         self.sizes = {name: racks.total() for name, racks in self.racks.items()}
--- a/peridotspoke/planning/views.py
+++ b/peridotspoke/planning/views.py
@@ -7,12 +7,22 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceView:
-    """An instance of a pool; `available` where it serves now."""
+    """An instance of a pool.
+
+    `available` where it serves now; `returning` where it doesn't but will before a
+    move would pay, such as during maintenance. A returning instance meets the need,
+    counts as out in the availability budget and isn't moved.
+    """
 
     instance: str
     zone: str
     rack: str
     available: bool = True
+    returning: bool = False
+
+    def is_counted(self):
+        """Return whether the instance meets a part of the pool's need."""
+        return self.available or self.returning
 
 
 @dataclass(frozen=True, slots=True)
