Estimate needs from two hours of usage instead of six

Cause: a need stayed at the peak of the last six hours though the hold by the break-even point already keeps instances for as long as that pays.

--- a/peridotspoke/planning/estimation.py
+++ b/peridotspoke/planning/estimation.py
@@ -81,7 +81,7 @@
     """
 
     block: float = 300.0
-    window: float = 6 * 3600.0
+    window: float = 2 * 3600.0
     slices: int = 6
     utilisation: float = 0.85
     trust_blocks: int = 6
