--- a/peridotspoke/planning/exposure.py
+++ b/peridotspoke/planning/exposure.py
@@ -43,8 +43,11 @@
 
     def measure_exposure(self):
         """Return the instances missing after a rack's loss: the worst, the sum."""
-        lacking = [max(0, self._base + part) for part in self._additions.values()]
-        return max(lacking, default=0), sum(lacking)
+        worst = self._base + max(self._additions.values(), default=0)
+        if worst <= 0:
+            return 0, 0
+        lacking = (self._base + part for part in self._additions.values())
+        return worst, sum(part for part in lacking if part > 0)
 
     def measure_rack(self, rack):
         """Return the instances missing after the loss of `rack`; below 0: to spare."""
