--- a/peridotspoke/programs/publish.py
+++ b/peridotspoke/programs/publish.py
@@ -121,7 +121,7 @@
             roll_out = None
         if roll_out is not None and roll_out != shown:
             shown = roll_out
-            print_rows(roll_out.zones, settings.output)
+            _print_roll_out(roll_out, settings.output)
             print(f"after {taken:.2f} s", file=sys.stderr, flush=True)
         if roll_out is not None and roll_out.is_complete():
             return 0
@@ -143,7 +143,11 @@
         for note in stored.changes[:1] if stored else ():
             at = datetime.fromtimestamp(note.at, UTC).isoformat(timespec="seconds")
             print(f"{note.action}, by {note.author} at {at}: {note.reason}")
-    print_rows(measure_roll_out(version, members).zones, settings.output)
+    _print_roll_out(measure_roll_out(version, members), settings.output)
+
+
+def _print_roll_out(roll_out, form):
+    print_rows(roll_out.zones if form == "table" else [roll_out], form)
 
 
 def main():
