--- a/peridotspoke/planning/__init__.py
+++ b/peridotspoke/planning/__init__.py
@@ -5,6 +5,13 @@
     measure_evenness,
     plan_moves,
 )
+from peridotspoke.planning.estimation import (
+    EstimationRules,
+    NeedEstimate,
+    NeedEstimator,
+    UsageSample,
+    compute_hold,
+)
 from peridotspoke.planning.exposure import Assignment
 from peridotspoke.planning.views import (
     InstanceView,
@@ -16,12 +23,17 @@
 
 __all__ = [
     "Assignment",
+    "EstimationRules",
     "InstanceView",
+    "NeedEstimate",
+    "NeedEstimator",
     "PastMove",
     "Plan",
     "PlannedMove",
     "PlanningRules",
     "PoolView",
+    "UsageSample",
+    "compute_hold",
     "measure_evenness",
     "plan_moves",
 ]
