Make room for maintenance in pools brought down to their need

Cause: the plan collects idle instances in the spare, down to each pool's need; then no permit could be granted. Ruled out: counting the spare's instances in a pool's permit (they would have to be moved in the middle of a failure).

--- a/peridotspoke/pools/planners.py
+++ b/peridotspoke/pools/planners.py
@@ -9,9 +9,12 @@
     PoolView,
     plan_moves,
 )
+from peridotspoke.pools.maintenance import list_due, next_opening
 
 __all__ = ["FixedPlanner", "IncrementalPlanner", "MovePlanner"]
 
+NOTICE = 3600.0  # seconds before a window opens
+
 
 class MovePlanner(ABC):
     """Chooses which instances should change pools."""
@@ -41,7 +44,9 @@
     """Plans by `plan_moves`, now and then.
 
     An instance that is out for maintenance, or that has been missing for less than
-    `patience`, counts as available: it will be back before a move would pay.
+    `patience`, counts as available: it will be back before a move would pay. A pool
+    with instances that are due needs one more while its window is open or near, or
+    a pool that was brought down to its need could never be maintained.
 
     Parameters
     ----------
@@ -88,6 +93,7 @@
 
     def _make_pool(self, view, declaration):
         name = declaration.service
+        records = [item for item in view.records.values() if item.pool == name]
         instances = tuple(
             InstanceView(
                 record.instance,
@@ -95,12 +101,11 @@
                 record.rack,
                 self._is_available(view, record.instance),
             )
-            for record in view.records.values()
-            if record.pool == name
+            for record in records
         )
         return PoolView(
             pool=name,
-            need=declaration.need.instances,
+            need=declaration.need.instances + _count_room(declaration, records, view),
             max_unavailable=declaration.budget.max_unavailable,
             instances=instances,
             spare=declaration.pool.spare,
@@ -117,3 +122,15 @@
             if source != pool:
                 self._history.append(PastMove(name, source, pool, view.monotonic))
         self._pools = pools
+
+
+def _count_room(declaration, records, view):
+    """Return how many instances a pool needs beyond its need to be maintained."""
+    maintenance = declaration.maintenance
+    wait = next_opening(maintenance.windows, view.wall) - view.wall
+    due = list_due(records, maintenance.period_days, view.wall)
+    under_way = any(
+        item.operation is not None and item.operation.kind == "maintenance"
+        for item in records
+    )
+    return int((bool(due) or under_way) and wait <= NOTICE)
--- a/peridotspoke/pools/tests/fleet_faults.feature
+++ b/peridotspoke/pools/tests/fleet_faults.feature
@@ -109,3 +109,24 @@
       | a list that is not JSON           | list   |
       | an instance record without a pool | record |
       | a ledger that is not JSON         | record |
+
+  Scenario Outline: Another controller takes a pool over within three lease units
+    Given two controllers, and a fleet at rest
+    When the owner of a pool is <fault>
+    Then the other one owns it within 18 s, and never do both own it
+
+    Examples:
+      | fault   |
+      | killed  |
+      | frozen  |
+      | cut off |
+
+  Scenario: A fleet at rest costs no calls to the service
+    Given two controllers, and a fleet at rest
+    When 60 s pass
+    Then the controllers have called the service 0 times
+
+  Scenario: A pool that is brought down to its need is still maintained
+    Given two controllers that plan, and a pool that needs all its instances
+    When every instance is due for maintenance
+    Then every instance is maintained, all serve and nothing was violated
--- a/peridotspoke/pools/tests/test_fleet_faults.py
+++ b/peridotspoke/pools/tests/test_fleet_faults.py
@@ -16,12 +16,13 @@
 from peridotspoke.pools import (
     DisruptionLedger,
     FixedPlanner,
+    IncrementalPlanner,
     Phase,
     key_ledger,
     observe_pools,
 )
 from peridotspoke.pools.starting import start_planned_work
-from peridotspoke.pools.tests.sites import HistoryCheck, make_site
+from peridotspoke.pools.tests.sites import HistoryCheck, make_service, make_site
 
 scenarios("fleet_faults.feature")
 
@@ -480,3 +481,56 @@
     assert bad not in changed
     if kind == "list":
         assert not changed
+
+
+@when(parsers.parse("the owner of a pool is {fault}"))
+def lose_owner(story, fault):
+    story.owner = story._find_owner()
+    if fault == "killed":
+        story.site.controllers.remove(story.owner)
+    story.owner.service.down = fault == "cut off"
+    story.running = [
+        item
+        for item in story.site.controllers
+        if item is not story.owner or fault == "cut off"
+    ]
+
+
+@then(
+    parsers.parse("the other one owns it within {limit:d} s, and never do both own it")
+)
+def check_takeover(story, limit):
+    other = next(item for item in story.running if item is not story.owner)
+    for _ in range(limit):
+        story.run(story.site.run_second(story.running))
+        held = story.owner.process.is_held()
+        owned = story.owner.controller.list_owned() if held else frozenset()
+        assert not owned & other.controller.list_owned()
+    assert "left" in other.controller.list_owned()
+
+
+@when(parsers.parse("{seconds:d} s pass"))
+def let_pass(story, seconds):
+    story.site.store.calls.clear()
+    story.pass_seconds(seconds)
+
+
+@then(parsers.parse("the controllers have called the service {count:d} times"))
+def check_calls(story, count):
+    assert story.site.store.calls.total() == count
+
+
+@given("two controllers that plan, and a pool that needs all its instances")
+def start_planning(story):
+    services = dict(story.site.configuration.services)
+    services["left"] = make_service("left", need=8)
+    story.site.configuration = replace(story.site.configuration, services=services)
+    story.site.controllers.clear()
+    for name in ("c2", "c3"):
+        story.site.add_controller(name, IncrementalPlanner())
+    story.pass_seconds(20)
+
+
+@when("every instance is due for maintenance")
+def become_due(story):
+    make_due(story)
--- a/peridotspoke/standins/site.py
+++ b/peridotspoke/standins/site.py
@@ -203,9 +203,8 @@
         self.blind = False
         self._site = site
         self._reached = 0
-        lease_id = site.store.grant_lease(LEASE_TTL, site.clock.read_monotonic())
         self.process = _Process(name, site.clock)
-        self._renew(lease_id)
+        self._renew(0)
         self.observer = FleetObserver(name, site.bounds)
         self.observer.configuration = site.configuration
         self.writer = FleetWriter(
@@ -226,8 +225,8 @@
     def _renew(self, lease_id):
         now = self._site.clock.read_monotonic()
         if not lease_id or not self._site.store.renew_lease(lease_id, now):
-            lease_id = self._site.store.grant_lease(LEASE_TTL, now)
-        self.process.lease = _Lease(lease_id, now + LEASE_TTL)
+            lease_id = self._site.store.grant_lease(self._site.lease_ttl, now)
+        self.process.lease = _Lease(lease_id, now + self._site.lease_ttl)
 
     async def run_round(self, renews=True):
         """Renew the lease, take the news of the store and the list, run a round."""
@@ -273,11 +272,19 @@
     machines : list of ListedInstance
     seed : int, optional
     bounds : RoundBounds, optional
-    reboot_time : float, optional
+    reboot_time, lease_ttl : float, optional
         Seconds.
     """
 
-    def __init__(self, configuration, machines, seed=1, bounds=BOUNDS, reboot_time=60):
+    def __init__(
+        self,
+        configuration,
+        machines,
+        seed=1,
+        bounds=BOUNDS,
+        reboot_time=60.0,
+        lease_ttl=LEASE_TTL,
+    ):
         self.clock = ManualClock()
         self.clock.advance(1.0)
         self.store = StoreStandIn()
@@ -289,6 +296,7 @@
         )
         self.configuration = configuration
         self.bounds = bounds
+        self.lease_ttl = lease_ttl
         self.list_lag = 0.0
         self.list_is_up = True
         self.controllers = []
