Route by all news before telling what is in flight

Cause: an entry could tell that it had seen an instance leave, with nothing in flight, before its routing table was rebuilt by a task of its own; a request sent in between would have met the reboot. Found by reading, not by a failing test: the gap is one turn of the event loop.

--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -177,6 +177,8 @@
     def _report_in_flight(self, epochs):
         if self.pipeline is None:
             return {name: InFlightReport(0, False) for name in epochs}
+        # News that is seen but not yet routed by would let a request follow.
+        self._upstreams.rebuild_routes()
         return {
             instance: InFlightReport(
                 self.pipeline.count_in_flight(instance),
--- a/peridotspoke/programs/upstreams.py
+++ b/peridotspoke/programs/upstreams.py
@@ -76,7 +76,7 @@
             try:
                 self._listed = await self._instance_list.read_instances()
                 self._node.leaving.take_list(self._listed)
-                self._rebuild_routes()
+                self.rebuild_routes()
             except PlatformError as error:
                 log_event("instance-list-unread", "WARNING", error=error)
             await asyncio.sleep(self._settings.list_interval)
@@ -90,9 +90,10 @@
             except TimeoutError:
                 pass
             self._node.leaving_changed.clear()
-            self._rebuild_routes()
+            self.rebuild_routes()
 
-    def _rebuild_routes(self):
+    def rebuild_routes(self):
+        """Put all news so far into the routing table."""
         leaving = self._node.leaving
         now = self._clock.read_monotonic()
         listed = leaving.select_listed(
