--- a/peridotspoke/jobs/__init__.py
+++ b/peridotspoke/jobs/__init__.py
@@ -32,6 +32,12 @@
 )
 from peridotspoke.jobs.records import JOBS_PREFIX, JobId, key_batch, parse_job_id
 from peridotspoke.jobs.settings import BoardSettings
+from peridotspoke.jobs.supervising import (
+    JobsEnvironment,
+    JobsSettings,
+    JobsTask,
+    PoolView,
+)
 
 __all__ = [
     "Acceptance",
@@ -52,10 +58,14 @@
     "JobSpec",
     "JobState",
     "JobSubmission",
+    "JobsEnvironment",
+    "JobsSettings",
+    "JobsTask",
     "MAX_SUBMISSION",
     "Need",
     "PlacementSettings",
     "PoolLimits",
+    "PoolView",
     "Urgency",
     "UsageEstimator",
     "WorkerRoom",
--- a/peridotspoke/jobs/board.py
+++ b/peridotspoke/jobs/board.py
@@ -31,6 +31,7 @@
     make_task_id,
     parse_task_id,
 )
+from peridotspoke.platform.workers import TaskStop
 
 __all__ = ["JobBoard"]
 
@@ -84,9 +85,11 @@
         return _HANDLERS[type(message)](self, message, now)
 
     def count_tasks(self, worker):
-        """Return the number of jobs that are known to be on `worker`."""
+        """Return the number of jobs that are on `worker` or are to start there."""
         active = self.state.held.active.values()
-        return sum(1 for job in active if job.state.attempt.worker == worker)
+        names = [job.state.attempt.worker for job in active]
+        names += self.state.list_starts().values()
+        return names.count(worker)
 
     def renew_only(self):
         """Return the exchanges that keep running tasks alive, and nothing else.
@@ -110,6 +113,7 @@
             state.dirty = False
             self._placed_at = now
             actions += place_jobs(state, now)
+        self._leave_drained_workers()
         actions += make_ends(state, now)
         actions += resend_starts(state, now)
         actions += self._write(now)
@@ -232,6 +236,17 @@
                 event = WorkerLost(attempt.number, f"worker {attempt.worker} vanished")
                 state.add_event(place, event, now)
 
+    def _leave_drained_workers(self):
+        """Let jobs that can save their progress leave workers that take no more."""
+        state = self.state
+        for place, job in state.held.active.items():
+            worker = state.workers.get(job.state.attempt.worker)
+            if worker is None or worker.room.usable or not job.spec.checkpointable:
+                continue
+            task = make_task_id(place.get_id(), job.state.attempt.number)
+            if task in state.attempts.seen:
+                state.attempts.leaving.setdefault(task, TaskStop.CHECKPOINT)
+
     def _write(self, now):
         """Return the swaps that are due, those with urgent starts first."""
         due = []
