--- a/peridotspoke/programs/tests/test_supervision.py
+++ b/peridotspoke/programs/tests/test_supervision.py
@@ -31,7 +31,7 @@
     "fails all": WorkerFaults(fail_all=True),
     "lies about times": WorkerFaults(run_time_factor=-5.0),
 }
-PORTS = {name: "127.0.0.1:0" for name in ("listen", "admin", "peer_listen")}
+PORTS = {name: "127.0.0.1:0" for name in ("admin", "peer_listen")}
 
 
 class Deployment:
@@ -63,8 +63,14 @@
         platform.list_instances(listed)
         common = {"zone": "z", "platform": url, "platform_timeout": 2.0}
         for program, settings in (
-            (Controller, ControlSettings(name="c", plan_interval=0.2, **common)),
-            (EntryInstance, EntrySettings(name="e", **PORTS, **common)),
+            (
+                Controller,
+                ControlSettings(name="c", plan_interval=0.2, **PORTS, **common),
+            ),
+            (
+                EntryInstance,
+                EntrySettings(name="e", listen=PORTS["admin"], **PORTS, **common),
+            ),
         ):
             self.program = program(settings, clock, chance)
             await self.program.start()
