Let an elector stop promising once the keeper's record is gone

Cause: two entry processes with lent slots, the keeper killed: the other one never took over (20 refusals in 41 s), since it went on promising to the dead keeper with each request that it tried. What: no promise to a keeper whose member record was found to be gone. Electors ask their zone's keeper also without need, so that an idle one keeps promising through an outage. The quiet time follows a longest request that grows meanwhile, and no right is taken before a configuration tells it. Also: processes whose lease is held don't ask all peers for a first configuration; with none published that was an exchange with every peer each second.

--- a/peridotspoke/peers/lending.py
+++ b/peridotspoke/peers/lending.py
@@ -97,17 +97,21 @@
         self._records = {}
         self._due_at = {}
         self._awake = asyncio.Event()
+        self._limit_known = False
         self._calls = {}
 
     def set_longest_request(self, seconds):
         """Wait so long for requests of loans that lapsed.
 
         The time only grows: requests that began under a longer limit may still run.
+        Before the first call the right to lend is not taken, since what a former
+        keeper's loans may still run is not known.
         """
         longest = max(seconds, self.keeper.rules.longest_request)
         rules = replace(self.keeper.rules, longest_request=longest)
         self.keeper.rules = rules
         self.borrower.rules = rules
+        self._limit_known = True
 
     def wake(self):
         """Look at once whether slots are short."""
@@ -177,7 +181,7 @@
 
     async def _keep_right(self):
         while True:
-            if self._node.lease.is_held():
+            if self._limit_known and self._node.lease.is_held():
                 try:
                     await self._propose()
                 except PlatformError as error:
@@ -249,7 +253,7 @@
     async def _borrow(self):
         while True:
             now = self._clock.read_monotonic()
-            for zone in self.borrower.list_zones():
+            for zone in self._list_zones():
                 if zone not in self._calls and now >= self._get_due(zone, now):
                     self._calls[zone] = asyncio.create_task(self._ask(zone))
             self._awake.clear()
@@ -259,6 +263,13 @@
             except TimeoutError:
                 continue
 
+    def _list_zones(self):
+        """Return the zones to ask; the own one also without need, for the promise."""
+        zones = set(self.borrower.list_zones())
+        if not self.right.is_keeper() and self.right.record is not None:
+            zones.add(self._node.own.zone)
+        return sorted(zones)
+
     def _get_due(self, zone, now):
         asked_at = self._due_at.get(zone, float("-inf"))
         if self.borrower.is_contended(zone):
--- a/peridotspoke/peers/node.py
+++ b/peridotspoke/peers/node.py
@@ -232,7 +232,9 @@
         return member.state == "alive" and asked_at < self._changed_at
 
     def _may_take_from_peers(self):
-        """Return whether the platform has been given its chance to answer."""
+        """Return whether the platform had its chance to answer, and doesn't."""
+        if self.lease.is_held():
+            return False
         waited = self._clock.read_monotonic() - self._started_at
         return self.lease.last_error is not None or waited > PLATFORM_WAIT
 
--- a/peridotspoke/peers/rights.py
+++ b/peridotspoke/peers/rights.py
@@ -31,7 +31,7 @@
     elector waits before it replaces one.
     """
 
-    promise_time: float = 6.0
+    promise_time: float = 4.0
     isolation_limit: float = 900.0
 
 
@@ -121,10 +121,15 @@
             self._promises[elector] = max(known, until)
 
     def make_promise(self, epoch, now):
-        """Return whether a promise to the keeper of `epoch` may be sent now."""
+        """Return whether a promise to the keeper of `epoch` may be sent now.
+
+        None is made to a keeper whose member record was found to be gone.
+        """
         free = self._pending is None and self.record is not None
         if not free or epoch != self.record.epoch or self.is_keeper():
             return False
+        if self._absent is not None and self._absent[0] == epoch:
+            return False
         self._promised_until = now + self._rules.promise_time
         return True
 
--- a/peridotspoke/peers/slots.py
+++ b/peridotspoke/peers/slots.py
@@ -94,7 +94,7 @@
         self.epoch = 0
         self._name = name
         self._zone = zone
-        self._quiet_until = float("inf")
+        self._began_at = float("inf")
         self._debts = {}
         self._sequences = {}
 
@@ -102,8 +102,7 @@
         """Take the right up at `epoch`; after another keeper, wait out its loans."""
         self.epoch = epoch
         self._debts.clear()
-        quiet = self.rules.quiet_time if had_predecessor else 0.0
-        self._quiet_until = now + quiet
+        self._began_at = now if had_predecessor else float("-inf")
 
     def move_epoch(self, epoch):
         """Go on with the same loans under a later epoch of the same right."""
@@ -135,8 +134,9 @@
         """
         if request.zone != self._zone:
             raise self._refuse("zone", self._zone, request.zone)
-        if now < self._quiet_until:
-            wait = self._quiet_until - now
+        # The longest request may grow by a new version while this is waited out.
+        wait = self._began_at + self.rules.quiet_time - now
+        if wait > 0:
             raise PeerError(
                 f"former loans lapse in {wait:.1f} s",
                 step="lend slots",
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -16,6 +16,7 @@
 from peridotspoke.peers import (
     GrpcLink,
     InFlightReport,
+    LendingRules,
     LentShares,
     PeerAnswerDirectory,
     PeerClient,
@@ -161,7 +162,12 @@
         if settings.slot_shares == "fixed":
             return FixedShares(settings.entry_instances)
         self._lending = SlotLending(
-            self.node, service, self._get_slots, self._clock, self._random
+            self.node,
+            service,
+            self._get_slots,
+            self._clock,
+            self._random,
+            LendingRules(longest_request=1.0),
         )
         return LentShares(self._lending)
 
@@ -208,7 +214,7 @@
             limits = [
                 item.requests.time_limit for item in configuration.services.values()
             ]
-            self._lending.set_longest_request(max(limits, default=10.0))
+            self._lending.set_longest_request(max(limits, default=1.0))
 
     def _apply_routes(self, routes):
         self.pipeline.routes = routes
