--- a/peridotspoke/peers/lending.py
+++ b/peridotspoke/peers/lending.py
@@ -244,6 +244,10 @@
             self._take_right(record, taken)
 
     def _take_right(self, record, taken):
+        electors = len(record.electors)
+        log_event(
+            "right-written", zone=record.zone, epoch=record.epoch, electors=electors
+        )
         if taken or self.keeper.epoch == 0:
             now = self._clock.read_monotonic()
             self.keeper.begin(record.epoch, now, taken)
