--- a/benchmarks/slots.py
+++ b/benchmarks/slots.py
@@ -13,6 +13,7 @@
 import numpy as np
 
 from peridotspoke.peers import LendingRules, SlotBorrower, SlotKeeper
+from peridotspoke.peers.codec import encode_slots_answer, encode_slots_request
 
 __all__ = ["Case", "run_case"]
 
@@ -61,6 +62,7 @@
     """Answers how many slots an entry may use; the base is one shared queue."""
 
     calls = 0
+    body_bytes = 0
 
     def __init__(self, case):
         self.case = case
@@ -108,6 +110,8 @@
             if answer is None and now >= arrives_at:
                 capacity = {f"x{n}": SLOTS for n in range(EXECUTORS)}
                 answer = self.keepers[zone].lend(request, capacity, now)
+                self.body_bytes += encode_slots_request(request).ByteSize()
+                self.body_bytes += encode_slots_answer(answer).ByteSize()
                 entry.flying[zone] = (request, arrives_at, returns_at, answer)
             if now >= returns_at:
                 del entry.flying[zone]
@@ -174,6 +178,7 @@
         "wait_p50_ms": 1000 * float(np.percentile(latencies, 50)),
         "wait_p99_ms": 1000 * float(np.percentile(latencies, 99)),
         "calls_per_second": shares.calls / END / case.alive,
+        "body_bytes_per_call": shares.body_bytes / max(1, shares.calls),
         "borrow_p99_ms": 1000 * float(np.percentile(shares.waits or [0.0], 99)),
         "most_in_use": most,
     }
