Plan by reported usage

Cause: the planner took declared needs alone. Reports of each instance (GET /usage, every 30 s) are summed by pool into samples for the estimator; a pool of which one report is missing, negative or old gives that fault, which is counted, told once and left out, so that the last need stays.

--- a/peridotspoke/platform/__init__.py
+++ b/peridotspoke/platform/__init__.py
@@ -38,8 +38,18 @@
     encode_stored,
     swap_stored,
 )
+from peridotspoke.platform.usage import (
+    HttpUsageReports,
+    UsageReport,
+    UsageReports,
+    parse_usage,
+)
 
 __all__ = [
+    "HttpUsageReports",
+    "UsageReport",
+    "UsageReports",
+    "parse_usage",
     "AUDIT_PREFIX",
     "ArchivedChanges",
     "MAX_VALUE",
--- a/peridotspoke/pools/actions.py
+++ b/peridotspoke/pools/actions.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from peridotspoke.planning import PlannedMove
-from peridotspoke.platform import ListedInstance
+from peridotspoke.platform import ListedInstance, UsageReport
 from peridotspoke.pools.conditions import PoolCondition
 from peridotspoke.pools.drains import DrainBounds, EntryView
 from peridotspoke.pools.ledger import Disruption, DisruptionLedger, PermitRequest
@@ -92,6 +92,8 @@
     moves : tuple of PlannedMove
     unreadable : frozenset of str
         Instances whose record does not parse.
+    usage : tuple of UsageReport
+        The last that could be read.
     settled : bool
         Whether this controller has watched the members for long enough to know of
         the entry instances that are cut off.
@@ -114,6 +116,7 @@
     missing_since: Mapping[str, float] = field(default_factory=dict)
     moves: tuple[PlannedMove, ...] = ()
     unreadable: frozenset[str] = frozenset()
+    usage: tuple[UsageReport, ...] = ()
     settled: bool = True
     refusals: Mapping[str, str] = field(default_factory=dict)
 
--- a/peridotspoke/pools/observing.py
+++ b/peridotspoke/pools/observing.py
@@ -42,6 +42,7 @@
         self.listed = {}
         self.moves = ()
         self.unreadable = set()
+        self.usage = ()
         self.entries = EntryWatch(entry_memory)
         self.rejected = Counter()
         self._controller = controller
@@ -98,12 +99,12 @@
         self._list_read_at = asked_at
         self._list_faults.clear()
 
-    def reject_list(self, error):
-        """Note that the list could not be read; the last one stays in use."""
-        self.rejected["list"] += 1
+    def reject_list(self, error, kind="list"):
+        """Note that a list could not be read; the last one stays in use."""
+        self.rejected[kind] += 1
         if str(error) not in self._list_faults:
             self._list_faults.add(str(error))
-            log_event("instance-list-rejected", "WARNING", error=error)
+            log_event(f"{kind}-rejected", "WARNING", error=error)
 
     def change_bounds(self, bounds):
         """Take other `RoundBounds` into force."""
@@ -156,6 +157,7 @@
             missing_since=self._missing_since,
             moves=self.moves,
             unreadable=self._list_unreadable(),
+            usage=self.usage,
             settled=self.entries.is_settled(now, drain.view + drain.request),
             refusals=refusals,
         )
--- a/peridotspoke/pools/planners.py
+++ b/peridotspoke/pools/planners.py
@@ -2,16 +2,21 @@
 
 from abc import ABC, abstractmethod
 
+from peridotspoke.logs import log_event
 from peridotspoke.planning import (
+    EstimationRules,
     InstanceView,
+    NeedEstimator,
     PastMove,
     PlanningRules,
     PoolView,
+    UsageSample,
     plan_moves,
 )
 from peridotspoke.pools.maintenance import list_due, next_opening
+from peridotspoke.pools.records import Phase
 
-__all__ = ["FixedPlanner", "IncrementalPlanner", "MovePlanner"]
+__all__ = ["FixedPlanner", "IncrementalPlanner", "MovePlanner", "summarise_usage"]
 
 NOTICE = 3600.0  # seconds before a window opens
 
@@ -63,16 +68,24 @@
         self._moves = ()
         self._pools = {}
         self._history = []
+        self._estimator = NeedEstimator(EstimationRules())
+        self._usage = ()
+        self._faults = set()
 
     def plan(self, view):
         """Return the moves of the last plan, or of a new one where that is old."""
         self._note_moves(view)
+        self._observe_usage(view)
         if view.monotonic - self._planned_at < self._interval:
             return self._moves
         self._planned_at = view.monotonic
         self._moves = () if self._is_unsure(view) else self._make_plan(view)
         return self._moves
 
+    def get_rejected(self):
+        """Return how many samples of usage were left out, by reason."""
+        return dict(self._estimator.rejected)
+
     def _is_unsure(self, view):
         """Return whether the list is late, or some instance has no record yet."""
         if view.list_age > self._patience:
@@ -103,14 +116,32 @@
             )
             for record in records
         )
+        need = self._estimator.estimate(
+            name, declaration.need.instances, declaration.need.quantile, view.wall
+        ).need
         return PoolView(
             pool=name,
-            need=declaration.need.instances + _count_room(declaration, records, view),
+            need=need + _count_room(declaration, records, view),
             max_unavailable=declaration.budget.max_unavailable,
             instances=instances,
             spare=declaration.pool.spare,
         )
 
+    def _observe_usage(self, view):
+        """Take each set of reports once, summed by pool.
+
+        A pool of which some instance's report is missing, faulty or old gives the
+        estimator that fault; it is left out, counted, and the last need stays.
+        """
+        if view.usage is self._usage:
+            return
+        self._usage = view.usage
+        for sample in summarise_usage(view):
+            reason = self._estimator.observe(sample, view.wall)
+            if reason is not None and (sample.pool, reason) not in self._faults:
+                self._faults.add((sample.pool, reason))
+                log_event("usage-rejected", "WARNING", pool=sample.pool, reason=reason)
+
     def _is_available(self, view, instance):
         missing_since = view.missing_since.get(instance, view.monotonic)
         return view.monotonic - missing_since < self._patience
@@ -134,3 +165,35 @@
         for item in records
     )
     return int((bool(due) or under_way) and wait <= NOTICE)
+
+
+def summarise_usage(view):
+    """Return a `UsageSample` for each pool that has serving instances.
+
+    The worst of a pool's reports decides: where one is negative, missing or not of
+    this fleet's form, so is the sample; its time is that of the oldest report.
+    """
+    reports = {item.instance: item for item in view.usage}
+    serving = {}
+    for record in view.records.values():
+        if record.phase is Phase.SERVING and record.instance in view.listed:
+            serving.setdefault(record.pool, []).append(record.instance)
+    if not reports:
+        return ()
+    return tuple(
+        _summarise_pool(pool, names, reports, view)
+        for pool, names in sorted(serving.items())
+    )
+
+
+def _summarise_pool(pool, names, reports, view):
+    found = [reports.get(name) for name in names]
+    if any(item is None or item.busy is None for item in found):
+        return UsageSample(pool, view.wall, None, len(names))
+    shares = [
+        item.busy / view.listed[item.instance].slots if item.busy >= 0 else item.busy
+        for item in found
+    ]
+    worst = min(shares)
+    used = worst if worst < 0 else sum(shares)
+    return UsageSample(pool, min(item.measured_at for item in found), used, len(names))
--- a/peridotspoke/pools/tests/fleet_faults.feature
+++ b/peridotspoke/pools/tests/fleet_faults.feature
@@ -130,3 +130,14 @@
     Given two controllers that plan, and a pool that needs all its instances
     When every instance is due for maintenance
     Then every instance is maintained, all serve and nothing was violated
+
+  Scenario Outline: Faulty usage is left out, counted and moves nothing
+    Given two controllers that plan, and a pool that needs all its instances
+    When each instance reports usage that is <fault> for 900 s
+    Then it is counted as "<reason>" and told once, and no instance has moved
+
+    Examples:
+      | fault           | reason   |
+      | negative        | negative |
+      | missing         | missing  |
+      | three hours old | too old  |
--- a/peridotspoke/pools/tests/test_fleet_faults.py
+++ b/peridotspoke/pools/tests/test_fleet_faults.py
@@ -12,7 +12,7 @@
     PlatformError,
 )
 from peridotspoke.planning import PlannedMove
-from peridotspoke.platform import decode_record, parse_instances
+from peridotspoke.platform import UsageReport, decode_record, parse_instances
 from peridotspoke.pools import (
     DisruptionLedger,
     FixedPlanner,
@@ -534,3 +534,35 @@
 @when("every instance is due for maintenance")
 def become_due(story):
     make_due(story)
+
+
+@when(parsers.parse("each instance reports usage that is {fault} for {seconds:d} s"))
+def report_usage(story, fault, seconds):
+    story.pass_seconds(300)
+    story.changes = len(story.site.store.history)
+    busy = {"negative": -1.0, "missing": None}.get(fault, 0.1)
+    age = 3 * 3600 if fault == "three hours old" else 0
+    for _ in range(seconds // 30):
+        at = story.site.clock.read_wall() - age
+        reports = tuple(
+            UsageReport(name, busy, at) for name in story.site.read_records()
+        )
+        for controller in story.site.controllers:
+            controller.observer.usage = reports
+        story.pass_seconds(30)
+
+
+@then(
+    parsers.parse(
+        'it is counted as "{reason}" and told once, and no instance has moved'
+    )
+)
+def check_usage(story, reason):
+    owners = [item for item in story.site.controllers if item.controller.list_owned()]
+    assert owners
+    for controller in owners:
+        counts = controller.planner.get_rejected()
+        assert set(counts) == {reason}
+        assert counts[reason] == 2 * 30
+    history = story.site.store.history[story.changes :]
+    assert not [item for item in history if item.key.startswith("instances/")]
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -18,7 +18,12 @@
     PeerNode,
     make_member,
 )
-from peridotspoke.platform import HttpInstanceActions, HttpInstanceList, open_service
+from peridotspoke.platform import (
+    HttpInstanceActions,
+    HttpInstanceList,
+    HttpUsageReports,
+    open_service,
+)
 from peridotspoke.programs.admin import Health, HealthSource, serve_admin
 from peridotspoke.programs.fleet import FleetTasks
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
@@ -74,6 +79,7 @@
             service,
             instance_list,
             HttpInstanceActions(settings.platform, settings.platform_timeout, session),
+            HttpUsageReports(settings.platform, settings.platform_timeout, session),
             self.node,
             self._clock,
             self._random,
--- a/peridotspoke/programs/fleet.py
+++ b/peridotspoke/programs/fleet.py
@@ -25,6 +25,7 @@
 
 PREFIXES = (INSTANCES_PREFIX, POOLS_PREFIX, OWNERS_PREFIX)
 SILENCE = 3.0  # seconds
+USAGE_INTERVAL = 30.0  # seconds
 
 
 class NodeIdentity(ProcessIdentity):
@@ -68,13 +69,22 @@
     service : KeyValueService
     instance_list : InstanceList
     instance_actions : InstanceActions
+    usage_reports : UsageReports
     node : PeerNode
     clock : Clock
     random : random.Random
     """
 
     def __init__(
-        self, settings, service, instance_list, instance_actions, node, clock, random
+        self,
+        settings,
+        service,
+        instance_list,
+        instance_actions,
+        usage_reports,
+        node,
+        clock,
+        random,
     ):
         make_id = partial(make_operation_id, random)
         self.bounds = RoundBounds(
@@ -98,6 +108,7 @@
         self._settings = settings
         self._service = service
         self._instance_list = instance_list
+        self._usage_reports = usage_reports
         self._node = node
         self._clock = clock
         self._followed = set()
@@ -119,7 +130,9 @@
     async def run(self):
         """Follow and run rounds until cancelled."""
         follows = [self._follow(prefix) for prefix in PREFIXES]
-        await asyncio.gather(*follows, self._follow_list(), self._run_rounds())
+        await asyncio.gather(
+            *follows, self._follow_list(), self._follow_usage(), self._run_rounds()
+        )
 
     async def _follow(self, prefix):
         async for followed in follow_prefix(self._service, prefix):
@@ -139,6 +152,14 @@
                 self.observer.reject_list(error)
             await asyncio.sleep(self._settings.plan_interval)
 
+    async def _follow_usage(self):
+        while True:
+            try:
+                self.observer.usage = await self._usage_reports.read_usage()
+            except PlatformError as error:
+                self.observer.reject_list(error, "usage")
+            await asyncio.sleep(USAGE_INTERVAL)
+
     async def _run_rounds(self):
         """Run a round at each interval, each process at its own time within it."""
         interval = self._settings.plan_interval
--- a/peridotspoke/standins/__init__.py
+++ b/peridotspoke/standins/__init__.py
@@ -1,7 +1,7 @@
 """Small stand-ins for the platform, upstreams and workers, with faults."""
 
 from peridotspoke.standins.faults import PlatformFaults, UpstreamFaults, WorkerFaults
-from peridotspoke.standins.fleet import FleetStandIn, UsageReport
+from peridotspoke.standins.fleet import FleetStandIn
 from peridotspoke.standins.local import FaultyKeyValueService
 from peridotspoke.standins.memory import MemoryKeyValueService
 from peridotspoke.standins.platform import PlatformStandIn
@@ -20,7 +20,6 @@
     "TaskRunner",
     "UpstreamFaults",
     "UpstreamStandIn",
-    "UsageReport",
     "WorkerFaults",
     "WorkerStandIn",
     "start_server",
--- a/peridotspoke/standins/fleet.py
+++ b/peridotspoke/standins/fleet.py
@@ -1,31 +1,13 @@
 """The platform's instances: drains, reboots, failures and a lagging list, no I/O."""
 
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-__all__ = ["FleetStandIn", "UsageReport"]
+__all__ = ["FleetStandIn"]
 
 KEPT_LISTS = 4096
 
 
-@dataclass(frozen=True, slots=True)
-class UsageReport:
-    """What an instance used when it was measured.
-
-    Parameters
-    ----------
-    instance : str
-    busy : float
-        Slots in use, on average.
-    measured_at : float
-        Seconds since the Unix epoch.
-    """
-
-    instance: str
-    busy: float
-    measured_at: float
-
-
 class FleetStandIn:
     """Instances that can be drained, rebooted, lost and brought back.
 
--- a/peridotspoke/standins/platform.py
+++ b/peridotspoke/standins/platform.py
@@ -10,8 +10,9 @@
 
 from peridotspoke.platform.gateway import decode_text, encode_text
 from peridotspoke.platform.instances import ListedInstance
+from peridotspoke.platform.usage import UsageReport
 from peridotspoke.standins.faults import PlatformFaults
-from peridotspoke.standins.fleet import FleetStandIn, UsageReport
+from peridotspoke.standins.fleet import FleetStandIn
 from peridotspoke.standins.store import StoreStandIn
 
 __all__ = ["PlatformStandIn"]
--- a/peridotspoke/standins/site.py
+++ b/peridotspoke/standins/site.py
@@ -201,6 +201,7 @@
         self.name = name
         self.service = FaultyKeyValueService(site.store, site.clock)
         self.blind = False
+        self.planner = planner
         self._site = site
         self._reached = 0
         self.process = _Process(name, site.clock)
