--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -18,7 +18,12 @@
     PeerNode,
     make_member,
 )
-from peridotspoke.platform import HttpInstanceActions, HttpInstanceList, open_service
+from peridotspoke.platform import (
+    HttpInstanceActions,
+    HttpInstanceList,
+    HttpUsageReports,
+    open_service,
+)
 from peridotspoke.programs.admin import Health, HealthSource, serve_admin
 from peridotspoke.programs.fleet import FleetTasks
 from peridotspoke.programs.fleetjobs import FleetJobs, RunningWork
@@ -76,6 +81,7 @@
             service,
             instance_list,
             HttpInstanceActions(settings.platform, settings.platform_timeout, session),
+            HttpUsageReports(settings.platform, settings.platform_timeout, session),
             self.node,
             self._clock,
             self._random,
