Let entry instances take jobs

Cause: callers submit, see and cancel jobs at /<service>/jobs. The callers' server no longer has a router, so the routes become a filter that takes an admitted request and returns a conclusion; the entry passes to it what lies below /jobs.

--- /dev/null
+++ b/benchmarks/jobs.py
@@ -0,0 +1,385 @@
+"""Jobs on a fake clock: time to start, evenness, writes, and cost of a round.
+
+Run as ``python -m benchmarks.jobs [start|even|faults|round|batch]``. Each line of
+output is key=value; seeds are fixed.
+"""
+
+import random
+import sys
+import time
+import tracemalloc
+from dataclasses import replace
+
+from hdrh.histogram import HdrHistogram
+
+from peridotspoke.jobs import (
+    BoardSettings,
+    JobSpec,
+    Need,
+    Urgency,
+    WorkerRoom,
+    plan_placements,
+)
+from peridotspoke.jobs.actions import CallStart
+from peridotspoke.jobs.placement import QueuedJob, RunningJob
+from peridotspoke.jobs.tests.harness import POOL, ControllerUnderTest, World
+from peridotspoke.platform import encode_stored
+from peridotspoke.standins import WorkerFaults
+
+SEED = 1
+STEP = 0.1  # seconds
+CALL_TIME = 0.02  # seconds that a call to a worker or the service is taken to last
+WATCH_LAG = 0.1  # seconds from a write until a controller's watch tells it
+MEMORY = 64 << 30
+# Workers, cores and accelerators of a pool: the two deployments, and each ninth pool
+# of 199 with 1,100 workers and some 1,600 accelerators in all.
+DEPLOYMENTS = {
+    "lima": [(8, 32, 0)] * 5,
+    "vorarlberg": [(8, 32, 0)] * 5,
+    "letter": [(6 if n < 105 else 5, 32, 8 if n < 36 else 0) for n in range(0, 199, 9)],
+}
+
+
+def report(**fields):
+    """Print one line of key=value."""
+    print(" ".join(f"{key}={value}" for key, value in fields.items()), flush=True)
+
+
+def make_pool(workers, cores, accelerators, settings):
+    """Return a world of one pool and its controller, which has heard all workers."""
+    world = World(workers, replace(settings, exchange_wait=0.0))
+    for runner in world.runners.values():
+        runner._free_accelerators = accelerators
+    controller = ControllerUnderTest(world, "c")
+    size = Need(cores, MEMORY, accelerators)
+    rooms = [
+        WorkerRoom(name, f"rack-{number // 4}", size)
+        for number, name in enumerate(world.runners)
+    ]
+    controller.board.set_workers(rooms, world.now)
+    controller.run_reliably()
+    return world, controller
+
+
+def run_for(world, controller, seconds, starts, accepted=None):
+    """Run rounds for some time; note when each job's first start was called."""
+    ends = world.now + seconds
+    while world.now < ends:
+        world.now += STEP
+        controller.watch()
+        controller.run_round()
+        hops = 0
+        while controller.outbox:
+            action = controller.deliver()
+            hops += 1
+            if isinstance(action, CallStart):
+                job = action.start.task.rpartition("/")[0]
+                starts.setdefault(job, world.now + 2 * CALL_TIME + WATCH_LAG)
+                yield job
+
+
+def drain(iterator):
+    """Run an iterator to its end."""
+    for _ in iterator:
+        pass
+
+
+def fill(world, cores_total, chance, checkpointable, teams):
+    """Submit jobs that may wait, twice as many as there is room for."""
+    asked = 0
+    while asked < 2 * cores_total:
+        cores = chance.choice([1, 2, 4, 8])
+        specs = [
+            JobSpec(
+                f"stock-{chance.randrange(4)}",
+                chance.choice(teams),
+                ("run", str(chance.randrange(600, 3600))),
+                cores,
+                4 << 30,
+                urgency=Urgency.MAY_WAIT,
+                idempotent=True,
+                checkpointable=chance.random() < checkpointable,
+            )
+        ]
+        world.submit(specs)
+        asked += cores
+
+
+def measure_start():
+    """Urgent jobs while jobs that may wait fill each pool."""
+    for name, pools in DEPLOYMENTS.items():
+        for checkpointable in (None, 0.0, 0.5):
+            measure_deployment(name, pools, checkpointable)
+
+
+def measure_deployment(name, pools, checkpointable):
+    """Submit urgent jobs to pools and print the times to their start.
+
+    The pools are full of jobs that may wait, of which a share is checkpointable;
+    None leaves them empty, as a yardstick.
+    """
+    chance = random.Random(SEED)
+    urgent_chance = random.Random(SEED + 1)
+    waits = HdrHistogram(1, 600_000, 3)
+    never = writes = jobs = stops = 0
+    for workers, cores, accelerators in pools:
+        settings = BoardSettings()
+        world, controller = make_pool(workers, cores, accelerators, settings)
+        if checkpointable is not None:
+            teams = ["team-a", "team-b"]
+            fill(world, workers * cores, chance, checkpointable, teams)
+        starts, accepted = {}, {}
+        drain(run_for(world, controller, 15.0, starts))
+        for _ in range(3):
+            for _ in range(4):
+                world.now += 0.01
+                spec = JobSpec(
+                    "quote",
+                    "team-c",
+                    ("run", "8"),
+                    urgent_chance.choice([1, 4, 16, 24]),
+                    8 << 30,
+                    urgent_chance.choice([0, 0, 1]) if accelerators else 0,
+                    urgency=Urgency.URGENT,
+                )
+                key = world.submit([spec])
+                accepted[key.rpartition("/")[2] + ".0"] = world.now
+            drain(run_for(world, controller, 12.0, starts))
+        for job, at in accepted.items():
+            if job in starts:
+                waits.record_value(max(1, round(1000 * (starts[job] - at))))
+            else:
+                never += 1
+        found = list(world.list_jobs())
+        stops += sum(job.state.preemptions for _, job in found)
+        jobs += len(found)
+        writes += world.store.revision - 1
+    report(
+        measure="urgent-start",
+        deployment=name,
+        pools=len(pools),
+        others="none" if checkpointable is None else "full",
+        checkpointable=checkpointable,
+        urgent=waits.get_total_count() + never,
+        p50_ms=waits.get_value_at_percentile(50),
+        p99_ms=waits.get_value_at_percentile(99),
+        max_ms=waits.get_max_value(),
+        never=never,
+        bound_ms=3400,
+        stopped=stops,
+        writes_per_job=round(writes / jobs, 2),
+        seed=SEED,
+    )
+
+
+def measure_evenness():
+    """Four teams with equal quotas, of which one submits ten times as much."""
+    chance = random.Random(SEED)
+    world, controller = make_pool(8, 32, 0, BoardSettings())
+    teams = ["hohenems", "dornbirn", "lustenau", "feldkirch"]
+    controller.board.set_quotas({team: Need(256, 0, 0) for team in teams})
+    used = dict.fromkeys(teams, 0.0)
+    starts = {}
+    for _ in range(24):
+        for team in teams:
+            for _ in range(30 if team == "hohenems" else 3):
+                seconds = str(chance.randrange(20, 60))
+                world.submit([JobSpec("plan", team, ("run", seconds), 8, 1 << 30)])
+        drain(run_for(world, controller, 10.0, starts))
+        for _, job in world.list_jobs():
+            if job.state.phase in ("starting", "running"):
+                used[job.spec.team] += 10.0 * job.spec.cores
+    others = [used[team] for team in teams[1:]]
+    report(
+        measure="evenness",
+        core_seconds=used,
+        spread_of_equal_teams=round(max(others) / min(others) - 1, 4),
+        greedy_share=round(used["hohenems"] / sum(used.values()), 3),
+        seed=SEED,
+    )
+
+
+def measure_faults():
+    """Good jobs of a team beside bad jobs, bad workers and wrong declarations."""
+    for case in ("none", "never-running", "bad-worker", "declared-3-times", "both"):
+        chance = random.Random(SEED)
+        world, controller = make_pool(8, 32, 0, BoardSettings())
+        if case in ("bad-worker", "both"):
+            world.runners["w3"].faults = WorkerFaults(fail_all=True)
+        starts, accepted = {}, {}
+        for number in range(200):
+            factor = 3 if case == "declared-3-times" else 1
+            spec = JobSpec(
+                f"plan-{number % 8}",
+                "good",
+                ("run", "20", "4"),
+                4 * factor,
+                (2 << 30) * factor,
+                idempotent=True,
+            )
+            key = world.submit([spec])
+            accepted[key.rpartition("/")[2] + ".0"] = world.now
+            if case in ("never-running", "both"):
+                bad = JobSpec(
+                    f"bad-{number % 3}",
+                    "bad",
+                    ("fail", str(chance.randrange(1, 4))),
+                    4,
+                    2 << 30,
+                    idempotent=True,
+                )
+                world.submit([bad])
+            drain(run_for(world, controller, 0.5, starts))
+        drain(run_for(world, controller, 300.0, starts))
+        report_faults(case, world, starts, accepted)
+
+
+def report_faults(case, world, starts, accepted):
+    """Print what became of the good jobs and of the bad ones."""
+    jobs = dict(world.list_jobs())
+    good = [jobs[job] for job in accepted]
+    waits = sorted(starts[job] - accepted[job] for job in accepted if job in starts)
+    bad = [job for job in jobs.values() if job.spec.team == "bad"]
+    report(
+        measure="faults",
+        case=case,
+        good=len(good),
+        good_finished=sum(job.state.phase == "finished" for job in good),
+        first_start_p50_s=round(waits[len(waits) // 2], 2),
+        first_start_max_s=round(waits[-1], 2),
+        bad=len(bad),
+        bad_set_aside=sum(job.state.phase == "set-aside" for job in bad),
+        bad_attempts=sum(job.state.attempts for job in bad),
+        workers_named=sorted(set(world.taken_out)) or "none",
+        seed=SEED,
+    )
+
+
+def measure_round():
+    """Processor time and memory of one placement at several sizes."""
+    chance = random.Random(SEED)
+    for workers, queue in ((6, 60), (24, 240), (100, 1000), (300, 1000), (1100, 1000)):
+        rooms = [
+            WorkerRoom(f"w{n}", f"r{n // 20}", Need(32, MEMORY, 8 if n % 5 == 0 else 0))
+            for n in range(workers)
+        ]
+        running = [
+            RunningJob(
+                f"r{n}",
+                JobSpec(
+                    "stock", f"t{n % 20}", urgency=Urgency.MAY_WAIT, idempotent=True
+                ),
+                Need(8, 4 << 30),
+                f"w{n % workers}",
+                unsaved=chance.random(),
+            )
+            for n in range(4 * workers)
+        ]
+        queued = [
+            QueuedJob(
+                f"q{n}",
+                JobSpec("plan", f"t{n % 20}", urgency=chance.choice(list(Urgency))),
+                Need(chance.choice([1, 4, 8]), 1 << 30),
+                float(n),
+            )
+            for n in range(queue)
+        ]
+        times = []
+        for _ in range(7):
+            began = time.process_time()
+            plan = plan_placements(queued, running, rooms, {}, 0.0)
+            times.append(time.process_time() - began)
+        tracemalloc.start()
+        plan_placements(queued, running, rooms, {}, 0.0)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        report(
+            measure="placement-round",
+            workers=workers,
+            running=len(running),
+            queued=queue,
+            stops=len(plan.stops),
+            median_ms=round(1000 * sorted(times)[3], 2),
+            max_ms=round(1000 * max(times), 2),
+            peak_kb=peak // 1024,
+            seed=SEED,
+        )
+
+
+def measure_batch():
+    """Count writes and bytes at the service for each job, by jobs in a batch."""
+    for size in (1, 4, 16, 64):
+        chance = random.Random(SEED)
+        world, controller = make_pool(8, 32, 0, BoardSettings())
+        starts = {}
+        for _ in range(max(1, 192 // size)):
+            specs = [
+                JobSpec("plan", "team", ("run", str(chance.randrange(5, 60))), 1)
+                for _ in range(size)
+            ]
+            world.submit(specs)
+            drain(run_for(world, controller, 1.0, starts))
+        drain(run_for(world, controller, 90.0, starts))
+        jobs = len(list(world.list_jobs()))
+        history = world.store.history
+        written = sum(len(change.record.value) for change in history)
+        value = max(len(change.record.value) for change in history)
+        report(
+            measure="batch",
+            jobs_in_batch=size,
+            jobs=jobs,
+            writes_per_job=round(len(history) / jobs, 3),
+            bytes_per_job=written // jobs,
+            largest_value=value,
+            seed=SEED,
+        )
+
+
+def measure_memory():
+    """Memory of a board by jobs held."""
+    for count in (100, 1000, 4000):
+        tracemalloc.start()
+        world, controller = make_pool(6, 32, 0, BoardSettings())
+        before = tracemalloc.get_traced_memory()[0]
+        for _ in range(count):
+            world.submit([JobSpec("plan", "team", ("run", "600"), 4)])
+        stored = tracemalloc.get_traced_memory()[0]
+        controller.watch()
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        began = time.process_time()
+        controller.run_round()
+        first = time.process_time() - began
+        controller.outbox.clear()
+        world.now += 2.0
+        began = time.process_time()
+        controller.run_round()
+        report(
+            measure="board",
+            jobs=count,
+            bytes_per_job=(held - stored) // count,
+            record_bytes=(stored - before) // count,
+            value_bytes=len(encode_stored(world.read(f"jobs/{POOL}/b0")[1])),
+            first_round_ms=round(1000 * first, 2),
+            quiet_round_ms=round(1000 * (time.process_time() - began), 2),
+        )
+
+
+MEASURES = {
+    "start": measure_start,
+    "even": measure_evenness,
+    "faults": measure_faults,
+    "round": measure_round,
+    "batch": measure_batch,
+    "board": measure_memory,
+}
+
+
+def main():
+    """Run the measures that are named on the command line, or all."""
+    for name in sys.argv[1:] or MEASURES:
+        MEASURES[name]()
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/callers.py
+++ b/peridotspoke/programs/callers.py
@@ -48,9 +48,10 @@
     pipeline : RequestPipeline
     memory : BodyMemory
     metrics : MetricsRegistry
+    jobs : JobRequests, optional
     """
 
-    def __init__(self, settings, clock, random, pipeline, memory, metrics):
+    def __init__(self, settings, clock, random, pipeline, memory, metrics, jobs=None):
         self.address = ""
         self.phase = Phase.SERVING
         self.active = 0
@@ -60,6 +61,7 @@
         self._pipeline = pipeline
         self._memory = memory
         self._metrics = metrics
+        self._jobs = jobs
         self._server = None
         self._listener = None
 
@@ -152,7 +154,7 @@
         if isinstance(admitted, Refusal):
             return self._pipeline.conclude(request_id, admitted)
         if not request.body_exists:
-            return await self._pipeline.serve(admitted)
+            return await self._serve_admitted(admitted)
         limit = admitted.rules.body_limit
         held = limit if length is None else length
         if not self._memory.take_request(held):
@@ -169,7 +171,12 @@
         if isinstance(body, Refusal):
             return self._pipeline.conclude(admitted.incoming.request_id, body)
         incoming = replace(admitted.incoming, body=body)
-        return await self._pipeline.serve(replace(admitted, incoming=incoming))
+        return await self._serve_admitted(replace(admitted, incoming=incoming))
+
+    async def _serve_admitted(self, admitted):
+        if self._jobs is not None and self._jobs.handles(admitted):
+            return await self._jobs.serve(admitted)
+        return await self._pipeline.serve(admitted)
 
     def _read_head(self, request, request_id, received_at):
         target = split_target(request.raw_path)
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -10,6 +10,7 @@
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import ConfigurationFollower
 from peridotspoke.exceptions import PeerError
+from peridotspoke.jobs import JobAcceptor
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.peers import (
@@ -30,6 +31,7 @@
     serve_admin,
 )
 from peridotspoke.programs.callers import CallerServer
+from peridotspoke.programs.jobs import JobRequests
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.programs.upstreams import UpstreamFollower
@@ -103,8 +105,20 @@
         await self.node.start(handlers)
         self._stack.push_async_callback(self.node.stop)
         self.pipeline = self._make_pipeline(service, forwarder)
+        acceptor = JobAcceptor(service, settings.name, self._clock, self._random)
+        await acceptor.start()
+        self._stack.push_async_callback(acceptor.stop)
+        jobs = JobRequests(
+            acceptor, self._clock, self._find_service, self._find_largest
+        )
         self._callers = CallerServer(
-            settings, self._clock, self._random, self.pipeline, memory, self.metrics
+            settings,
+            self._clock,
+            self._random,
+            self.pipeline,
+            memory,
+            self.metrics,
+            jobs,
         )
         self._stack.push_async_callback(self._callers.stop)
         self._upstreams = UpstreamFollower(
@@ -217,6 +231,12 @@
             for instance, epoch in epochs.items()
         }
 
+    def _find_service(self, name):
+        return self.pipeline.configuration.services.get(name)
+
+    def _find_largest(self, pool):
+        return self._upstreams.find_largest(pool)
+
 
 async def _run(settings):
     stop = watch_signals()
--- a/peridotspoke/programs/tests/jobs.feature
+++ b/peridotspoke/programs/tests/jobs.feature
@@ -99,4 +99,5 @@
       | 4f1c.0       | 404    |
       | 4f1c         | 400    |
       | ..%2Fx.0     | 400    |
+      | a/b.0        | 400    |
       | 4f1c.9999999 | 400    |
--- a/peridotspoke/programs/tests/test_jobs.py
+++ b/peridotspoke/programs/tests/test_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 from dataclasses import replace
 
 import aiohttp
@@ -11,7 +12,13 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from peridotspoke.clock import SystemClock
-from peridotspoke.declarations.schema import QuotaDeclaration, ServiceDeclaration
+from peridotspoke.declarations import Configuration
+from peridotspoke.declarations.schema import (
+    DeploymentDeclaration,
+    QuotaDeclaration,
+    ServiceDeclaration,
+)
+from peridotspoke.identities import make_operation_id
 from peridotspoke.jobs import JobAcceptor, JobBatch
 from peridotspoke.jobs.lifecycle import JobFinished, JobStarting, apply_event
 from peridotspoke.jobs.messages import Attempt
@@ -22,7 +29,8 @@
     decode_record,
     encode_stored,
 )
-from peridotspoke.programs.jobs import JobRoutes
+from peridotspoke.programs.jobs import JobRequests
+from peridotspoke.requests import IncomingRequest, admit_request
 from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 
 scenarios("jobs.feature")
@@ -35,10 +43,35 @@
     "loses the answer of a write": PlatformFaults(lose_answers=1, lose_after="kv/txn"),
     "loses all answers": PlatformFaults(lose_answers=1000),
 }
+DEPLOYMENT = DeploymentDeclaration("vorarlberg")
 DECLARATIONS = {
     name: ServiceDeclaration(name, quota={"feldkirch": QuotaDeclaration(cores=16)})
     for name in ("feldkirch", "hohenems")
 }
+CONFIGURATION = Configuration(1, DEPLOYMENT, DECLARATIONS)
+
+
+def make_application(jobs, chance):
+    """Return an application that passes each request on as the entry does."""
+
+    async def handle(request):
+        incoming = IncomingRequest(
+            make_operation_id(chance),
+            request.match_info["service"],
+            request.method,
+            "/" + request.match_info["path"],
+            request.headers,
+            await request.read(),
+            time.monotonic(),
+        )
+        admitted = admit_request(incoming, CONFIGURATION)
+        assert jobs.handles(admitted)
+        found = await jobs.serve(admitted)
+        return web.Response(status=found.status, headers=found.headers, body=found.body)
+
+    application = web.Application()
+    application.router.add_route("*", "/{service}/{path:.*}", handle)
+    return application
 
 
 class World:
@@ -61,11 +94,10 @@
             acceptor = JobAcceptor(service, f"entry-{number}", SystemClock(), chance)
             await acceptor.start()
             self.acceptors.append(acceptor)
-            application = web.Application()
-            JobRoutes(acceptor, chance, DECLARATIONS.get, lambda _: LARGEST).register(
-                application
+            jobs = JobRequests(
+                acceptor, SystemClock(), DECLARATIONS.get, lambda _: LARGEST
             )
-            runner, entry = await start_server(application)
+            runner, entry = await start_server(make_application(jobs, chance))
             self.runners.append(runner)
             self.entries.append(f"http://{entry}")
 
--- a/peridotspoke/programs/upstreams.py
+++ b/peridotspoke/programs/upstreams.py
@@ -44,6 +44,16 @@
         self._listed = ()
         self._routes = None
 
+    def find_largest(self, pool):
+        """Return the largest `ListedInstance` of a pool, or None."""
+        members = [
+            item
+            for item in self._listed
+            if item.instance in self._records
+            and self._records[item.instance].pool == pool
+        ]
+        return max(members, key=lambda item: (item.cores, item.memory), default=None)
+
     async def run(self):
         """Follow until cancelled."""
         await asyncio.gather(
