Race controllers, callers and workers over the record of a job

Cause: at most once, truthful cancellation and "nothing accepted is lost" have to hold for any order of messages.

--- /dev/null
+++ b/peridotspoke/jobs/tests/harness.py
@@ -0,0 +1,190 @@
+"""Two controllers' boards, workers and a store on a fake clock, message by message."""
+
+import itertools
+import random
+
+from peridotspoke.identities import make_operation_id
+from peridotspoke.jobs import BoardSettings, Job, JobBatch, JobBoard, Need, WorkerRoom
+from peridotspoke.jobs.actions import (
+    BatchGone,
+    BatchSeen,
+    CallEnd,
+    CallExchange,
+    CallStart,
+    CallThrottle,
+    EndsSeen,
+    ExchangeFailed,
+    ReadBatch,
+    ReportSeen,
+    TakeOutWorker,
+    WriteBatch,
+    WriteLost,
+    WriteWon,
+)
+from peridotspoke.jobs.lifecycle import CancelAsked, apply_event
+from peridotspoke.jobs.records import key_batch
+from peridotspoke.platform import Record, Stored, decode_record, encode_stored
+from peridotspoke.platform.records import ChangeNote
+from peridotspoke.standins import StoreStandIn, TaskRunner
+
+POOL = "feldkirch"
+SIZE = Need(4.0, 16 << 30, 2)
+SETTINGS = BoardSettings(
+    start_ttl=4.0,
+    lease_ttl=5.0,
+    lost_after=8.0,
+    exchange_wait=0.0,
+    linger=0.0,
+    unfit_after=5.0,
+    unfit_interval=1.0,
+)
+
+
+class World:
+    """The store, the workers and the time that all share."""
+
+    def __init__(self, workers=2, settings=SETTINGS):
+        self.now = 1000.0
+        self.store = StoreStandIn()
+        self.settings = settings
+        self.chance = random.Random(1)
+        self.runners = {f"w{n}": TaskRunner(f"w{n}", 2) for n in range(workers)}
+        self.offsets = {name: 50.0 * n for n, name in enumerate(self.runners)}
+        self.taken_out = []
+        self._numbers = itertools.count()
+
+    def submit(self, specs):
+        """Accept jobs in one batch and return its key."""
+        key = key_batch(POOL, f"b{next(self._numbers)}")
+        batch = JobBatch(POOL, self.now, tuple(Job(spec) for spec in specs))
+        note = ChangeNote("op", "entry", "accept", "", self.now)
+        value = encode_stored(Stored(batch, (note,)))
+        assert self.store.swap(key, value, 0, 0, self.now).won
+        return key
+
+    def read(self, key):
+        record = self.store.read(key, self.now)
+        return record, decode_record(record, JobBatch)
+
+    def cancel(self, key, index, read=None):
+        """Swap in a cancellation; return the job, or None where the swap lost."""
+        record, stored = read or self.read(key)
+        jobs = list(stored.body.jobs)
+        jobs[index] = apply_event(jobs[index], CancelAsked())
+        body = JobBatch(POOL, stored.body.accepted_at, tuple(jobs))
+        value = encode_stored(Stored(body, stored.changes))
+        won = self.store.swap(key, value, record.revision, 0, self.now).won
+        return jobs[index] if won else None
+
+    def list_jobs(self):
+        """Yield the identity and the job of each accepted job."""
+        for record in self.store.read_prefix("jobs/", self.now).records:
+            batch = decode_record(record, JobBatch).body
+            for index, job in enumerate(batch.jobs):
+                yield f"{record.key.rpartition('/')[2]}.{index}", job
+
+    def count_runs(self, job_id):
+        return sum(
+            count
+            for runner in self.runners.values()
+            for task, count in runner.runs.items()
+            if task.rpartition("/")[0] == job_id
+        )
+
+    def call_worker(self, name, method, message):
+        """Carry out a call on a worker at the worker's own time."""
+        runner = self.runners[name]
+        return getattr(runner, method)(message, self.now + self.offsets[name])
+
+
+class ControllerUnderTest:
+    """A board whose actions wait in `outbox` until `deliver` carries one out."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.board = JobBoard(POOL, world.settings)
+        self.outbox = []
+        self._revision = 0
+        rooms = [WorkerRoom(name, f"r-{name}", SIZE) for name in world.runners]
+        self.board.set_workers(rooms, world.now)
+
+    def watch(self):
+        """Take all changes of the service that were not seen yet."""
+        store = self.world.store
+        for change in store.list_changes("jobs/", self._revision):
+            self._revision = change.revision
+            self._tell(self._describe(change.key, change.record))
+
+    def run_round(self):
+        self.outbox += self.board.run_round(self.world.now)
+
+    def deliver(self, index=0, arrives=True, answered=True):
+        """Carry out an action of the outbox; its effect or its answer may be lost."""
+        action = self.outbox.pop(index)
+        message = self._act(action) if arrives else None
+        if not (arrives and answered):
+            message = self._describe_loss(action)
+        if message is not None:
+            self._tell(message)
+        return action
+
+    def run_reliably(self):
+        """Take all news, run a round and carry out all that comes of it."""
+        self.watch()
+        self.run_round()
+        while self.outbox:
+            self.deliver()
+
+    def _tell(self, message):
+        self.outbox += self.board.handle(message, self.world.now)
+
+    def _act(self, action):
+        match action:
+            case WriteBatch():
+                return self._write(action)
+            case ReadBatch():
+                record = self.world.store.read(action.key, self.world.now)
+                return self._describe(action.key, record)
+            case CallStart():
+                end = self.world.call_worker(action.worker, "start_task", action.start)
+                if end is None:
+                    return EndsSeen(action.worker, (), (action.start.task,))
+                return EndsSeen(action.worker, (end,))
+            case CallEnd():
+                ends = self.world.call_worker(action.worker, "end_tasks", action.end)
+                return EndsSeen(action.worker, ends)
+            case CallThrottle():
+                self.world.call_worker(action.worker, "throttle_tasks", action.throttle)
+            case CallExchange():
+                return ReportSeen(
+                    self.world.call_worker(action.worker, "exchange", action.exchange)
+                )
+            case TakeOutWorker():
+                self.world.taken_out.append(action.worker)
+        return None
+
+    def _write(self, action):
+        world = self.world
+        operation = make_operation_id(world.chance)
+        stored = action.make_stored(operation, self.name, world.now)
+        result = world.store.swap(
+            action.key, encode_stored(stored), action.expected_revision, 0, world.now
+        )
+        if result.won:
+            return WriteWon(action.key, result.revision, stored)
+        return WriteLost(action.key)
+
+    def _describe(self, key, record):
+        if record is None:
+            return BatchGone(key)
+        record = Record(key, record.value, record.revision)
+        return BatchSeen(key, record.revision, decode_record(record, JobBatch))
+
+    def _describe_loss(self, action):
+        match action:
+            case WriteBatch() | ReadBatch():
+                return WriteLost(action.key)
+            case CallExchange():
+                return ExchangeFailed(action.worker)
+        return None
