Let controllers supervise the jobs of the pools they own

Cause: jobs that stand in the service have to be placed and supervised by the pool's controller. FleetJobs describes the owned pools to JobsTask every half second; while the controller's lease is lost the last view stays and only leases of running tasks are renewed, so that an outage of the platform's service stops no job.

Known gap: a worker that is suspected is no longer used for jobs and is logged; taking its instance out of service through the pool's disruption ledger is not joined yet.

--- a/peridotspoke/jobs/__init__.py
+++ b/peridotspoke/jobs/__init__.py
@@ -32,6 +32,13 @@
 )
 from peridotspoke.jobs.records import JOBS_PREFIX, JobId, key_batch, parse_job_id
 from peridotspoke.jobs.settings import BoardSettings
+from peridotspoke.jobs.supervising import (
+    JobsEnvironment,
+    JobsSettings,
+    JobsTask,
+    PoolView,
+)
+from peridotspoke.jobs.viewing import describe_pools
 
 __all__ = [
     "Acceptance",
@@ -52,14 +59,19 @@
     "JobSpec",
     "JobState",
     "JobSubmission",
+    "JobsEnvironment",
+    "JobsSettings",
+    "JobsTask",
     "MAX_SUBMISSION",
     "Need",
     "PlacementSettings",
     "PoolLimits",
+    "PoolView",
     "Urgency",
     "UsageEstimator",
     "WorkerRoom",
     "check_job",
+    "describe_pools",
     "key_batch",
     "parse_job_id",
     "parse_submission",
--- a/peridotspoke/jobs/supervising.py
+++ b/peridotspoke/jobs/supervising.py
@@ -30,7 +30,7 @@
 from peridotspoke.logs import log_event
 from peridotspoke.platform import decode_record, follow_prefix, swap_stored
 
-__all__ = ["JobsSettings", "JobsTask", "PoolView"]
+__all__ = ["JobsEnvironment", "JobsSettings", "JobsTask", "PoolView"]
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/peridotspoke/jobs/viewing.py
@@ -0,0 +1,53 @@
+"""Describes pools to their job boards, from what a controller sees of the fleet."""
+
+from peridotspoke.jobs.placement import Need, WorkerRoom
+from peridotspoke.jobs.supervising import PoolView
+from peridotspoke.pools import Phase
+
+__all__ = ["describe_pools"]
+
+
+def describe_pools(owned, configuration, records, listed):
+    """Return a dict of pool to `PoolView` for the pools in `owned`.
+
+    Parameters
+    ----------
+    owned : iterable of str
+    configuration : Configuration or None
+    records : dict of str to InstanceRecord
+        By instance.
+    listed : dict of str to ListedInstance
+        By instance.
+
+    Notes
+    -----
+    Jobs start only on instances that serve and are listed as live; on others they
+    run on, but for what can save its progress.
+    """
+    services = configuration.services if configuration else {}
+    members = {pool: [] for pool in owned if pool in services}
+    for record in records.values():
+        item = listed.get(record.instance)
+        if record.pool in members and item is not None and item.worker:
+            members[record.pool].append((record, item))
+    return {
+        pool: _describe_pool(services[pool], items) for pool, items in members.items()
+    }
+
+
+def _describe_pool(declaration, items):
+    rooms = tuple(
+        WorkerRoom(
+            item.instance,
+            item.rack,
+            Need(item.cores, item.memory, item.accelerators),
+            record.phase is Phase.SERVING and item.state == "live",
+        )
+        for record, item in items
+    )
+    quotas = {
+        team: Need(quota.cores, 0, quota.accelerators)
+        for team, quota in declaration.quota.items()
+    }
+    addresses = {item.instance: item.worker for _, item in items}
+    return PoolView(rooms, addresses, quotas)
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -21,6 +21,7 @@
 from peridotspoke.platform import HttpInstanceActions, HttpInstanceList, open_service
 from peridotspoke.programs.admin import Health, HealthSource, serve_admin
 from peridotspoke.programs.fleet import FleetTasks
+from peridotspoke.programs.fleetjobs import FleetJobs
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import ControlSettings
 
@@ -79,9 +80,11 @@
             self._random,
         )
         follower.configurations.subscribe(fleet.apply_configuration)
+        jobs = FleetJobs(settings, service, fleet, self.node, self._clock, self._random)
         self._tasks = [
             asyncio.create_task(follower.run()),
             asyncio.create_task(fleet.run()),
+            asyncio.create_task(jobs.run()),
         ]
         self.admin_address = await serve_admin(
             self._stack, settings.admin, self.metrics, self
--- /dev/null
+++ b/peridotspoke/programs/fleetjobs.py
@@ -0,0 +1,85 @@
+"""Joins the supervision of jobs to a controller's tasks on the fleet."""
+
+import asyncio
+
+import aiohttp
+
+from peridotspoke.jobs import (
+    JobsEnvironment,
+    JobsSettings,
+    JobsTask,
+    describe_pools,
+)
+from peridotspoke.platform.workers import HttpWorker
+from peridotspoke.programs.fleet import NodeIdentity
+
+__all__ = ["FleetJobs"]
+
+CALL_TIMEOUT = 2.0  # seconds
+VIEW_INTERVAL = 0.5  # seconds
+
+
+class FleetJobs:
+    """Supervises the jobs of the pools that a controller owns.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+    service : KeyValueService
+    fleet : FleetTasks
+    node : PeerNode
+    clock : Clock
+    random : random.Random
+    """
+
+    def __init__(self, settings, service, fleet, node, clock, random):
+        self._settings = settings
+        self._service = service
+        self._fleet = fleet
+        self._process = NodeIdentity(node)
+        self._clock = clock
+        self._random = random
+        self._session = None
+
+    async def run(self):
+        """Supervise until cancelled."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            self._session = session
+            environment = JobsEnvironment(
+                self._service,
+                self._clock,
+                self._random,
+                self._make_worker,
+                self._process.is_held,
+                self._take_out,
+            )
+            jobs = JobsTask(JobsSettings(self._settings.name), environment)
+            try:
+                while True:
+                    # Without the lease the last view stays, so that tasks that run
+                    # are renewed through an outage of the platform's service.
+                    if self._process.is_held():
+                        await jobs.update_pools(self._describe_pools())
+                    await asyncio.sleep(VIEW_INTERVAL)
+            finally:
+                await jobs.stop()
+
+    def _make_worker(self, address):
+        return HttpWorker(address, CALL_TIMEOUT, self._session)
+
+    def _describe_pools(self):
+        observer = self._fleet.observer
+        return describe_pools(
+            self._fleet.controller.list_owned(),
+            observer.configuration,
+            observer.records,
+            observer.listed,
+        )
+
+    async def _take_out(self, action):
+        """Take note of a worker that fails all it starts.
+
+        The board has already stopped to use it; taking the instance out of service
+        needs a permit of the pool's disruption ledger.
+        """
