--- a/peridotspoke/jobs/board.py
+++ b/peridotspoke/jobs/board.py
@@ -31,6 +31,7 @@
     make_task_id,
     parse_task_id,
 )
+from peridotspoke.platform.workers import TaskStop
 
 __all__ = ["JobBoard"]
 
@@ -110,6 +111,7 @@
             state.dirty = False
             self._placed_at = now
             actions += place_jobs(state, now)
+        self._leave_drained_workers()
         actions += make_ends(state, now)
         actions += resend_starts(state, now)
         actions += self._write(now)
@@ -232,6 +234,17 @@
                 event = WorkerLost(attempt.number, f"worker {attempt.worker} vanished")
                 state.add_event(place, event, now)
 
+    def _leave_drained_workers(self):
+        """Let jobs that can save their progress leave workers that take no more."""
+        state = self.state
+        for place, job in state.held.active.items():
+            worker = state.workers.get(job.state.attempt.worker)
+            if worker is None or worker.room.usable or not job.spec.checkpointable:
+                continue
+            task = make_task_id(place.get_id(), job.state.attempt.number)
+            if task in state.attempts.seen:
+                state.attempts.leaving.setdefault(task, TaskStop.CHECKPOINT)
+
     def _write(self, now):
         """Return the swaps that are due, those with urgent starts first."""
         due = []
--- a/peridotspoke/jobs/tests/board.feature
+++ b/peridotspoke/jobs/tests/board.feature
@@ -14,6 +14,16 @@
       | delivered | its end is told and the write of it is lost        | finished  | 1    |
       | delivered | a controller that knows no batch hears of its end  | finished  | 1    |
 
+  Scenario Outline: A worker drains
+    Given a job that runs on a worker and <kind>
+    When the worker takes no more jobs
+    Then the job is <phase> and has run 1 times
+
+    Examples:
+      | kind                         | phase    |
+      | can save its progress        | queued   |
+      | can't save its progress      | starting |
+
   Scenario Outline: Who is at fault
     Given failures <failures>
     And successes <successes>
--- a/peridotspoke/jobs/tests/test_board.py
+++ b/peridotspoke/jobs/tests/test_board.py
@@ -49,6 +49,20 @@
     steps.first.outbox.clear()
 
 
+@given(parsers.parse("a job that runs on a worker and {kind} its progress"))
+def run_job(steps, kind):
+    spec = JobSpec("plan", "team", ("run", "9"), checkpointable=kind == "can save")
+    steps.world.submit([spec])
+    _pass(steps, 2)
+
+
+@when("the worker takes no more jobs")
+def drain(steps):
+    room = WorkerRoom("w0", "r", Need(4.0, 16 << 30, 2), usable=False)
+    steps.first.board.set_workers([room], steps.world.now)
+    _pass(steps, 2)
+
+
 def _pass(steps, seconds):
     for _ in range(seconds):
         steps.world.now += 1.0
