Let drains wait for the jobs of their instance

Cause: a reboot in the middle of a job would end it, and leave one that is not idempotent unknown. The jobs on an instance are added to the requests that each entry reports in flight, so that the drain's own rule waits for both. Until the pool's batches have been read, and while the board still counts the worker as taking jobs, at least one is reported.

Ruled out: a second condition in the drain's decision (two places for one rule). Known limit: a drain waits as long as the longest job that can't save its progress.

--- a/peridotspoke/jobs/board.py
+++ b/peridotspoke/jobs/board.py
@@ -85,9 +85,11 @@
         return _HANDLERS[type(message)](self, message, now)
 
     def count_tasks(self, worker):
-        """Return the number of jobs that are known to be on `worker`."""
+        """Return the number of jobs that are on `worker` or are to start there."""
         active = self.state.held.active.values()
-        return sum(1 for job in active if job.state.attempt.worker == worker)
+        names = [job.state.attempt.worker for job in active]
+        names += self.state.list_starts().values()
+        return names.count(worker)
 
     def renew_only(self):
         """Return the exchanges that keep running tasks alive, and nothing else.
--- a/peridotspoke/jobs/supervising.py
+++ b/peridotspoke/jobs/supervising.py
@@ -113,9 +113,14 @@
                 supervisor.start()
             self._supervisors[pool].update_view(view)
 
-    def count_tasks(self, worker):
-        """Return the number of jobs that are known to be on a worker."""
-        return sum(item.count_tasks(worker) for item in self._supervisors.values())
+    def count_tasks(self, pool, worker):
+        """Return the number of jobs that may be on a worker of a pool.
+
+        It is at least one until the pool has been read and the worker is known to
+        take no more jobs.
+        """
+        supervisor = self._supervisors.get(pool)
+        return 1 if supervisor is None else supervisor.count_tasks(worker)
 
     async def stop(self):
         """End all tasks; what runs on workers runs on."""
@@ -195,7 +200,10 @@
         self._board.set_quotas(view.quotas)
 
     def count_tasks(self, worker):
-        """Return the number of jobs that are known to be on `worker`."""
+        """Return the number of jobs that may be on `worker`."""
+        rooms = [room for room in self._view.rooms if room.worker == worker]
+        if not self._ready or any(room.usable for room in rooms):
+            return max(1, self._board.count_tasks(worker))
         return self._board.count_tasks(worker)
 
     async def _follow(self):
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -21,7 +21,7 @@
 from peridotspoke.platform import HttpInstanceActions, HttpInstanceList, open_service
 from peridotspoke.programs.admin import Health, HealthSource, serve_admin
 from peridotspoke.programs.fleet import FleetTasks
-from peridotspoke.programs.fleetjobs import FleetJobs
+from peridotspoke.programs.fleetjobs import FleetJobs, RunningWork
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import ControlSettings
 
@@ -70,6 +70,7 @@
         )
         await self.node.start(PeerHandlers())
         self._stack.push_async_callback(self.node.stop)
+        running = RunningWork(self.node.client)
         fleet = FleetTasks(
             settings,
             service,
@@ -78,9 +79,11 @@
             self.node,
             self._clock,
             self._random,
+            running,
         )
         follower.configurations.subscribe(fleet.apply_configuration)
         jobs = FleetJobs(settings, service, fleet, self.node, self._clock, self._random)
+        running.jobs = jobs
         self._tasks = [
             asyncio.create_task(follower.run()),
             asyncio.create_task(fleet.run()),
--- a/peridotspoke/programs/fleet.py
+++ b/peridotspoke/programs/fleet.py
@@ -71,10 +71,20 @@
     node : PeerNode
     clock : Clock
     random : random.Random
+    in_flight_source : InFlightSource
+        Tells what still runs on instances that leave.
     """
 
     def __init__(
-        self, settings, service, instance_list, instance_actions, node, clock, random
+        self,
+        settings,
+        service,
+        instance_list,
+        instance_actions,
+        node,
+        clock,
+        random,
+        in_flight_source,
     ):
         make_id = partial(make_operation_id, random)
         self.bounds = RoundBounds(
@@ -89,7 +99,7 @@
             ),
             service=service,
             process=NodeIdentity(node),
-            in_flight_source=node.client,
+            in_flight_source=in_flight_source,
             planner=IncrementalPlanner(),
             clock=clock,
             bounds=self.bounds,
--- a/peridotspoke/programs/fleetjobs.py
+++ b/peridotspoke/programs/fleetjobs.py
@@ -1,6 +1,7 @@
 """Joins the supervision of jobs to a controller's tasks on the fleet."""
 
 import asyncio
+from dataclasses import replace
 
 import aiohttp
 
@@ -9,16 +10,40 @@
     JobsSettings,
     JobsTask,
 )
+from peridotspoke.peers import InFlightSource
 from peridotspoke.platform.workers import HttpWorker
 from peridotspoke.programs.fleet import NodeIdentity
 from peridotspoke.programs.jobpools import describe_pools
 
-__all__ = ["FleetJobs"]
+__all__ = ["FleetJobs", "RunningWork"]
 
 CALL_TIMEOUT = 2.0  # seconds
 VIEW_INTERVAL = 0.5  # seconds
 
 
+class RunningWork(InFlightSource):
+    """Counts the jobs on an instance as in flight, besides the entry's requests.
+
+    Parameters
+    ----------
+    source : InFlightSource
+    """
+
+    def __init__(self, source):
+        self.jobs = None
+        self._source = source
+
+    async def report_in_flight(self, address, epochs):
+        """Return `InFlightReport` by instance from the entry at `address`."""
+        reports = await self._source.report_in_flight(address, epochs)
+        return {
+            instance: replace(
+                report, in_flight=report.in_flight + self.jobs.count_tasks(instance)
+            )
+            for instance, report in reports.items()
+        }
+
+
 class FleetJobs:
     """Supervises the jobs of the pools that a controller owns.
 
@@ -40,6 +65,7 @@
         self._clock = clock
         self._random = random
         self._session = None
+        self._jobs = None
 
     async def run(self):
         """Supervise until cancelled."""
@@ -54,7 +80,7 @@
                 self._process.is_held,
                 self._take_out,
             )
-            jobs = JobsTask(JobsSettings(self._settings.name), environment)
+            self._jobs = jobs = JobsTask(JobsSettings(self._settings.name), environment)
             try:
                 while True:
                     # Without the lease the last view stays, so that tasks that run
@@ -65,6 +91,19 @@
             finally:
                 await jobs.stop()
 
+    def count_tasks(self, instance):
+        """Return the number of jobs that may be on an instance.
+
+        It is at least one until the instance's pool has been read.
+        """
+        item = self._fleet.observer.listed.get(instance)
+        record = self._fleet.observer.records.get(instance)
+        if item is None or not item.worker or record is None:
+            return 0
+        if self._jobs is None:
+            return 1
+        return self._jobs.count_tasks(record.pool, instance)
+
     def _make_worker(self, address):
         return HttpWorker(address, CALL_TIMEOUT, self._session)
 
--- /dev/null
+++ b/peridotspoke/programs/tests/test_running_work.py
@@ -0,0 +1,61 @@
+"""Jobs on an instance that drains."""
+
+from types import SimpleNamespace
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then
+
+from peridotspoke.jobs import JobSpec, Need, PoolView, WorkerRoom
+from peridotspoke.jobs.supervising import JobsSettings, PoolSupervisor
+from peridotspoke.jobs.tests.harness import ControllerUnderTest, World
+from peridotspoke.peers import InFlightReport, InFlightSource
+from peridotspoke.programs.fleetjobs import RunningWork
+
+scenarios("running_work.feature")
+
+
+class OneEntry(InFlightSource):
+    def __init__(self, requests):
+        self._requests = requests
+
+    async def report_in_flight(self, address, epochs):
+        return {name: InFlightReport(self._requests, True) for name in epochs}
+
+
+@pytest.fixture
+def world():
+    return SimpleNamespace()
+
+
+@given(parsers.parse("an entry that reports {requests:d} requests in flight"))
+def make_entry(world, requests):
+    world.work = RunningWork(OneEntry(requests))
+
+
+@given(
+    parsers.parse(
+        "a pool whose batches are {read}, with {jobs:d} jobs on a worker that is "
+        "{state}"
+    )
+)
+def make_pool(runner, world, read, jobs, state):
+    async def make():
+        return PoolSupervisor("feldkirch", JobsSettings("c"), None, None)
+
+    supervisor = runner.run(make())
+    controller = ControllerUnderTest(World(workers=1), "c")
+    controller.run_reliably()
+    for _ in range(jobs):
+        controller.world.submit([JobSpec("plan", "team", ("run", "9"))])
+    controller.run_reliably()
+    room = WorkerRoom("w0", "r", Need(4.0, 16 << 30), usable=state == "serving")
+    supervisor._board = controller.board
+    supervisor._view = PoolView((room,), {}, {})
+    supervisor._ready = read == "read"
+    world.work.jobs = supervisor
+
+
+@then(parsers.parse("{running:d} are in flight"))
+def check(runner, world, running):
+    reports = runner.run(world.work.report_in_flight("127.0.0.1:1", {"w0": 1}))
+    assert reports["w0"].in_flight == running
