--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -21,7 +21,7 @@
     plan_placements,
 )
 from peridotspoke.jobs.actions import CallStart
-from peridotspoke.jobs.placement import QueuedJob, RunningJob
+from peridotspoke.jobs.needs import QueuedJob, RunningJob
 from peridotspoke.jobs.tests.harness import POOL, ControllerUnderTest, World
 from peridotspoke.platform import encode_stored
 from peridotspoke.standins import WorkerFaults
--- a/peridotspoke/jobs/__init__.py
+++ b/peridotspoke/jobs/__init__.py
@@ -18,12 +18,8 @@
     JobState,
     Urgency,
 )
-from peridotspoke.jobs.placement import (
-    Need,
-    PlacementSettings,
-    WorkerRoom,
-    plan_placements,
-)
+from peridotspoke.jobs.needs import Need, PlacementSettings, WorkerRoom
+from peridotspoke.jobs.placement import plan_placements
 from peridotspoke.jobs.reading import (
     MAX_SUBMISSION,
     PoolLimits,
--- a/peridotspoke/jobs/board.py
+++ b/peridotspoke/jobs/board.py
@@ -21,7 +21,7 @@
 from peridotspoke.jobs.judging import judge_workers, learn_event, set_unfit_aside
 from peridotspoke.jobs.lifecycle import JobRunning, JobStarting, WorkerLost
 from peridotspoke.jobs.messages import JobPhase, Urgency
-from peridotspoke.jobs.placement import Need, WorkerRoom
+from peridotspoke.jobs.needs import Need, WorkerRoom
 from peridotspoke.jobs.placing import place_jobs
 from peridotspoke.jobs.records import key_batch
 from peridotspoke.jobs.settings import BoardSettings
--- a/peridotspoke/jobs/estimation.py
+++ b/peridotspoke/jobs/estimation.py
@@ -5,7 +5,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from peridotspoke.jobs.placement import Need
+from peridotspoke.jobs.needs import Need
 
 __all__ = ["EstimationSettings", "UsageEstimator"]
 
--- a/peridotspoke/jobs/holdings.py
+++ b/peridotspoke/jobs/holdings.py
@@ -7,7 +7,7 @@
 from peridotspoke.jobs.evidence import FailureEvidence
 from peridotspoke.jobs.lifecycle import JobStarting, apply_event
 from peridotspoke.jobs.messages import JobBatch, JobPhase
-from peridotspoke.jobs.placement import WorkerRoom
+from peridotspoke.jobs.needs import WorkerRoom
 from peridotspoke.jobs.records import JobId
 from peridotspoke.jobs.settings import BoardSettings
 from peridotspoke.platform.records import Stored
--- a/peridotspoke/jobs/judging.py
+++ b/peridotspoke/jobs/judging.py
@@ -2,7 +2,7 @@
 
 from peridotspoke.jobs.actions import TakeOutWorker
 from peridotspoke.jobs.lifecycle import JobFailed, JobFinished, JobSetAside
-from peridotspoke.jobs.placement import Need
+from peridotspoke.jobs.needs import Need
 from peridotspoke.jobs.tasks import make_task_id
 
 __all__ = ["judge_workers", "learn_event", "set_unfit_aside"]
--- a/peridotspoke/jobs/placing.py
+++ b/peridotspoke/jobs/placing.py
@@ -6,13 +6,8 @@
 from peridotspoke.jobs.calling import make_end_calls
 from peridotspoke.jobs.lifecycle import JobStarting
 from peridotspoke.jobs.messages import Attempt
-from peridotspoke.jobs.placement import (
-    QueuedJob,
-    RunningJob,
-    WorkerRoom,
-    plan_placements,
-    shrink_need,
-)
+from peridotspoke.jobs.needs import QueuedJob, RunningJob, WorkerRoom, shrink_need
+from peridotspoke.jobs.placement import plan_placements
 from peridotspoke.jobs.tasks import make_task_id
 from peridotspoke.platform.workers import TaskStop, ThrottleTasks
 
--- a/peridotspoke/jobs/settings.py
+++ b/peridotspoke/jobs/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from peridotspoke.jobs.placement import PlacementSettings
+from peridotspoke.jobs.needs import PlacementSettings
 
 __all__ = ["BoardSettings"]
 
--- a/peridotspoke/jobs/supervising.py
+++ b/peridotspoke/jobs/supervising.py
@@ -24,7 +24,7 @@
 )
 from peridotspoke.jobs.board import JobBoard
 from peridotspoke.jobs.messages import JobBatch
-from peridotspoke.jobs.placement import WorkerRoom
+from peridotspoke.jobs.needs import WorkerRoom
 from peridotspoke.jobs.records import prefix_pool
 from peridotspoke.jobs.settings import BoardSettings
 from peridotspoke.logs import log_event
--- a/peridotspoke/jobs/tests/test_board.py
+++ b/peridotspoke/jobs/tests/test_board.py
@@ -7,7 +7,8 @@
 
 from peridotspoke.jobs import FailureEvidence, JobSpec, Need, Urgency, WorkerRoom
 from peridotspoke.jobs.actions import CallStart, WriteBatch
-from peridotspoke.jobs.placement import QueuedJob, RunningJob, plan_placements
+from peridotspoke.jobs.needs import QueuedJob, RunningJob
+from peridotspoke.jobs.placement import plan_placements
 from peridotspoke.jobs.tests.harness import ControllerUnderTest, World
 
 scenarios("board.feature")
