--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -41,39 +41,32 @@
 
 
 LIVE = "benchmarks.live"
+PEERS = "benchmarks.peers"
+CONTROLLER = "benchmarks.controller"
+JOBS = "benchmarks.jobs round"
+INSTANCES = 1100
+MEMBERS = 24
+POOL_WORKERS = 6
+LIVE_PAIRS = (
+    ("memory", "memory_mib", "MiB"),
+    ("processor", "core_share", "core"),
+    ("bytes", "bytes_rate", "B/s"),
+    ("start-bytes", "start_bytes", "B"),
+)
 PROBES = (
-    Probe(
-        "entry-memory", LIVE, "memory_mib", "MiB", "instances", 1100,
-        {"program": "entry"},
-    ),
-    Probe(
-        "entry-processor", LIVE, "core_share", "core", "instances", 1100,
-        {"program": "entry"},
-    ),
-    Probe(
-        "entry-bytes", LIVE, "bytes_rate", "B/s", "instances", 1100,
-        {"program": "entry"},
-    ),
-    Probe(
-        "entry-start-bytes", LIVE, "start_bytes", "B", "instances", 1100,
-        {"program": "entry"},
-    ),
-    Probe(
-        "control-memory", LIVE, "memory_mib", "MiB", "instances", 1100,
-        {"program": "control"},
-    ),
-    Probe(
-        "control-processor", LIVE, "core_share", "core", "instances", 1100,
-        {"program": "control"},
-    ),
-    Probe(
-        "control-bytes", LIVE, "bytes_rate", "B/s", "instances", 1100,
-        {"program": "control"},
-    ),
-    Probe(
-        "control-start-bytes", LIVE, "start_bytes", "B", "instances", 1100,
-        {"program": "control"},
+    *(
+        Probe(
+            f"{program}-{name}", LIVE, value, unit, "instances", INSTANCES,
+            {"program": program},
+        )
+        for program in ("entry", "control")
+        for name, value, unit in LIVE_PAIRS
     ),
+    Probe("peers-bytes", PEERS, "bytes_per_second", "B/s", "members", MEMBERS),
+    Probe("peers-processor", PEERS, "core_share", "core", "members", MEMBERS),
+    Probe("round-processor", CONTROLLER, "round_ms", "ms", "instances", INSTANCES),
+    Probe("round-memory", CONTROLLER, "memory_kib", "KiB", "instances", INSTANCES),
+    Probe("placing-processor", JOBS, "median_ms", "ms", "workers", POOL_WORKERS),
 )  # fmt: skip
 
 
