Let an instance arrive only beside few planned disruptions

An arrival now waits, empty, while the target has as many planned disruptions as its budget. Failures don't hold it back: a pool that is short must be helped. Needs are held as long as the declared weights make worth a move.

--- a/peridotspoke/pools/ledger.py
+++ b/peridotspoke/pools/ledger.py
@@ -115,7 +115,7 @@
     """
     wanted = request.disruption
     if wanted.arriving:
-        return add_disruption(ledger, wanted)
+        return _decide_arrival(ledger, request)
     if condition.age > request.view_bound:
         return Refusal(
             f"the view is {condition.age:.1f} s old, bound {request.view_bound:g} s"
@@ -133,6 +133,24 @@
     return refusal or add_disruption(ledger, wanted)
 
 
+def _decide_arrival(ledger, request):
+    """Let an instance arrive beside failures, but not beside much planned work.
+
+    It takes nothing from the pool; with failures counted, a pool that is short could
+    not be helped.
+    """
+    planned = [
+        item for item in ledger.disruptions if item.kind is not OperationKind.FAILURE
+    ]
+    known = ledger.find(request.disruption.operation) is not None
+    if not known and len(planned) >= request.max_unavailable:
+        return Refusal(
+            f"{len(planned)} planned disruptions, max_unavailable "
+            f"{request.max_unavailable}"
+        )
+    return add_disruption(ledger, request.disruption)
+
+
 def count_out(ledger, condition):
     """Return the names of all instances that count as out of service."""
     named = {item.instance for item in ledger.disruptions}
--- a/peridotspoke/pools/planners.py
+++ b/peridotspoke/pools/planners.py
@@ -11,6 +11,7 @@
     PlanningRules,
     PoolView,
     UsageSample,
+    compute_hold,
     plan_moves,
 )
 from peridotspoke.pools.maintenance import list_due, next_opening
@@ -69,12 +70,14 @@
         self._pools = {}
         self._history = []
         self._estimator = NeedEstimator(EstimationRules())
+        self._weights = None
         self._usage = ()
         self._faults = set()
 
     def plan(self, view):
         """Return the moves of the last plan, or of a new one where that is old."""
         self._note_moves(view)
+        self._take_weights(view.configuration.deployment.weights)
         self._observe_usage(view)
         if view.monotonic - self._planned_at < self._interval:
             return self._moves
@@ -82,6 +85,14 @@
         self._moves = () if self._is_unsure(view) else self._make_plan(view)
         return self._moves
 
+    def _take_weights(self, weights):
+        """Hold needs for as long as the declared weights make worth a move."""
+        if weights == self._weights:
+            return
+        self._weights = weights
+        hold = compute_hold(weights.buffer, weights.move)
+        self._estimator = NeedEstimator(EstimationRules(hold=hold))
+
     def get_rejected(self):
         """Return how many samples of usage were left out, by reason."""
         return dict(self._estimator.rejected)
--- a/peridotspoke/pools/steering.py
+++ b/peridotspoke/pools/steering.py
@@ -102,7 +102,10 @@
         record_epoch=record.epoch,
         arriving=True,
     )
-    return PermitRequest(disruption, max_unavailable=0, need=0, view_bound=0.0)
+    target = view.configuration.services[operation.target]
+    return PermitRequest(
+        disruption, target.budget.max_unavailable, need=0, view_bound=0.0
+    )
 
 
 def _advance_reboot(record, view, bounds, ledger, condition):
--- a/peridotspoke/pools/writing.py
+++ b/peridotspoke/pools/writing.py
@@ -18,7 +18,6 @@
 from peridotspoke.pools.ledger import (
     DisruptionLedger,
     Refusal,
-    add_disruption,
     add_failures,
     decide_permit,
     key_ledger,
@@ -113,13 +112,7 @@
 
     async def _replace_record(self, action):
         if action.arrival is not None:
-            wanted = action.arrival.disruption
-            await self._change_ledger(
-                action.after.pool,
-                lambda ledger: add_disruption(ledger, wanted),
-                f"expect {wanted.instance}",
-                wanted.reason,
-            )
+            await self._take_permit(action.after.pool, action.arrival, None, "expect")
         await self._swap_record(action.before, action.after, action.reason)
 
     async def _retire_record(self, action):
@@ -132,9 +125,16 @@
 
     async def _begin_operation(self, action):
         request = action.request
+        pool = action.record.pool
+        await self._take_permit(pool, request, action.condition, "permit")
+        after = begin_operation(action.record, action.operation)
+        await self._swap_record(action.record, after, request.disruption.reason)
+
+    async def _take_permit(self, pool, request, condition, verb):
+        """Enter a disruption into a pool's ledger, or raise `PermitRefusedError`."""
 
         def grant(ledger):
-            decision = decide_permit(ledger, action.condition, request)
+            decision = decide_permit(ledger, condition, request)
             if isinstance(decision, Refusal):
                 raise PermitRefusedError(
                     decision.reason, step="take permit", peer=ledger.pool
@@ -143,13 +143,11 @@
 
         disruption = request.disruption
         await self._change_ledger(
-            action.record.pool,
+            pool,
             grant,
-            f"permit {disruption.kind} of {disruption.instance}",
+            f"{verb} {disruption.kind} of {disruption.instance}",
             disruption.reason,
         )
-        after = begin_operation(action.record, action.operation)
-        await self._swap_record(action.record, after, disruption.reason)
 
     async def _note_failures(self, action):
         await self._change_ledger(
