Measure processes of a fleet at rest

Cause: the benchmark's pools needed less than they had and their instances were all due for maintenance, so that moves and waves were measured together with the state. Pools now need all they have, and all were maintained at the start.

--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -16,11 +16,14 @@
 
 
 def make_texts(instances, pools):
-    """Return the declarations' texts by name of `pools` services, one the spare."""
-    size = max(1, round(instances / pools))
+    """Return the declarations' texts by name of `pools` services, one the spare.
+
+    Each pool needs all of its instances, so that a fleet at rest stays at rest.
+    """
     texts = {"deployment": 'deployment = "benchmark"\n'}
     for number in range(pools):
         name = name_pool(number)
+        size = instances // pools + (number < instances % pools)
         texts[f"service/{name}"] = _make_text(name, size, spare=number == 0)
     return texts
 
@@ -33,7 +36,7 @@
 spare = {str(spare).lower()}
 
 [need]
-instances = {max(1, size - 2)}
+instances = {size}
 quantile = 0.95
 
 [budget]
@@ -66,8 +69,11 @@
     ]
 
 
-def make_records(listed, pools):
-    """Return each instance's key and encoded record, dealt to the pools in turn."""
+def make_records(listed, pools, now):
+    """Return each instance's key and encoded record, dealt to the pools in turn.
+
+    All have been maintained at `now`, seconds since the Unix epoch.
+    """
     records = []
     for number, item in enumerate(listed):
         record = InstanceRecord(
@@ -77,6 +83,8 @@
             epoch=1,
             zone=item.zone,
             rack=item.rack,
+            incarnation=item.incarnation,
+            maintained_at=now,
         )
         note = ChangeNote(
             operation=f"{number:032x}",
--- a/benchmarks/live.py
+++ b/benchmarks/live.py
@@ -55,7 +55,7 @@
         async with session.post(f"{url}/standin/instances", data=body) as answer:
             answer.raise_for_status()
         service = GatewayKeyValueService(url, 10.0, clock, session)
-        for key, value in make_records(listed, pools):
+        for key, value in make_records(listed, pools, clock.read_wall()):
             await service.swap(key, value, 0)
         await publish_declarations(
             service,
