--- a/peridotspoke/jobs/supervising.py
+++ b/peridotspoke/jobs/supervising.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from peridotspoke.backoff import BackoffRules, compute_backoff
 from peridotspoke.exceptions import PeridotspokeError, PlatformError
 from peridotspoke.identities import make_operation_id
 from peridotspoke.jobs.actions import (
@@ -28,10 +29,20 @@
 from peridotspoke.jobs.records import prefix_pool
 from peridotspoke.jobs.settings import BoardSettings
 from peridotspoke.logs import log_event
-from peridotspoke.platform import decode_record, follow_prefix, swap_stored
+from peridotspoke.platform import (
+    FollowingRules,
+    decode_record,
+    follow_prefix,
+    swap_stored,
+)
 
 __all__ = ["JobsEnvironment", "JobsSettings", "JobsTask", "PoolView"]
 
+LONGEST_RETRY_SHARE = 1 / 8  # of a task's lease
+# A controller follows one prefix for each pool that it owns, so that the checks of
+# silent watches are the larger part of its calls.
+FOLLOWING = FollowingRules(check_interval=3.0)
+
 
 @dataclass(frozen=True, slots=True)
 class JobsSettings:
@@ -49,7 +60,8 @@
         How long a batch whose jobs have ended is kept; as long as an idempotency
         key is remembered after that.
     retry_interval : float
-        Wait after an exchange that failed.
+        Bound of the wait after a worker's first failed exchange; it doubles with
+        each further one.
     """
 
     author: str
@@ -177,6 +189,7 @@
         self._ready = False
         self._suspended = False
         self._tasks = set()
+        self._failures = {}
         self._loops = []
 
     def start(self):
@@ -208,7 +221,8 @@
 
     async def _follow(self):
         prefix = prefix_pool(self._pool)
-        async for followed in follow_prefix(self._environment.service, prefix):
+        service = self._environment.service
+        async for followed in follow_prefix(service, prefix, rules=FOLLOWING):
             for key in followed.changed:
                 message = _read_record(key, followed.records.get(key))
                 if message is not None:
@@ -289,6 +303,8 @@
         """Carry out one action and put its outcome into `inbox`."""
         try:
             message = await _CARRIERS[type(action)](self, action)
+            if isinstance(action, CallExchange):
+                self._failures.pop(action.worker, None)
         except PeridotspokeError as error:
             log_event(
                 "job-call-failed",
@@ -299,7 +315,7 @@
             )
             message = None
             if isinstance(action, CallExchange):
-                await asyncio.sleep(self._settings.retry_interval)
+                await asyncio.sleep(self._draw_retry_wait(action.worker))
                 message = ExchangeFailed(action.worker)
             elif isinstance(action, ReadBatch):
                 await asyncio.sleep(self._settings.retry_interval)
@@ -307,6 +323,14 @@
         if message is not None:
             inbox.put_nowait(message)
 
+    def _draw_retry_wait(self, worker):
+        """Return seconds to wait; some tries fall within the lease of a task."""
+        failures = self._failures[worker] = self._failures.get(worker, 0) + 1
+        most = self._settings.board.lease_ttl * LONGEST_RETRY_SHARE
+        first = min(self._settings.retry_interval, most)
+        rules = BackoffRules(first, most)
+        return compute_backoff(rules, failures, self._environment.random)
+
     async def _write(self, action):
         environment = self._environment
         if not environment.may_act():
--- a/peridotspoke/peers/leaving.py
+++ b/peridotspoke/peers/leaving.py
@@ -171,13 +171,26 @@
         fresh = age is not None and age < view_bound
         horizon = now - self._rules.refusal_time
         return tuple(
-            replace(item, state="live")
+            item if item.state == "live" else replace(item, state="live")
             for item in listed
             if (item.zone == zone or fresh)
             and not self._leaves_by_list(item.instance)
             and self._refused.get(item.instance, float("-inf")) <= horizon
         )
 
+    def describe_ageing(self, view_bound, now):
+        """Return what changes in `select_listed` by the passing of time alone.
+
+        Two equal values mean that no upstream has come or gone since, unless there
+        was news; the routing table then needn't be built again.
+        """
+        age = self.get_age(now)
+        horizon = now - self._rules.refusal_time
+        refused = frozenset(
+            instance for instance, at in self._refused.items() if at > horizon
+        )
+        return age is not None and age < view_bound, refused
+
     def _date_listed(self):
         """Give an epoch to what was listed as leaving before any record was known."""
         for instance, known in self._listed.items():
--- a/peridotspoke/programs/upstreams.py
+++ b/peridotspoke/programs/upstreams.py
@@ -66,7 +66,10 @@
         async for followed in follow_prefix(self._service, INSTANCES_PREFIX):
             for key in followed.changed:
                 self._take_record(key, followed.records.get(key))
-            self._node.take_instances(self._records, followed.confirmed_at)
+            if followed.changed:
+                self._node.take_instances(self._records, followed.confirmed_at)
+            else:
+                self._node.leaving.confirm(followed.confirmed_at)
 
     def _take_record(self, key, record):
         instance = key.removeprefix(INSTANCES_PREFIX)
@@ -84,23 +87,31 @@
     async def _follow_list(self):
         while True:
             try:
-                self._listed = await self._instance_list.read_instances()
-                self._node.leaving.take_list(self._listed)
-                self.rebuild_routes()
+                listed = await self._instance_list.read_instances()
+                if listed is not self._listed:
+                    self._listed = listed
+                    self._node.leaving.take_list(listed)
+                    self.rebuild_routes()
             except PlatformError as error:
                 log_event("instance-list-unread", "WARNING", error=error)
             await asyncio.sleep(self._settings.list_interval)
 
     async def _follow_news(self):
-        """Rebuild after each news, and by the clock as the view grows old."""
+        """Rebuild after each news, and when the view's age changes the routes."""
+        ageing = None
         while True:
+            changed = True
             try:
                 async with asyncio.timeout(TICK):
                     await self._node.leaving_changed.wait()
             except TimeoutError:
-                pass
+                changed = False
             self._node.leaving_changed.clear()
-            self.rebuild_routes()
+            now = self._clock.read_monotonic()
+            before = ageing
+            ageing = self._node.leaving.describe_ageing(self.view_bound, now)
+            if changed or ageing != before:
+                self.rebuild_routes()
 
     def get_slots(self):
         """Return the slots by instance of the own zone's listed executors."""
--- a/tests/process_failures.feature
+++ b/tests/process_failures.feature
@@ -27,3 +27,9 @@
     When the platform goes down
     Then "entry-0" answers requests to "feldkirch"
     And "entry-1" refuses a keyed request to "feldkirch" as "not-run"
+
+  Scenario: A published version comes into force though its publisher is killed
+    Given a fleet of 2 entry instances that serves "feldkirch"
+    When "entry-1" is frozen and the publisher of version 2 is killed after the swap
+    Then "entry-0" has version 2 in force
+    And after it resumes, "entry-1" takes version 2 and neither goes back
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -53,6 +53,10 @@
                     raise AssertionError(f"no {event} in {self.lines}")
                 self._changed.wait(min(left, 0.1))
 
+    def is_running(self):
+        """Return whether the process has not ended."""
+        return self._process.poll() is None
+
     def kill(self):
         """End the process at once."""
         self._process.kill()
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -6,6 +6,9 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from tests.conftest import DECLARATION
+from tests.processes import ProgramProcess
+
 scenarios("process_failures.feature")
 
 RUN_TRIES = 200
@@ -119,3 +122,60 @@
     answer = fleet.call(entry, f"/{service}/order", Idempotency_Key="outage")
     assert answer.outcome == outcome, answer
     assert "outage" not in fleet.count_runs("keyed_runs")
+
+
+@when(
+    parsers.parse(
+        '"{entry}" is frozen and the publisher of version {version:d} is killed '
+        "after the swap"
+    )
+)
+def kill_publisher(fleet, entry, version):
+    _find_process(fleet, entry).freeze()
+    text = DECLARATION.format(name="feldkirch", size=2) + "queue_limit = 9\n"
+    (fleet.directory / "service.toml").write_text(text, encoding="utf-8")
+    publisher = ProgramProcess(
+        "publish",
+        "publish",
+        platform=fleet.platform,
+        directory=fleet.directory,
+        wait="true",
+    )
+    fleet.processes.append(publisher)
+    for name in set(fleet.entries) - {entry}:
+        _wait_for_version(fleet, name, version)
+    assert publisher.is_running()
+    publisher.kill()
+
+
+def _list_versions(fleet, entry):
+    return [
+        int(line.split("version=")[1].split()[0])
+        for line in list(_find_process(fleet, entry).lines)
+        if "event=configuration-in-force" in line
+    ]
+
+
+def _wait_for_version(fleet, entry, version):
+    for _ in range(RUN_TRIES):
+        if version in _list_versions(fleet, entry):
+            return
+        time.sleep(RUN_INTERVAL)
+    raise AssertionError(f"{entry} has had {_list_versions(fleet, entry)}")
+
+
+@then(parsers.parse('"{entry}" has version {version:d} in force'))
+def check_version(fleet, entry, version):
+    assert _list_versions(fleet, entry)[-1] == version
+
+
+@then(
+    parsers.parse(
+        'after it resumes, "{entry}" takes version {version:d} and neither goes back'
+    )
+)
+def check_resumed_version(fleet, entry, version):
+    _find_process(fleet, entry).resume()
+    _wait_for_version(fleet, entry, version)
+    for name in fleet.entries:
+        assert _list_versions(fleet, name) == [1, version]
