Measure controllers at the number that the fleet needs, and their workers

Cause: one controller that owned all pools of 1,100 instances was measured, which no deployment has, and its workers' addresses answered nothing. Controllers now grow with the pools, eight pools each; workers have a benchmark of their own.

--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -53,7 +53,7 @@
 
 
 def make_instances(count):
-    """Return `count` listed instances over the zones, four to a rack."""
+    """Return `count` listed instances without workers, four to a rack."""
     return [
         ListedInstance(
             instance=f"instance-{number:04d}",
@@ -62,7 +62,6 @@
             state="live",
             incarnation=1,
             executor=f"127.9.{number // 250}.{number % 250}:8000",
-            worker=f"127.9.{number // 250}.{number % 250}:8001",
             accelerators=number % 3,
         )
         for number in range(count)
--- a/benchmarks/live.py
+++ b/benchmarks/live.py
@@ -1,8 +1,10 @@
 """Processor time, memory and bytes of real idle processes, by the fleet's size.
 
 Run: ``python -m benchmarks.live [SECONDS]``. Each size starts the platform's
-stand-in, one entry instance and one controller as separate processes; a counting
-relay stands between each of them and the platform.
+stand-in, one entry instance and so many controllers that each owns some eight pools,
+all as separate processes; a counting relay stands between each of them and the
+platform. A controller's figures are the mean over all controllers. Bytes between
+peers are measured by ``benchmarks.peers``, those to workers by ``benchmarks.workers``.
 """
 
 import asyncio
@@ -24,15 +26,15 @@
 
 __all__ = ["LiveFigures", "measure_fleet"]
 
-SIZES = ((40, 8), (275, 50), (550, 100), (1100, 199))
-WARM_UP = 12.0  # seconds
+SIZES = ((40, 8, 1), (275, 50, 6), (550, 100, 12), (1100, 199, 24))
+WARM_UP = 25.0  # seconds
 MEASURED = 20.0  # seconds
 MEBIBYTE = 1 << 20
 
 
 @dataclass(frozen=True, slots=True)
 class LiveFigures:
-    """What one idle process costs at one size of the fleet.
+    """What one idle process costs at one size of the fleet, on average.
 
     `core_share` is processor time per second; `bytes_rate` is both directions to
     and from the platform, bytes a second;
@@ -47,6 +49,14 @@
     start_bytes: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Usage:
+    core_share: float
+    memory: float
+    bytes_rate: float
+    start_bytes: int
+
+
 async def _load_platform(url, instances, pools):
     clock = SystemClock()
     listed = make_instances(instances)
@@ -67,47 +77,67 @@
         )
 
 
-async def measure_fleet(instances, pools, seconds=MEASURED):
-    """Return the `LiveFigures` of an entry instance and of a controller."""
+async def measure_fleet(instances, pools, controllers, seconds=MEASURED):
+    """Return the `LiveFigures` of an entry instance and of the mean controller."""
     platform = ProgramProcess("standin", "platform", listen="127.0.0.1:0")
     address = platform.wait_for_event("standin-started")["listen"]
     await _load_platform(f"http://{address}", instances, pools)
     started = []
-    ports = {name: "127.0.0.1:0" for name in ("listen", "admin", "peer_listen")}
-    control_ports = {name: ports[name] for name in ("admin", "peer_listen")}
     try:
-        for program, flags in (("entry", ports), ("control", control_ports)):
-            relay = CountingRelay(address)
-            url = "http://" + await relay.start()
-            process = ProgramProcess(
-                program, name=program, zone="zone-0", platform=url, **flags
-            )
-            started.append((program, relay, process))
+        started.append(await _start_program("entry", 0, address))
+        for number in range(controllers):
+            started.append(await _start_program("control", number, address))
         await asyncio.sleep(WARM_UP)
-        before = [_read_usage(relay, process) for _, relay, process in started]
+        before = [_read_usage(relay, process) for relay, process in started]
         await asyncio.sleep(seconds)
-        after = [_read_usage(relay, process) for _, relay, process in started]
-        return [
-            LiveFigures(
-                program=program,
-                instances=instances,
-                pools=pools,
-                core_share=(later[0] - earlier[0]) / seconds,
-                memory=later[1] / MEBIBYTE,
-                bytes_rate=(later[2] - earlier[2]) / seconds,
-                start_bytes=earlier[2],
-            )
-            for (program, _, _), earlier, later in zip(
-                started, before, after, strict=True
+        after = [_read_usage(relay, process) for relay, process in started]
+        figures = [
+            _Usage(
+                (later[0] - earlier[0]) / seconds,
+                later[1] / MEBIBYTE,
+                (later[2] - earlier[2]) / seconds,
+                earlier[2],
             )
+            for earlier, later in zip(before, after, strict=True)
+        ]
+        return [
+            _average("entry", instances, pools, figures[:1]),
+            _average("control", instances, pools, figures[1:]),
         ]
     finally:
-        for _, relay, process in started:
+        for relay, process in started:
             process.close()
             await relay.stop()
         platform.close()
 
 
+async def _start_program(program, number, address):
+    ports = {name: "127.0.0.1:0" for name in ("admin", "peer_listen")}
+    if program == "entry":
+        ports["listen"] = "127.0.0.1:0"
+    relay = CountingRelay(address)
+    url = "http://" + await relay.start()
+    zone = f"zone-{number % 6}"
+    name = f"{program}-{number}"
+    process = ProgramProcess(
+        program, name=name, zone=zone, platform=url, platform_timeout=5.0, **ports
+    )
+    return relay, process
+
+
+def _average(program, instances, pools, figures):
+    count = len(figures)
+    return LiveFigures(
+        program,
+        instances,
+        pools,
+        core_share=sum(item.core_share for item in figures) / count,
+        memory=sum(item.memory for item in figures) / count,
+        bytes_rate=sum(item.bytes_rate for item in figures) / count,
+        start_bytes=round(sum(item.start_bytes for item in figures) / count),
+    )
+
+
 def _read_usage(relay, process):
     found = psutil.Process(process.pid)
     times = found.cpu_times()
@@ -119,8 +149,8 @@
     """Print one line for each process and size."""
     seconds = float(sys.argv[1]) if len(sys.argv) > 1 else MEASURED
     print(f"cores={os.cpu_count()} seconds={seconds:g}")
-    for instances, pools in SIZES:
-        for item in asyncio.run(measure_fleet(instances, pools, seconds)):
+    for instances, pools, controllers in SIZES:
+        for item in asyncio.run(measure_fleet(instances, pools, controllers, seconds)):
             print(
                 f"program={item.program} instances={item.instances} "
                 f"pools={item.pools} core_share={item.core_share:.4f} "
