Let idle traffic of controllers grow less with the fleet

Cause: with some eight pools a controller spent 3,826 B a second on the platform (6 controllers, 275 instances) and 50 B a second on each idle worker (2,400 for 48), against 7 KB for a whole node. Checks of silent watches are made each 4 s for ledgers, owners and members and each 5 s for a pool's jobs, whose swaps refuse what a stale view would do; those of instances and of the configuration stay at 1.5 s. An idle worker's exchange is held twice as long. Ruled out: one watch for all pools' jobs, which brings each controller the jobs of all others. Also read through: settings, and the start of the two long-lived programs, stood twice; the settings of job tasks have a module of their own; a stop notice that leaves no time to finish is refused.

--- a/peridotspoke/jobs/__init__.py
+++ b/peridotspoke/jobs/__init__.py
@@ -8,6 +8,7 @@
 )
 from peridotspoke.jobs.accepting import JobAcceptor, JobFound
 from peridotspoke.jobs.board import JobBoard
+from peridotspoke.jobs.environment import JobsEnvironment, JobsSettings, PoolView
 from peridotspoke.jobs.estimation import EstimationSettings, UsageEstimator
 from peridotspoke.jobs.evidence import EvidenceSettings, FailureEvidence
 from peridotspoke.jobs.messages import (
@@ -28,12 +29,7 @@
 )
 from peridotspoke.jobs.records import JOBS_PREFIX, JobId, key_batch, parse_job_id
 from peridotspoke.jobs.settings import BoardSettings
-from peridotspoke.jobs.supervising import (
-    JobsEnvironment,
-    JobsSettings,
-    JobsTask,
-    PoolView,
-)
+from peridotspoke.jobs.supervising import JobsTask
 
 __all__ = [
     "Acceptance",
--- a/peridotspoke/jobs/calling.py
+++ b/peridotspoke/jobs/calling.py
@@ -15,6 +15,8 @@
     "resend_starts",
 ]
 
+IDLE_WAITS = 2  # an idle worker's exchange is held so many times as long
+
 
 def make_start(state, place, now):
     """Return the `CallStart` of a job whose start is written, or None.
@@ -123,6 +125,8 @@
             continue
         worker.asking = True
         wait = settings.exchange_wait if worker.report is not None else 0.0
+        if not renewed[name]:
+            wait *= IDLE_WAITS
         confirmed = tuple(sorted(state.confirmed[name]))
         exchange = Exchange(tuple(renewed[name]), confirmed, settings.lease_ttl, wait)
         calls.append(CallExchange(name, exchange))
--- a/peridotspoke/jobs/supervising.py
+++ b/peridotspoke/jobs/supervising.py
@@ -1,8 +1,7 @@
 """Tasks that act for the job boards of the pools that a controller holds."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from peridotspoke.backoff import BackoffRules, compute_backoff
 from peridotspoke.exceptions import PeridotspokeError, PlatformError
@@ -24,10 +23,9 @@
     WriteWon,
 )
 from peridotspoke.jobs.board import JobBoard
+from peridotspoke.jobs.environment import PoolView
 from peridotspoke.jobs.messages import JobBatch
-from peridotspoke.jobs.needs import WorkerRoom
 from peridotspoke.jobs.records import prefix_pool
-from peridotspoke.jobs.settings import BoardSettings
 from peridotspoke.logs import log_event
 from peridotspoke.platform import (
     FollowingRules,
@@ -36,65 +34,12 @@
     swap_stored,
 )
 
-__all__ = ["JobsEnvironment", "JobsSettings", "JobsTask", "PoolView"]
+__all__ = ["JobsTask"]
 
 LONGEST_RETRY_SHARE = 1 / 8  # of a task's lease
 # A controller follows one prefix for each pool that it owns, so that the checks of
 # silent watches are the larger part of its calls.
-FOLLOWING = FollowingRules(check_interval=3.0)
-
-
-@dataclass(frozen=True, slots=True)
-class JobsSettings:
-    """Settings of a controller's job tasks; times in seconds.
-
-    Parameters
-    ----------
-    author : str
-        The controller's name, the author of its changes.
-    round_interval : float
-        Longest time between two rounds of a pool.
-    round_gap : float
-        Least time between two rounds of a pool.
-    retention : float
-        How long a batch whose jobs have ended is kept; as long as an idempotency
-        key is remembered after that.
-    retry_interval : float
-        Bound of the wait after a worker's first failed exchange; it doubles with
-        each further one.
-    """
-
-    author: str
-    round_interval: float = 0.5
-    round_gap: float = 0.05
-    retention: float = 3600.0
-    retry_interval: float = 1.0
-    board: BoardSettings = field(default_factory=BoardSettings)
-
-
-@dataclass(frozen=True, slots=True)
-class PoolView:
-    """A pool as its controller sees it: its workers, their addresses, its quotas."""
-
-    rooms: tuple[WorkerRoom, ...]
-    addresses: dict[str, str]
-    quotas: dict
-
-
-@dataclass(frozen=True, slots=True)
-class JobsEnvironment:
-    """What the tasks of all pools share.
-
-    `make_worker` returns a `Worker` for an address; `may_act` tells whether the
-    controller's lease is held; `take_out` gets each `TakeOutWorker`.
-    """
-
-    service: object
-    clock: object
-    random: object
-    make_worker: Callable
-    may_act: Callable
-    take_out: Callable
+FOLLOWING = FollowingRules(check_interval=5.0)
 
 
 class JobsTask:
--- a/peridotspoke/peers/node.py
+++ b/peridotspoke/peers/node.py
@@ -13,10 +13,11 @@
 from peridotspoke.peers.messages import PeerView
 from peridotspoke.peers.records import MEMBERS_PREFIX, MemberRecord
 from peridotspoke.peers.server import PeerServer
-from peridotspoke.platform import decode_record, follow_prefix
+from peridotspoke.platform import FollowingRules, decode_record, follow_prefix
 
 __all__ = ["PeerNode", "PeerStatus"]
 
+MEMBER_RULES = FollowingRules(check_interval=4.0)  # peers tell of each other too
 CYCLE = 6.0  # seconds in which each peer is asked once
 LONGEST_INTERVAL = 1.0  # seconds between two exchanges
 SHORTEST_INTERVAL = 0.25  # seconds
@@ -196,7 +197,8 @@
         self.lease.describe(self.own)
 
     async def _follow_members(self):
-        async for followed in follow_prefix(self._service, MEMBERS_PREFIX):
+        follow = follow_prefix(self._service, MEMBERS_PREFIX, rules=MEMBER_RULES)
+        async for followed in follow:
             records = []
             for record in followed.records.values():
                 try:
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -5,26 +5,18 @@
 from contextlib import AsyncExitStack
 from dataclasses import asdict
 
-import aiohttp
-
 from peridotspoke.clock import SystemClock
-from peridotspoke.declarations import ConfigurationFollower
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.peers import (
-    GrpcLink,
-    PeerClient,
     PeerHandlers,
-    PeerNode,
-    make_member,
 )
 from peridotspoke.platform import (
     HttpInstanceActions,
-    HttpInstanceList,
     HttpUsageReports,
-    open_service,
 )
 from peridotspoke.programs.admin import Health, HealthSource, serve_admin
+from peridotspoke.programs.connecting import connect_platform
 from peridotspoke.programs.fleet import FleetTasks
 from peridotspoke.programs.fleetjobs import FleetJobs, RunningWork
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
@@ -56,32 +48,24 @@
     async def start(self):
         """Begin to follow the platform and to plan."""
         settings = self._settings
-        session = await self._stack.enter_async_context(
-            aiohttp.ClientSession(headers={"Peridotspoke-Zone": settings.zone})
-        )
-        service = open_service(settings, self._clock, session)
-        instance_list = HttpInstanceList(
-            settings.platform, settings.platform_timeout, session
-        )
-        follower = ConfigurationFollower(service)
-        self.node = PeerNode(
-            make_member(settings, "control", self._clock),
-            settings,
-            service,
-            follower,
-            PeerClient(GrpcLink()),
-            self._clock,
-            self._random,
+        clients = await connect_platform(
+            self._stack, settings, "control", self._clock, self._random
         )
+        service, follower = clients.service, clients.follower
+        self.node = clients.node
         await self.node.start(PeerHandlers())
         self._stack.push_async_callback(self.node.stop)
         running = RunningWork(self.node.client)
         fleet = FleetTasks(
             settings,
             service,
-            instance_list,
-            HttpInstanceActions(settings.platform, settings.platform_timeout, session),
-            HttpUsageReports(settings.platform, settings.platform_timeout, session),
+            clients.instance_list,
+            HttpInstanceActions(
+                settings.platform, settings.platform_timeout, clients.session
+            ),
+            HttpUsageReports(
+                settings.platform, settings.platform_timeout, clients.session
+            ),
             self.node,
             self._clock,
             self._random,
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -5,33 +5,26 @@
 from contextlib import AsyncExitStack
 from dataclasses import asdict
 
-import aiohttp
-
 from peridotspoke.clock import SystemClock
-from peridotspoke.declarations import ConfigurationFollower
 from peridotspoke.exceptions import PeerError
 from peridotspoke.jobs import JobAcceptor
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.peers import (
-    GrpcLink,
     InFlightReport,
     LendingRules,
     LentShares,
     PeerAnswerDirectory,
-    PeerClient,
     PeerHandlers,
-    PeerNode,
     SlotLending,
-    make_member,
 )
-from peridotspoke.platform import HttpInstanceList, open_service
 from peridotspoke.programs.admin import (
     Health,
     HealthSource,
     serve_admin,
 )
 from peridotspoke.programs.callers import CallerServer
+from peridotspoke.programs.connecting import connect_platform
 from peridotspoke.programs.jobs import JobRequests
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import EntrySettings
@@ -77,24 +70,12 @@
 
     async def start(self):
         """Open the sockets and begin to follow the platform."""
-        session = await self._stack.enter_async_context(
-            aiohttp.ClientSession(headers={"Peridotspoke-Zone": self._settings.zone})
-        )
         settings = self._settings
-        service = open_service(settings, self._clock, session)
-        instance_list = HttpInstanceList(
-            settings.platform, settings.platform_timeout, session
-        )
-        follower = ConfigurationFollower(service)
-        self.node = PeerNode(
-            make_member(settings, "entry", self._clock),
-            settings,
-            service,
-            follower,
-            PeerClient(GrpcLink()),
-            self._clock,
-            self._random,
+        clients = await connect_platform(
+            self._stack, settings, "entry", self._clock, self._random
         )
+        service, follower = clients.service, clients.follower
+        self.node = clients.node
         handlers = PeerHandlers(
             report_in_flight=self._report_in_flight,
             fetch_answer=self._recall_answer,
@@ -123,7 +104,12 @@
         )
         self._stack.push_async_callback(self._callers.stop)
         self._upstreams = UpstreamFollower(
-            settings, service, instance_list, self.node, self._clock, self._apply_routes
+            settings,
+            service,
+            clients.instance_list,
+            self.node,
+            self._clock,
+            self._apply_routes,
         )
         follower.configurations.subscribe(self._apply_configuration)
         self._tasks = [
--- a/peridotspoke/programs/fleet.py
+++ b/peridotspoke/programs/fleet.py
@@ -7,7 +7,7 @@
 
 from peridotspoke.exceptions import PlatformError
 from peridotspoke.identities import make_operation_id
-from peridotspoke.platform import follow_prefix
+from peridotspoke.platform import FollowingRules, follow_prefix
 from peridotspoke.pools import (
     INSTANCES_PREFIX,
     OWNERS_PREFIX,
@@ -25,6 +25,10 @@
 
 PREFIXES = (INSTANCES_PREFIX, POOLS_PREFIX, OWNERS_PREFIX)
 SILENCE = 3.0  # seconds
+# The checks of instances date the view by which entries route; what a stale ledger
+# or owner would let a controller do, its swap refuses.
+VIEW_RULES = FollowingRules()
+OTHER_RULES = FollowingRules(check_interval=4.0)
 USAGE_INTERVAL = 30.0  # seconds
 
 
@@ -138,7 +142,8 @@
         )
 
     async def _follow(self, prefix):
-        async for followed in follow_prefix(self._service, prefix):
+        rules = VIEW_RULES if prefix == INSTANCES_PREFIX else OTHER_RULES
+        async for followed in follow_prefix(self._service, prefix, rules=rules):
             self.controller.take_followed(followed)
             self._followed.add(prefix)
             if prefix == INSTANCES_PREFIX:
--- a/peridotspoke/programs/settings.py
+++ b/peridotspoke/programs/settings.py
@@ -1,6 +1,6 @@
 """The settings of each program."""
 
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from peridotspoke.settings import ProgramSettings
 
@@ -17,14 +17,11 @@
 ADDRESSES = r"^(\d+(\.\d+){3}:\d+(,\d+(\.\d+){3}:\d+)*)?$"
 
 
-class EntrySettings(ProgramSettings):
-    """Settings of peridotspoke-entry."""
+class ProcessSettings(ProgramSettings):
+    """Settings of the programs that run on an entry instance."""
 
-    name: str = Field(min_length=1, description="name of this entry instance")
+    name: str = Field(min_length=1, description="name of this process")
     zone: str = Field(min_length=1, description="availability zone of this instance")
-    listen: str = Field(
-        "127.0.0.1:8080", pattern=ADDRESS, description="address for callers"
-    )
     admin: str = Field(
         "127.0.0.1:8081", pattern=ADDRESS, description="address for metrics and health"
     )
@@ -40,6 +37,14 @@
     lease_ttl: float = Field(
         6.0, ge=1, description="time to live of the process's lease, seconds"
     )
+
+
+class EntrySettings(ProcessSettings):
+    """Settings of peridotspoke-entry."""
+
+    listen: str = Field(
+        "127.0.0.1:8080", pattern=ADDRESS, description="address for callers"
+    )
     slot_shares: str = Field(
         "fixed",
         pattern="^(fixed|lent)$",
@@ -91,27 +96,27 @@
         4096, ge=1, description="most connections of callers at once, a number"
     )
 
+    @model_validator(mode="after")
+    def check_stop_times(self):
+        """Refuse a notice that leaves no time to finish what runs."""
+        if self.stop_notice >= self.stop_limit:
+            raise ValueError(
+                "--stop-notice / PERIDOTSPOKE_STOP_NOTICE: "
+                f"found {self.stop_notice:g}, expected less than the stop limit of "
+                f"{self.stop_limit:g} seconds"
+            )
+        return self
 
-class ControlSettings(ProgramSettings):
+
+class ControlSettings(ProcessSettings):
     """Settings of peridotspoke-control."""
 
-    name: str = Field(min_length=1, description="name of this controller")
-    zone: str = Field(min_length=1, description="availability zone of this instance")
     peer_listen: str = Field(
         "127.0.0.1:8083", pattern=ADDRESS, description="address for peers"
     )
     admin: str = Field(
         "127.0.0.1:8084", pattern=ADDRESS, description="address for metrics and health"
     )
-    seed_peers: str = Field(
-        "",
-        pattern=ADDRESSES,
-        description="addresses of peers for a start without the platform, "
-        "separated by commas",
-    )
-    lease_ttl: float = Field(
-        6.0, ge=1, description="time to live of the process's lease, seconds"
-    )
     plan_interval: float = Field(
         1.0, gt=0, description="time between two rounds of planning, seconds"
     )
--- a/peridotspoke/programs/tests/command_lines.feature
+++ b/peridotspoke/programs/tests/command_lines.feature
@@ -26,3 +26,8 @@
       | LISTEN           | localhost | --listen / PERIDOTSPOKE_LISTEN             |
       | PLATFORM_TIMEOUT | -1        | limit of one call to the platform, seconds |
       | NAME             |           | --name / PERIDOTSPOKE_NAME                 |
+
+  Scenario: Settings are checked against each other
+    Given the variable "PERIDOTSPOKE_STOP_NOTICE" is "30"
+    When "entry" is run with "--name=e --zone=a"
+    Then the exit status is 2 and the output names "--stop-notice / PERIDOTSPOKE_STOP_NOTICE: found 30, expected less than the stop limit of 30 seconds"
--- a/peridotspoke/programs/tests/test_running_work.py
+++ b/peridotspoke/programs/tests/test_running_work.py
@@ -6,7 +6,8 @@
 from pytest_bdd import given, parsers, scenarios, then
 
 from peridotspoke.jobs import JobSpec, Need, PoolView, WorkerRoom
-from peridotspoke.jobs.supervising import JobsSettings, PoolSupervisor
+from peridotspoke.jobs.environment import JobsSettings
+from peridotspoke.jobs.supervising import PoolSupervisor
 from peridotspoke.jobs.tests.harness import ControllerUnderTest, World
 from peridotspoke.peers import InFlightReport, InFlightSource
 from peridotspoke.programs.fleetjobs import RunningWork
--- a/peridotspoke/settings.py
+++ b/peridotspoke/settings.py
@@ -75,7 +75,9 @@
 
 
 def _describe_fault(settings_class, fault):
-    name = str(fault["loc"][0]) if fault["loc"] else "settings"
+    if not fault["loc"]:
+        return fault["msg"].removeprefix("Value error, ")
+    name = str(fault["loc"][0])
     flag = "--" + name.replace("_", "-")
     field = settings_class.model_fields.get(name)
     if field is None:
