Rebuild routes before an in-flight report only where news isn't routed by

Cause: each of 24 controllers asks each entry once a second, and each question built the whole routing table again: 0.187 of a core of an entry at 1,100 instances and 24 controllers (benchmarks.live), 0.0675 at 550 and 12.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,6 +1,7 @@
 """Slopes for docs/CAPACITY.md: runs the benchmarks, fits lines, draws plots.
 
-Run: ``python -m benchmarks.capacity [--output DIRECTORY]``. Each benchmark prints
+Run: ``python -m benchmarks.capacity [--output=DIRECTORY] [--lines=DIRECTORY]``. Each
+benchmark prints
 lines of key=value pairs; a probe picks the lines and the pair that it fits. One
 table of all slopes goes to standard output, and one plot for each probe to the
 directory.
@@ -44,9 +45,11 @@
 PEERS = "benchmarks.peers"
 CONTROLLER = "benchmarks.controller"
 JOBS = "benchmarks.jobs round"
+WORKERS = "benchmarks.workers"
 INSTANCES = 1100
 MEMBERS = 24
 POOL_WORKERS = 6
+OWNED_WORKERS = 92
 LIVE_PAIRS = (
     ("memory", "memory_mib", "MiB"),
     ("processor", "core_share", "core"),
@@ -66,12 +69,22 @@
     Probe("peers-processor", PEERS, "core_share", "core", "members", MEMBERS),
     Probe("round-processor", CONTROLLER, "round_ms", "ms", "instances", INSTANCES),
     Probe("round-memory", CONTROLLER, "memory_kib", "KiB", "instances", INSTANCES),
+    Probe("workers-bytes", WORKERS, "bytes_rate", "B/s", "workers", OWNED_WORKERS),
+    Probe("workers-processor", WORKERS, "core_share", "core", "workers", OWNED_WORKERS),
     Probe("placing-processor", JOBS, "median_ms", "ms", "workers", POOL_WORKERS),
 )  # fmt: skip
 
 
-def run_benchmark(module):
-    """Return the pairs of each line that a benchmark prints."""
+def run_benchmark(module, directory):
+    """Return the pairs of each line that a benchmark prints.
+
+    Lines that an earlier run has left in `directory` are used again.
+    """
+    path = Path(
+        directory, module.replace(" ", ".").removeprefix("benchmarks.") + ".txt"
+    )
+    if directory and path.exists():
+        return parse_lines(path.read_text(encoding="utf-8"))
     finished = subprocess.run(
         [sys.executable, "-m", *module.split()],
         stdout=subprocess.PIPE,
@@ -79,7 +92,20 @@
         timeout=BENCHMARK_LIMIT,
         check=True,
     )
-    lines = [line for line in finished.stdout.splitlines() if "=" in line]
+    if directory:
+        path.write_text(finished.stdout, encoding="utf-8")
+    return parse_lines(finished.stdout)
+
+
+def parse_lines(text):
+    r"""Return the key=value pairs of each line that has any.
+
+    Examples
+    --------
+    >>> parse_lines("program=entry instances=40\n\nnothing here")
+    [{'program': 'entry', 'instances': '40'}]
+    """
+    lines = [line for line in text.splitlines() if "=" in line]
     return [dict(re.findall(r"(\S+?)=(\S+)", line)) for line in lines]
 
 
@@ -119,25 +145,27 @@
     plt.close(figure)
 
 
-def run_probes(output="docs/capacity", only=""):
+def run_probes(output="docs/capacity", lines="", only=""):
     """Run the benchmarks of all probes and print the table of slopes.
 
     Parameters
     ----------
     output : str, optional
         Directory of the plots.
+    lines : str, optional
+        Directory in which the benchmarks' lines are kept and found again.
     only : str, optional
         Only the probes whose names begin so.
     """
     directory = Path(output)
     directory.mkdir(parents=True, exist_ok=True)
     probes = [probe for probe in PROBES if probe.name.startswith(only)]
-    lines = {}
+    found = {}
     rows = []
     for probe in probes:
-        if probe.benchmark not in lines:
-            lines[probe.benchmark] = run_benchmark(probe.benchmark)
-        slope = fit_probe(probe, lines[probe.benchmark])
+        if probe.benchmark not in found:
+            found[probe.benchmark] = run_benchmark(probe.benchmark, lines)
+        slope = fit_probe(probe, found[probe.benchmark])
         draw_slope(slope, probe.letter, directory / f"{probe.name}.png")
         rows.append(
             {
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -214,7 +214,8 @@
         if self.pipeline is None:
             return {name: InFlightReport(0, False) for name in epochs}
         # News that is seen but not yet routed by would let a request follow.
-        self._upstreams.rebuild_routes()
+        if self.node.leaving_changed.is_set():
+            self._upstreams.rebuild_routes()
         return {
             instance: InFlightReport(
                 self.pipeline.count_in_flight(instance),
