Poll entries seldom while nothing drains

Cause: at rest each controller asked each entry once a second what was in flight, so that calls grew with the product of both. Ruled out: starting work on what membership has heard, which says nothing of the routes that an entry uses.

--- a/peridotspoke/pools/controlling.py
+++ b/peridotspoke/pools/controlling.py
@@ -32,6 +32,7 @@
 
 __all__ = ["FleetController"]
 
+IDLE_POLLS = 3  # silences between two polls of the entries while nothing drains
 MOST_POOLS_AT_ONCE = 8
 
 
@@ -212,7 +213,8 @@
         """Ask each entry instance what is in flight; seldom where nothing drains."""
         now = self._clock.read_monotonic()
         draining = self._observer.list_draining()
-        if not draining and now - self._polled_at < self._bounds.drain.silence / 3:
+        idle_interval = IDLE_POLLS * self._bounds.drain.silence
+        if not draining and now - self._polled_at < idle_interval:
             return
         self._polled_at = now
         members = self._observer.entries.members.values()
