Describe pools to their job boards every 2 s

Cause: a controller read all instance records twice a second to describe its pools to their job boards: 0.0371 of a core at 550 instances and 12 controllers, above half of it growing with the fleet. What a board is told late by at most 2 s is that an instance came or leaves; a drain waits for its word.

--- a/peridotspoke/programs/fleetjobs.py
+++ b/peridotspoke/programs/fleetjobs.py
@@ -18,7 +18,7 @@
 __all__ = ["FleetJobs", "RunningWork"]
 
 CALL_TIMEOUT = 2.0  # seconds
-VIEW_INTERVAL = 0.5  # seconds
+VIEW_INTERVAL = 2.0  # seconds; describing the pools reads all records
 
 
 class RunningWork(InFlightSource):
