--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,10 +1,9 @@
 """Slopes for docs/CAPACITY.md: runs the benchmarks, fits lines, draws plots.
 
 Run: ``python -m benchmarks.capacity [--output=DIRECTORY] [--lines=DIRECTORY]``. Each
-benchmark prints
-lines of key=value pairs; a probe picks the lines and the pair that it fits. One
-table of all slopes goes to standard output, and one plot for each probe to the
-directory.
+benchmark prints lines of key=value pairs; a probe picks the lines and the pair that it
+fits. One table of all slopes goes to standard output, and one plot for each probe to
+the directory.
 """
 
 import re
@@ -159,6 +158,8 @@
     """
     directory = Path(output)
     directory.mkdir(parents=True, exist_ok=True)
+    if lines:
+        Path(lines).mkdir(parents=True, exist_ok=True)
     probes = [probe for probe in PROBES if probe.name.startswith(only)]
     found = {}
     rows = []
