Wait for the answers in the test of a planned stop

Cause: it read the result of a caller's task right after the drain's end, which may be before the caller's side has read the answer (InvalidStateError, seen once on a busy machine). The answers are awaited now; what is checked stays the same.

--- a/peridotspoke/programs/tests/test_callers.py
+++ b/peridotspoke/programs/tests/test_callers.py
@@ -152,8 +152,8 @@
         await asyncio.sleep(0.15)
         world["later"] = await entry.request("POST", headers={})
         await draining
-        world["told"] = running.result()
-        world["in_notice"] = in_notice.result()
+        world["told"] = await running
+        world["in_notice"] = await in_notice
 
     entry = world["entry"]
     entry.callers._settings = entry.settings.model_copy(update={"stop_notice": 0.1})
