Take followed records in one place, and drop code that nothing calls

Cause: an entry passed a check that found nothing new on as a date alone, its twin in the controller still handed all records over, with two digests and a walk over the fleet, at each check of some 1.5 s. PeerNode.take_followed serves both now. Behaviour is the same; no test was touched. Not measured: what the controller saves by it.

--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -7,7 +7,6 @@
 
 ZONES = 6
 RACK_SIZE = 4
-INSTANCES_PER_POOL = 1100 / 199
 
 
 def name_pool(number):
--- a/peridotspoke/jobs/estimation.py
+++ b/peridotspoke/jobs/estimation.py
@@ -117,14 +117,6 @@
             spec.accelerators,
         )
 
-    def estimate_run_time(self, spec):
-        """Return the run time of a `JobSpec`, seconds."""
-        usage = self._usage.get(spec.name)
-        settings = self._settings
-        if usage is None or usage.run_time.get_total_count() < settings.min_samples:
-            return spec.run_time
-        return usage.run_time.get_value_at_percentile(settings.quantile)
-
 
 def _record(histogram, value, largest):
     histogram.record_value(min(max(1, round(value)), largest))
--- a/peridotspoke/jobs/tasks.py
+++ b/peridotspoke/jobs/tasks.py
@@ -4,7 +4,6 @@
     JobFailed,
     JobFinished,
     JobNeverStarted,
-    JobRunning,
     JobStopped,
     WorkerLost,
 )
@@ -90,8 +89,3 @@
     if report.clock > attempt.start_by:
         return JobNeverStarted(attempt.number, "the worker did not start it in time")
     return None
-
-
-def make_running_event(state):
-    """Return the `JobEvent` that notes that the current attempt runs."""
-    return JobRunning(state.attempt.number)
--- a/peridotspoke/peers/node.py
+++ b/peridotspoke/peers/node.py
@@ -138,6 +138,22 @@
             self.leaving.confirm(read_at)
         self.leaving_changed.set()
 
+    def take_followed(self, records, followed):
+        """Take what following the service's instance records has told.
+
+        A check that found nothing new dates the view and costs the same whatever
+        the fleet's size.
+
+        Parameters
+        ----------
+        records : dict of str to InstanceRecord
+        followed : FollowedRecords
+        """
+        if followed.changed:
+            self.take_instances(records, followed.confirmed_at)
+        else:
+            self.leaving.confirm(followed.confirmed_at)
+
     def get_status(self):
         """Return the `PeerStatus` now."""
         now = self._clock.read_monotonic()
--- a/peridotspoke/peers/slots.py
+++ b/peridotspoke/peers/slots.py
@@ -108,11 +108,6 @@
         """Go on with the same loans under a later epoch of the same right."""
         self.epoch = epoch
 
-    def count_lent(self, executor, now):
-        """Return the most slots of `executor` that may be in use by loans."""
-        debts = self._debts.get(executor, {})
-        return sum(debt.cap for debt in debts.values() if debt.until > now)
-
     def lend(self, request, capacity, now):
         """Return the `SlotsAnswer` to a `SlotsRequest`.
 
--- a/peridotspoke/planning/exposure.py
+++ b/peridotspoke/planning/exposure.py
@@ -49,10 +49,6 @@
         lacking = (self._base + part for part in self._additions.values())
         return worst, sum(part for part in lacking if part > 0)
 
-    def measure_rack(self, rack):
-        """Return the instances missing after the loss of `rack`; below 0: to spare."""
-        return self._base + self._additions[rack]
-
     def count_releasable(self):
         """Return the spare's instances beyond what any one rack's loss needs."""
         worst = max(self._additions.values(), default=0)
--- a/peridotspoke/programs/fleet.py
+++ b/peridotspoke/programs/fleet.py
@@ -147,8 +147,7 @@
             self.controller.take_followed(followed)
             self._followed.add(prefix)
             if prefix == INSTANCES_PREFIX:
-                records = self.observer.records
-                self._node.take_instances(records, followed.confirmed_at)
+                self._node.take_followed(self.observer.records, followed)
 
     async def _follow_list(self):
         while True:
--- a/peridotspoke/programs/upstreams.py
+++ b/peridotspoke/programs/upstreams.py
@@ -66,10 +66,7 @@
         async for followed in follow_prefix(self._service, INSTANCES_PREFIX):
             for key in followed.changed:
                 self._take_record(key, followed.records.get(key))
-            if followed.changed:
-                self._node.take_instances(self._records, followed.confirmed_at)
-            else:
-                self._node.leaving.confirm(followed.confirmed_at)
+            self._node.take_followed(self._records, followed)
 
     def _take_record(self, key, record):
         instance = key.removeprefix(INSTANCES_PREFIX)
--- a/peridotspoke/tokenbucket.py
+++ b/peridotspoke/tokenbucket.py
@@ -48,11 +48,6 @@
         self._tokens -= amount
         return True
 
-    def deposit(self, now, amount):
-        """Add `amount` tokens, as far as the capacity allows."""
-        self._fill(now)
-        self._tokens = min(self.capacity, self._tokens + amount)
-
     def compute_wait(self, now, amount=1.0, reserve=0.0):
         """Return the seconds until `take` succeeds if nothing else is taken.
 
@@ -66,11 +61,6 @@
             return float("inf")
         return missing / self.rate
 
-    def count_tokens(self, now):
-        """Return the tokens held at `now`."""
-        self._fill(now)
-        return self._tokens
-
     def _fill(self, now):
         gained = max(0.0, now - self._filled_at) * self.rate
         self._tokens = min(self.capacity, self._tokens + gained)
