--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,7 +18,7 @@
 import uvloop
 
 from peridotspoke.clock import SystemClock
-from peridotspoke.platform import GatewayKeyValueService
+from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.requests.tests.entries import EntryUnderTest
 from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 
--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -1,6 +1,6 @@
 """Fleets of any size for benchmarks: declarations, lists and records."""
 
-from peridotspoke.platform import ChangeNote, ListedInstance, Stored, encode_stored
+from peridotspoke.store import ChangeNote, ListedInstance, Stored, encode_stored
 from peridotspoke.pools import InstanceRecord, Phase, key_instance
 
 __all__ = ["make_instances", "make_records", "make_texts", "name_pool"]
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -23,7 +23,7 @@
 from peridotspoke.jobs.actions import CallStart
 from peridotspoke.jobs.needs import QueuedJob, RunningJob
 from peridotspoke.jobs.tests.harness import POOL, ControllerUnderTest, World
-from peridotspoke.platform import encode_stored
+from peridotspoke.store import encode_stored
 from peridotspoke.standins import WorkerFaults
 
 SEED = 1
--- a/benchmarks/list_bytes.py
+++ b/benchmarks/list_bytes.py
@@ -9,7 +9,7 @@
 
 from benchmarks.fleets import make_instances
 from peridotspoke.clock import SystemClock
-from peridotspoke.platform import HttpInstanceList
+from peridotspoke.store import HttpInstanceList
 from peridotspoke.standins import PlatformStandIn, start_server
 
 SIZES = (40, 275, 550, 1100)
--- a/benchmarks/live.py
+++ b/benchmarks/live.py
@@ -21,7 +21,7 @@
 from benchmarks.relay import CountingRelay
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import publish_declarations
-from peridotspoke.platform import GatewayKeyValueService
+from peridotspoke.store import GatewayKeyValueService
 from tests.processes import ProgramProcess
 
 __all__ = ["LiveFigures", "measure_fleet"]
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -25,7 +25,7 @@
     PeerHandlers,
     PeerNode,
 )
-from peridotspoke.platform import GatewayKeyValueService
+from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.standins import PlatformStandIn, start_server
 
 __all__ = ["measure_members"]
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -19,7 +19,7 @@
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import publish_declarations
-from peridotspoke.platform import GatewayKeyValueService
+from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.standins import PlatformFaults
 from tests.processes import ProgramProcess
 
--- a/peridotspoke/declarations/following.py
+++ b/peridotspoke/declarations/following.py
@@ -11,7 +11,7 @@
 )
 from peridotspoke.exceptions import DeclarationError, PlatformError, RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.platform import decode_record, follow_prefix
+from peridotspoke.store import decode_record, follow_prefix
 
 __all__ = ["ConfigurationFollower"]
 
--- a/peridotspoke/declarations/publishing.py
+++ b/peridotspoke/declarations/publishing.py
@@ -18,7 +18,7 @@
 from peridotspoke.identities import make_operation_id
 from peridotspoke.logs import log_event
 from peridotspoke.peers.records import MEMBERS_PREFIX, MemberRecord
-from peridotspoke.platform import ChangeNote, Stored, decode_record, swap_stored
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 
 __all__ = [
     "Publication",
--- a/peridotspoke/declarations/tests/test_publishing.py
+++ b/peridotspoke/declarations/tests/test_publishing.py
@@ -29,7 +29,7 @@
     PlatformUnavailableError,
 )
 from peridotspoke.peers.records import MemberRecord, key_member
-from peridotspoke.platform import Stored, decode_record, encode_stored
+from peridotspoke.store import Stored, decode_record, encode_stored
 from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
 
 scenarios("publishing.feature")
--- a/peridotspoke/exceptions.py
+++ b/peridotspoke/exceptions.py
@@ -2,7 +2,9 @@
 
 __all__ = [
     "AnswerLostError",
+    "CallRefusedError",
     "DeclarationError",
+    "LeaseExpiredError",
     "OperationConflictError",
     "PeerError",
     "PeridotspokeError",
@@ -64,6 +66,10 @@
     """The platform's answer was lost; the call may have taken effect."""
 
 
+class LeaseExpiredError(PlatformUnavailableError):
+    """The lease that a write names has ended; the write had no effect."""
+
+
 class RecordError(PlatformError):
     """A record of the key-value service does not have the expected form."""
 
@@ -72,6 +78,10 @@
     """Another writer changed the record first."""
 
 
+class CallRefusedError(PeridotspokeError):
+    """An executor or a service of the platform refused a call; it had no effect."""
+
+
 class PeerError(PeridotspokeError):
     """A call to another process of the system failed."""
 
--- a/peridotspoke/jobs/accepting.py
+++ b/peridotspoke/jobs/accepting.py
@@ -20,7 +20,7 @@
 from peridotspoke.jobs.lifecycle import CancelAsked, apply_event
 from peridotspoke.jobs.messages import Job, JobBatch
 from peridotspoke.jobs.records import JobId, key_batch
-from peridotspoke.platform import ChangeNote, Stored, decode_record, swap_stored
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 
 __all__ = ["JobAcceptor", "JobFound"]
 
--- a/peridotspoke/jobs/actions.py
+++ b/peridotspoke/jobs/actions.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from peridotspoke.jobs.messages import JobBatch
-from peridotspoke.platform.records import ChangeNote, Stored
-from peridotspoke.platform.workers import (
+from peridotspoke.store.records import ChangeNote, Stored
+from peridotspoke.store.workers import (
     EndTasks,
     Exchange,
     StartTask,
--- a/peridotspoke/jobs/board.py
+++ b/peridotspoke/jobs/board.py
@@ -31,7 +31,7 @@
     make_task_id,
     parse_task_id,
 )
-from peridotspoke.platform.workers import TaskStop
+from peridotspoke.store.workers import TaskStop
 
 __all__ = ["JobBoard"]
 
--- a/peridotspoke/jobs/calling.py
+++ b/peridotspoke/jobs/calling.py
@@ -5,7 +5,7 @@
 from peridotspoke.jobs.actions import CallEnd, CallExchange, CallStart
 from peridotspoke.jobs.messages import JobPhase
 from peridotspoke.jobs.tasks import make_task_id
-from peridotspoke.platform.workers import EndTasks, Exchange, StartTask, TaskStop
+from peridotspoke.store.workers import EndTasks, Exchange, StartTask, TaskStop
 
 __all__ = [
     "make_end_calls",
--- a/peridotspoke/jobs/holdings.py
+++ b/peridotspoke/jobs/holdings.py
@@ -10,8 +10,8 @@
 from peridotspoke.jobs.needs import WorkerRoom
 from peridotspoke.jobs.records import JobId
 from peridotspoke.jobs.settings import BoardSettings
-from peridotspoke.platform.records import Stored
-from peridotspoke.platform.workers import WorkerReport
+from peridotspoke.store.records import Stored
+from peridotspoke.store.workers import WorkerReport
 
 __all__ = [
     "AttemptMemory",
--- a/peridotspoke/jobs/placing.py
+++ b/peridotspoke/jobs/placing.py
@@ -9,7 +9,7 @@
 from peridotspoke.jobs.needs import QueuedJob, RunningJob, WorkerRoom, shrink_need
 from peridotspoke.jobs.placement import plan_placements
 from peridotspoke.jobs.tasks import make_task_id
-from peridotspoke.platform.workers import TaskStop, ThrottleTasks
+from peridotspoke.store.workers import TaskStop, ThrottleTasks
 
 __all__ = ["place_jobs"]
 
--- a/peridotspoke/jobs/supervising.py
+++ b/peridotspoke/jobs/supervising.py
@@ -27,7 +27,7 @@
 from peridotspoke.jobs.messages import JobBatch
 from peridotspoke.jobs.records import prefix_pool
 from peridotspoke.logs import log_event
-from peridotspoke.platform import (
+from peridotspoke.store import (
     FollowingRules,
     decode_record,
     follow_prefix,
--- a/peridotspoke/jobs/tasks.py
+++ b/peridotspoke/jobs/tasks.py
@@ -9,7 +9,7 @@
 )
 from peridotspoke.jobs.messages import JobPhase
 from peridotspoke.jobs.records import parse_job_id
-from peridotspoke.platform.workers import TaskOutcome
+from peridotspoke.store.workers import TaskOutcome
 
 __all__ = ["interpret_absence", "interpret_end", "make_task_id", "parse_task_id"]
 
--- a/peridotspoke/jobs/tests/harness.py
+++ b/peridotspoke/jobs/tests/harness.py
@@ -23,8 +23,8 @@
 )
 from peridotspoke.jobs.lifecycle import CancelAsked, apply_event
 from peridotspoke.jobs.records import key_batch
-from peridotspoke.platform import Record, Stored, decode_record, encode_stored
-from peridotspoke.platform.records import ChangeNote
+from peridotspoke.store import Record, Stored, decode_record, encode_stored
+from peridotspoke.store.records import ChangeNote
 from peridotspoke.standins import StoreStandIn, TaskRunner
 
 POOL = "feldkirch"
--- /dev/null
+++ b/peridotspoke/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The node program: callers' desk, ownership, supervision of pools."""
--- /dev/null
+++ b/peridotspoke/nodes/desk.py
@@ -0,0 +1,286 @@
+"""Answers callers: takes jobs, tells their states, cancels them, counts queues."""
+
+from dataclasses import dataclass
+
+from peridotspoke.exceptions import (
+    AnswerLostError,
+    PlatformError,
+    PlatformUnavailableError,
+    RequestError,
+)
+from peridotspoke.logs import log_event
+from peridotspoke.nodes.keys import key_cancel, key_job, key_progress
+from peridotspoke.nodes.view import TOMBSTONE, JobView
+from peridotspoke.store import Condition, Put, Transaction
+from peridotspoke.workloads.checking import check_job, is_job_id
+from peridotspoke.workloads.progress import decode_job, decode_summary, encode_job
+
+__all__ = [
+    "Accepted",
+    "Counted",
+    "Invalid",
+    "JobDesk",
+    "Refused",
+    "Shown",
+    "Unknown",
+    "UnknownJob",
+    "UnknownQueue",
+]
+
+STORE_RETRY = 1.0  # seconds after which a caller may come back when the store is away
+STALE_CONTACT = 2.0  # seconds without an answer after which the store counts as away
+WRITE_TRIES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored and runs once, or its cancelling is stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request had no effect; it may come back after `retry_after` seconds."""
+
+    reason: str
+    retry_after: float
+    overloaded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The request can't be read or is not allowed."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have had an effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownQueue:
+    """No queue has that host and prefix."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownJob:
+    """No such job exists."""
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """A job's state."""
+
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """How many jobs of a queue wait for their first start."""
+
+    waiting: int
+
+
+class JobDesk:
+    """Answers callers from the node's view of the store.
+
+    Parameters
+    ----------
+    node : NodeParts
+    decode_submission : callable
+        From a body, an identity, a queue and a time to a `Job`; raises
+        `RequestError`.
+    admit : callable
+        From a `Job` to None, or the `Refused` of a job that can't be served.
+    """
+
+    def __init__(self, node, decode_submission, admit):
+        self._node = node
+        self._decode_submission = decode_submission
+        self._admit = admit
+
+    def is_ready(self):
+        """Return whether this node serves: it has a configuration and the store."""
+        return self._node.view.configuration is not None and self._has_store()
+
+    def _has_store(self):
+        now = self._node.clock.read_monotonic()
+        return now - self._node.read_contact() < STALE_CONTACT
+
+    async def submit(self, host, path, body):
+        """Take in a job; return one of this module's answers."""
+        found = self._find_queue(host, path)
+        if not isinstance(found, tuple):
+            return found
+        queue, job_id = found
+        if not is_job_id(job_id):
+            return Invalid("expected an ID of 16 hexadecimal digits")
+        known = self._node.view.jobs.get(job_id)
+        if known is not None and known.job is not None:
+            return self._log("submit", job_id, Accepted(), source="view")
+        if len(body) > self._node.view.configuration.most_body:
+            return Invalid("the body is too large")
+        wall = self._node.clock.read_wall()
+        try:
+            job = self._decode_submission(body, job_id, queue, wall)
+            check_job(job)
+        except RequestError as error:
+            return self._log("submit", job_id, Invalid(str(error)))
+        refused = self._refuse(job)
+        if refused is not None:
+            return self._log("submit", job_id, refused, reason=refused.reason)
+        revision = known.revision if known is not None else 0
+        answer = await self._store_job(job, revision)
+        return self._log("submit", job_id, answer, reason=_find_reason(answer))
+
+    def _refuse(self, job):
+        if not self._has_store():
+            return Refused("the store is away", STORE_RETRY)
+        return self._admit(job)
+
+    async def show(self, host, path):
+        """Return the state of a job, or the count of a queue."""
+        found = self._find_queue(host, path)
+        if not isinstance(found, tuple):
+            return found
+        queue, job_id = found
+        if not job_id:
+            return Counted(self._count_waiting(queue))
+        known = self._node.view.jobs.get(job_id)
+        if known is None or known.job is None:
+            known = await self._read_job(job_id)
+        if not isinstance(known, JobView):
+            return self._log("show", job_id, known)
+        return Shown(known.state)
+
+    async def cancel(self, host, path):
+        """Cancel a job."""
+        found = self._find_queue(host, path)
+        if not isinstance(found, tuple):
+            return found
+        _, job_id = found
+        known = self._node.view.jobs.get(job_id)
+        if known is None or known.job is None:
+            known = await self._read_job(job_id)
+        if not isinstance(known, JobView):
+            return self._log("cancel", job_id, known)
+        if not known.is_open:
+            return self._log("cancel", job_id, Accepted(), state=known.state)
+        return self._log("cancel", job_id, await self._store_cancel(job_id, known))
+
+    def _find_queue(self, host, path):
+        configuration = self._node.view.configuration
+        if configuration is None:
+            return Refused("no configuration yet", STORE_RETRY)
+        queue = configuration.find_queue(host, path)
+        if queue is None:
+            return UnknownQueue()
+        return queue, path[len(queue.prefix) :]
+
+    def _count_waiting(self, queue):
+        waiting = 0
+        for known in self._node.view.jobs.values():
+            if known.job is not None and known.job.queue == queue.name:
+                waiting += known.state == "queued"
+        return waiting
+
+    async def _read_job(self, job_id):
+        """Return the `JobView` as the store has it now, or the answer without one."""
+        if not is_job_id(job_id):
+            return UnknownJob()
+        store = self._node.store
+        try:
+            record = await store.read(key_job(job_id))
+            if record is None or record.value == TOMBSTONE:
+                return UnknownJob()
+            job = decode_job(record)
+            progress = await store.read(key_progress(job_id))
+            cancel = await store.read(key_cancel(job_id))
+        except PlatformError as error:
+            return Refused(str(error), STORE_RETRY)
+        summary = decode_summary(progress) if progress is not None else None
+        return JobView(job, record.revision, summary, progress, cancel is not None)
+
+    async def _store_job(self, job, revision):
+        """Store a job once; refuse only where it certainly will never run."""
+        key = key_job(job.job_id)
+        value = encode_job(job)
+        transaction = Transaction((Condition(key, revision),), (Put(key, value),))
+        lost = None
+        for _ in range(WRITE_TRIES):
+            try:
+                result = await self._node.store.commit(transaction)
+            except AnswerLostError as error:
+                lost = error
+                continue
+            except PlatformUnavailableError as error:
+                if lost is None:
+                    return Refused(str(error), STORE_RETRY)
+                continue
+            if result.won:
+                self._node.view.note_job(job, result.revision)
+                return Accepted()
+            current = result.find_current(key)
+            if current is not None and current.value != TOMBSTONE:
+                return Accepted()
+            return await self._store_job_again(job, current, revision)
+        return await self._bury(job.job_id, revision, lost)
+
+    async def _store_job_again(self, job, current, revision):
+        found = current.revision if current is not None else 0
+        if found == revision:
+            return Unknown("the store contradicts itself")
+        return await self._store_job(job, found)
+
+    async def _bury(self, job_id, revision, lost):
+        """Make sure by a tombstone that a write without an answer has no effect."""
+        key = key_job(job_id)
+        burial = Transaction((Condition(key, revision),), (Put(key, TOMBSTONE),))
+        try:
+            result = await self._node.store.commit(burial)
+        except PlatformError as error:
+            return Unknown(f"{lost}; {error}")
+        if result.won:
+            return Refused(str(lost), STORE_RETRY)
+        current = result.find_current(key)
+        if current is not None and current.value != TOMBSTONE:
+            return Accepted()
+        return Refused(str(lost), STORE_RETRY)
+
+    async def _store_cancel(self, job_id, known):
+        key = key_cancel(job_id)
+        conditions = (Condition(key_job(job_id), known.revision), Condition(key, 0))
+        transaction = Transaction(conditions, (Put(key, b"1"),))
+        reason = ""
+        for _ in range(WRITE_TRIES):
+            try:
+                result = await self._node.store.commit(transaction)
+            except PlatformError as error:
+                reason = str(error)
+                continue
+            if result.won or result.find_current(key) is not None:
+                self._node.view.note_cancel(job_id)
+                return Accepted()
+            return UnknownJob()
+        return Refused(reason, STORE_RETRY)
+
+    def _log(self, step, job_id, answer, **fields):
+        log_event(
+            f"job-{step}",
+            job=job_id,
+            outcome=type(answer).__name__,
+            revision=self._node.view.revision,
+            **fields,
+        )
+        self._node.metrics.count(
+            "job_requests", step=step, outcome=type(answer).__name__
+        )
+        return answer
+
+
+def _find_reason(answer):
+    return getattr(answer, "reason", None)
+
--- /dev/null
+++ b/peridotspoke/nodes/keys.py
@@ -0,0 +1,64 @@
+"""The keys of the node's records in the store."""
+
+__all__ = [
+    "EXECUTOR_PREFIX",
+    "WORK_PREFIX",
+    "key_cancel",
+    "key_job",
+    "key_node",
+    "key_owner",
+    "key_pool_state",
+    "key_progress",
+    "key_withdrawal",
+    "split_key",
+]
+
+WORK_PREFIX = "work/"
+EXECUTOR_PREFIX = "servers/"
+
+
+def key_job(job_id):
+    """Return the key of a job as it was accepted."""
+    return f"{WORK_PREFIX}job/{job_id}"
+
+
+def key_progress(job_id):
+    """Return the key of a job's progress."""
+    return f"{WORK_PREFIX}progress/{job_id}"
+
+
+def key_cancel(job_id):
+    """Return the key whose presence cancels a job."""
+    return f"{WORK_PREFIX}cancel/{job_id}"
+
+
+def key_node(name):
+    """Return the key of a live node, under its lease."""
+    return f"{WORK_PREFIX}node/{name}"
+
+
+def key_owner(unit):
+    """Return the key of a unit's owner, under the owner's lease."""
+    return f"{WORK_PREFIX}owner/{unit}"
+
+
+def key_pool_state(pool):
+    """Return the key at which a pool's owner describes the pool."""
+    return f"{WORK_PREFIX}pool/{pool}"
+
+
+def key_withdrawal(machine):
+    """Return the key of a machine that is to be emptied."""
+    return f"{WORK_PREFIX}withdrawal/{machine}"
+
+
+def split_key(key):
+    """Return a record's kind and its name.
+
+    Examples
+    --------
+    >>> split_key("work/job/5c0e7a21d94b36f8")
+    ('job', '5c0e7a21d94b36f8')
+    """
+    _, kind, name = key.split("/", 2)
+    return kind, name
--- /dev/null
+++ b/peridotspoke/nodes/node.py
@@ -0,0 +1,151 @@
+"""The node: follows the store, answers callers, owns what falls to it."""
+
+import asyncio
+
+from peridotspoke.exceptions import RecordError
+from peridotspoke.logs import log_event
+from peridotspoke.nodes.keys import EXECUTOR_PREFIX, WORK_PREFIX
+from peridotspoke.nodes.ownership import Ownership
+from peridotspoke.nodes.supervising import PoolSupervisor
+from peridotspoke.store import follow_prefix
+
+__all__ = ["DocumentCodec", "Node"]
+
+
+class DocumentCodec:
+    """How the operator's and the executors' records are found and read.
+
+    Parameters
+    ----------
+    prefix : str
+        The operator's records.
+    configuration_key : str
+    decode_configuration, decode_wave, decode_entry : callable
+        From a `Record`; each raises `RecordError`.
+    wave_prefix : str
+    """
+
+    def __init__(
+        self,
+        prefix,
+        configuration_key,
+        wave_prefix,
+        decode_configuration,
+        decode_wave,
+        decode_entry,
+    ):
+        self.prefix = prefix
+        self.configuration_key = configuration_key
+        self.wave_prefix = wave_prefix
+        self.decode_configuration = decode_configuration
+        self.decode_wave = decode_wave
+        self.decode_entry = decode_entry
+
+
+class Node:
+    """Runs the tasks of one node.
+
+    Parameters
+    ----------
+    parts : NodeParts
+    codec : DocumentCodec
+    """
+
+    def __init__(self, parts, codec):
+        self._parts = parts
+        self._codec = codec
+        self._supervisors = {}
+        self._tasks = set()
+        self._following_entries = False
+        parts.ownership = Ownership(
+            parts.settings,
+            parts.store,
+            parts.view,
+            parts.clock,
+            self._list_units,
+            self._gain,
+            self._lose,
+        )
+
+    def start(self):
+        """Start all tasks."""
+        self._spawn(self._follow_operator())
+        self._spawn(self._follow_work())
+        self._spawn(self._parts.ownership.run())
+
+    async def leave(self):
+        """Hand over what this node owns."""
+        await self._parts.ownership.leave()
+
+    async def stop(self):
+        """End all tasks."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _list_units(self):
+        configuration = self._parts.view.configuration
+        if configuration is None:
+            return []
+        return [pool.name for pool in configuration.pools]
+
+    def _gain(self, holding):
+        if not self._following_entries:
+            self._following_entries = True
+            self._spawn(self._follow_entries())
+        supervisor = PoolSupervisor(self._parts, holding)
+        self._supervisors[holding.unit] = self._spawn(supervisor.run())
+
+    def _lose(self, holding):
+        task = self._supervisors.pop(holding.unit, None)
+        if task is not None:
+            task.cancel()
+
+    async def _follow_operator(self):
+        parts, codec = self._parts, self._codec
+        async for followed in follow_prefix(
+            parts.store, codec.prefix, clock=parts.clock, chance=parts.chance
+        ):
+            for key in followed.changed:
+                record = followed.records.get(key)
+                try:
+                    self._take_document(key, record)
+                except RecordError as error:
+                    log_event("record-unreadable", "ERROR", key=key, error=error)
+
+    def _take_document(self, key, record):
+        view, codec = self._parts.view, self._codec
+        if record is None:
+            return
+        if key == codec.configuration_key:
+            view.note_configuration(codec.decode_configuration(record))
+        elif key.startswith(codec.wave_prefix):
+            wave = codec.decode_wave(record)
+            view.waves[wave.number] = (wave, self._parts.clock.read_monotonic())
+            log_event("wave-announced", wave=wave.number, machines=len(wave.machines))
+
+    async def _follow_work(self):
+        parts = self._parts
+        async for followed in follow_prefix(
+            parts.store, WORK_PREFIX, clock=parts.clock, chance=parts.chance
+        ):
+            parts.view.note_work(followed)
+
+    async def _follow_entries(self):
+        parts = self._parts
+        async for followed in follow_prefix(
+            parts.store, EXECUTOR_PREFIX, clock=parts.clock, chance=parts.chance
+        ):
+            parts.view.note_entries(followed, self._codec.decode_entry)
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+        return task
+
+    def _finish_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("task-failed", "ERROR", error=repr(task.exception()))
--- /dev/null
+++ b/peridotspoke/nodes/ownership.py
@@ -0,0 +1,239 @@
+"""A node's lease, and the units that it owns under it."""
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+
+from peridotspoke.exceptions import (
+    AnswerLostError,
+    LeaseExpiredError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from peridotspoke.hashing import rank_members
+from peridotspoke.logs import log_event
+from peridotspoke.nodes.keys import key_node, key_owner
+from peridotspoke.nodes.view import NodeRecord, OwnerRecord, encode_value
+from peridotspoke.store import Condition, Put, Transaction
+
+__all__ = ["Holding", "Ownership"]
+
+TICK = 0.1  # seconds
+RENEWALS = 4  # tries of a renewal within a lease
+RANK_WAIT = 0.25  # seconds that each rank leaves to the one before
+ORDER_MARGIN = 0.1  # seconds before the lease's end at which orders cease
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """A unit owned by this node; its key was created at the revision `fence`."""
+
+    unit: str
+    fence: int
+    since: float
+
+
+class Ownership:
+    """Keeps the node's lease, claims units and gives them back.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    store : KeyValueService
+    view : StoreView
+    clock : Clock
+        Counts the time during which the machine is suspended.
+    list_units : callable
+        Returns the names of the units that somebody has to own.
+    on_gained, on_lost : callable
+        Called with a `Holding`.
+    """
+
+    def __init__(
+        self, settings, store, view, clock, list_units, on_gained, on_lost
+    ):
+        self.incarnation = uuid.uuid4().hex
+        self.holdings = {}
+        self._settings = settings
+        self._store = store
+        self._view = view
+        self._clock = clock
+        self._list_units = list_units
+        self._on_gained = on_gained
+        self._on_lost = on_lost
+        self._lease = None
+        self._contact_at = clock.read_monotonic()
+        self._absent_since = {}
+        self._claiming = set()
+        self._given_up = set()
+        self._leaving = False
+
+    def may_order(self):
+        """Return whether the lease certainly has not ended yet."""
+        now = self._clock.read_monotonic() + ORDER_MARGIN
+        return self._lease is not None and self._lease.is_held(now)
+
+    def may_extend(self):
+        """Return whether leases on executors may still be extended."""
+        now = self._clock.read_monotonic()
+        return now < self._contact_at + self._settings.timing.hold_alone
+
+    def is_held(self, holding):
+        """Return whether a unit is still owned as far as this node knows."""
+        return self.holdings.get(holding.unit) is holding
+
+    def give_up(self, holding, reason):
+        """Stop owning a unit that somebody else has, or that is to be handed over."""
+        if self.holdings.get(holding.unit) is not holding:
+            return
+        del self.holdings[holding.unit]
+        self._given_up.add(holding.fence)
+        log_event("ownership-lost", unit=holding.unit, fence=holding.fence, why=reason)
+        self._on_lost(holding)
+
+    async def run(self):
+        """Keep the lease and the units until cancelled."""
+        renewing = asyncio.ensure_future(self._keep_lease())
+        try:
+            while True:
+                self._check_units()
+                await asyncio.sleep(TICK)
+        finally:
+            renewing.cancel()
+
+    async def leave(self):
+        """Give all units back at once, before the process stops."""
+        self._leaving = True
+        lease, self._lease = self._lease, None
+        for holding in list(self.holdings.values()):
+            self.give_up(holding, "leaving")
+        if lease is not None:
+            try:
+                await self._store.revoke_lease(lease)
+            except PlatformError as error:
+                log_event("lease-not-revoked", "WARNING", error=error)
+
+    async def _keep_lease(self):
+        interval = self._settings.lease / RENEWALS
+        while not self._leaving:
+            try:
+                if self._lease is None:
+                    await self._grant()
+                else:
+                    await self._renew()
+            except PlatformError as error:
+                log_event("lease-not-renewed", "WARNING", error=error)
+            await asyncio.sleep(interval)
+
+    async def _grant(self):
+        lease = await self._store.grant_lease(self._settings.lease)
+        record = NodeRecord(
+            self._settings.name, self.incarnation, self._settings.zone
+        )
+        put = Put(key_node(record.name), encode_value(record), lease.lease_id)
+        await self._store.commit(Transaction((), (put,)))
+        self._lease = lease
+        self._contact_at = lease.asked_at
+        log_event("lease-granted", lease=lease.lease_id, ttl=lease.ttl)
+
+    async def _renew(self):
+        lease = self._lease
+        renewed = await self._store.renew_lease(lease)
+        if self._lease is not lease:
+            return
+        self._lease = renewed
+        if renewed is not None:
+            self._contact_at = renewed.asked_at
+            return
+        log_event("lease-ended", "WARNING", lease=lease.lease_id)
+        self._lose_all("lease ended")
+
+    def _lose_all(self, reason):
+        for holding in list(self.holdings.values()):
+            self.give_up(holding, reason)
+
+    def _check_units(self):
+        if not self._view.has_work or self._leaving:
+            return
+        now = self._clock.read_monotonic()
+        for unit in self._list_units():
+            owner, created = self._view.owners.get(unit, (None, 0))
+            holding = self.holdings.get(unit)
+            if holding is not None:
+                self._check_holding(holding, owner, created)
+            elif owner is None:
+                self._consider_claim(unit, now)
+            else:
+                self._absent_since.pop(unit, None)
+                if owner.incarnation == self.incarnation:
+                    self._take_own(unit, created)
+
+    def _check_holding(self, holding, owner, created):
+        if self._view.revision < holding.fence:
+            return
+        if owner is None or created != holding.fence:
+            self.give_up(holding, "the owner's record has gone")
+
+    def _take_own(self, unit, created):
+        """Use a claim whose answer was lost; free a unit that was given up.
+
+        A fence serves one period of ownership only: orders of an earlier period may
+        still be on their way under it.
+        """
+        if created not in self._given_up:
+            self._gain(unit, created)
+        elif unit not in self._claiming:
+            self._start_claim(unit, self._free(unit, created))
+
+    def _consider_claim(self, unit, now):
+        since = self._absent_since.setdefault(unit, now)
+        members = list(self._view.nodes)
+        ranks = rank_members(unit, members)
+        name = self._settings.name
+        rank = ranks.index(name) if name in ranks else len(ranks)
+        if now - since < rank * RANK_WAIT or unit in self._claiming:
+            return
+        if not self.may_order():
+            return
+        self._start_claim(unit, self._claim(unit))
+
+    def _start_claim(self, unit, coroutine):
+        self._claiming.add(unit)
+        task = asyncio.ensure_future(coroutine)
+        task.add_done_callback(lambda _: self._claiming.discard(unit))
+
+    async def _free(self, unit, created):
+        key = key_owner(unit)
+        try:
+            await self._store.commit(
+                Transaction((Condition(key, created),), removals=(key,))
+            )
+        except PlatformError as error:
+            log_event("unit-not-freed", "WARNING", unit=unit, error=error)
+
+    async def _claim(self, unit):
+        lease = self._lease
+        key = key_owner(unit)
+        record = OwnerRecord(self._settings.name, self.incarnation)
+        put = Put(key, encode_value(record), lease.lease_id)
+        try:
+            result = await self._store.commit(
+                Transaction((Condition(key, 0),), (put,))
+            )
+        except LeaseExpiredError as error:
+            log_event("claim-refused", "WARNING", unit=unit, error=error)
+            return
+        except (AnswerLostError, PlatformUnavailableError) as error:
+            log_event("claim-unknown", "WARNING", unit=unit, error=error)
+            return
+        if result.won and self._lease is not None and not self._leaving:
+            self._gain(unit, result.revision)
+
+    def _gain(self, unit, fence):
+        if unit in self.holdings:
+            return
+        now = self._clock.read_monotonic()
+        holding = self.holdings[unit] = Holding(unit, fence, now)
+        self._absent_since.pop(unit, None)
+        log_event("ownership-gained", unit=unit, fence=fence)
+        self._on_gained(holding)
--- /dev/null
+++ b/peridotspoke/nodes/supervising.py
@@ -0,0 +1,276 @@
+"""Supervises one pool: takes in messages, plans runs, stores, then orders."""
+
+import asyncio
+
+from peridotspoke.exceptions import RecordError
+from peridotspoke.logs import log_event
+from peridotspoke.nodes.committing import MOST_JOBS, OwnershipLostError, ProgressWriter
+from peridotspoke.nodes.messages import (
+    CommitDone,
+    ExecutorLeft,
+    Fenced,
+    ReportArrived,
+    StartAnswered,
+    StartLost,
+    StopAnswered,
+    Unreachable,
+)
+from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
+from peridotspoke.workloads.executors import Refusal
+from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
+from peridotspoke.workloads.progress import decode_progress
+from peridotspoke.workloads.scheduling import plan_runs
+
+__all__ = ["PoolSupervisor"]
+
+TICK = 0.1  # seconds between rounds without messages
+ROUND_PAUSE = 0.01  # seconds between two rounds
+SLOW_CLOCK = 1.02  # from the platform's protocol
+
+
+class PoolSupervisor:
+    """Owns the ledger of one pool while this node owns the pool.
+
+    Parameters
+    ----------
+    node : NodeParts
+        What the node's tasks share.
+    holding : Holding
+    """
+
+    def __init__(self, node, holding):
+        self._node = node
+        self._holding = holding
+        self._queue = asyncio.Queue()
+        self._sessions = {}
+        self._tasks = set()
+        self._committing = None
+        self._changed_jobs = set()
+        self._changed_entries = set()
+        self._revisions = {}
+        settings = node.settings
+        self._rules = SessionRules(hold=settings.hold, look=settings.timing.look)
+        life = (settings.hold + settings.timing.hold_alone) * SLOW_CLOCK
+        self._ledger = PoolLedger(
+            holding.unit,
+            holding.fence,
+            LedgerRules(inherited_life=life, slow_clock=SLOW_CLOCK),
+            node.clock.read_monotonic(),
+            self._note,
+        )
+        self._writer = ProgressWriter(
+            node.store, holding, self._revisions, node.chance
+        )
+
+    @property
+    def pool(self):
+        """The name of the pool."""
+        return self._holding.unit
+
+    async def run(self):
+        """Supervise the pool until cancelled or until its ownership is lost."""
+        view = self._node.view
+        while view.revision < self._holding.fence or not view.has_entries:
+            await asyncio.sleep(ROUND_PAUSE)
+        subscription = view.changes.subscribe(self._note_changes)
+        try:
+            self._changed_jobs.update(view.jobs)
+            self._changed_entries.update(view.entries)
+            while True:
+                await self._take_messages()
+                self._run_round()
+                await asyncio.sleep(ROUND_PAUSE)
+        finally:
+            subscription.dispose()
+            self._cancel_tasks()
+
+    def _note(self, event, **fields):
+        log_event(event, pool=self.pool, **fields)
+
+    def _note_changes(self, changed):
+        for kind in ("job", "cancel", "progress"):
+            if kind in changed and kind != "progress":
+                self._changed_jobs |= changed[kind]
+        self._changed_entries |= changed.get("entry", set())
+        if self._changed_jobs or self._changed_entries:
+            self._queue.put_nowait(None)
+
+    async def _take_messages(self):
+        try:
+            async with asyncio.timeout(TICK):
+                message = await self._queue.get()
+        except TimeoutError:
+            return
+        self._take(message)
+        while not self._queue.empty():
+            self._take(self._queue.get_nowait())
+
+    def _take(self, message):
+        ledger = self._ledger
+        now = self._node.clock.read_monotonic()
+        wall = self._node.clock.read_wall()
+        match message:
+            case ReportArrived(executor_id, report, asked_at):
+                ledger.take_report(executor_id, report, asked_at, now, wall)
+            case StartAnswered(run, refusal):
+                ledger.take_start_answer(run, refusal, now)
+            case StartLost(run):
+                ledger.take_start_lost(run)
+            case StopAnswered(executor_id, order):
+                ledger.take_stop_answer(executor_id, order, now)
+            case Unreachable(executor_id, reason):
+                ledger.note_unreachable(executor_id, reason)
+            case ExecutorLeft(executor_id):
+                ledger.note_left(executor_id, now)
+            case Fenced(executor_id):
+                log_event("fenced", "WARNING", pool=self.pool, executor=executor_id)
+                self._node.ownership.give_up(self._holding, "fenced by an executor")
+            case CommitDone(batch):
+                self._start_runs(batch)
+
+    def _run_round(self):
+        self._take_changes()
+        now = self._node.clock.read_monotonic()
+        self._ledger.expire_leases(now)
+        if self._node.ownership.may_order():
+            plan_runs(self._ledger, now, self._node.clock.read_wall())
+        self._send_commands()
+        self._keep_sessions()
+        if self._committing is not None:
+            return
+        if self._ledger.dirty:
+            self._committing = self._spawn(self._commit())
+        else:
+            self._ledger.note_cursors()
+
+    def _take_changes(self):
+        view = self._node.view
+        now = self._node.clock.read_monotonic()
+        entries, self._changed_entries = self._changed_entries, set()
+        for executor_id in entries:
+            entry = view.entries.get(executor_id)
+            if entry is not None and entry.pool == self.pool:
+                self._ledger.see_entry(entry, now)
+            else:
+                self._ledger.lose_entry(executor_id)
+        jobs, self._changed_jobs = self._changed_jobs, set()
+        for job_id in jobs:
+            self._take_job(view.jobs.get(job_id))
+
+    def _take_job(self, known):
+        if known is None or known.job is None or known.job.pool != self.pool:
+            return
+        job_id = known.job.job_id
+        if job_id not in self._ledger.jobs:
+            if known.summary is not None and known.summary.outcome:
+                return
+            if job_id in self._revisions:
+                return
+            try:
+                progress = decode_progress(known.job, known.progress)
+            except RecordError as error:
+                log_event("progress-unreadable", "ERROR", job=job_id, error=error)
+                return
+            self._revisions[job_id] = known.progress.revision if known.progress else 0
+            self._note("job-taken", job=job_id, revision=known.revision)
+            self._ledger.add_job(progress)
+        if known.cancelled:
+            self._ledger.cancel_job(job_id, self._node.clock.read_wall())
+
+    async def _commit(self):
+        """Store all that is dirty; then ends may be forgotten by their executors."""
+        cursors = {
+            state.executor_id: (state.born, state.cursor)
+            for state in self._ledger.executors.values()
+        }
+        try:
+            while True:
+                batch = self._ledger.take_batch(MOST_JOBS)
+                if batch is None:
+                    break
+                if batch.values:
+                    await self._writer.write(batch.values)
+                self._queue.put_nowait(CommitDone(batch))
+        except OwnershipLostError:
+            self._node.ownership.give_up(self._holding, "the store has another owner")
+            return
+        finally:
+            self._committing = None
+        for executor_id, (born, cursor) in cursors.items():
+            state = self._ledger.executors.get(executor_id)
+            if state is not None and state.born == born:
+                state.noted = max(state.noted, cursor)
+
+    def _start_runs(self, batch):
+        for run in self._ledger.note_stored(batch):
+            session = self._sessions.get(run.executor_id)
+            if session is None or not self._node.ownership.may_order():
+                now = self._node.clock.read_monotonic()
+                self._ledger.take_start_answer(run, Refusal.LATE, now)
+                continue
+            log_event(
+                "run-start",
+                pool=self.pool,
+                job=run.key.job_id,
+                task=run.key[1:],
+                run=run.number,
+                executor=run.executor_id,
+                fence=self._holding.fence,
+            )
+            self._spawn(session[0].start(run))
+
+    def _send_commands(self):
+        commands = self._ledger.commands
+        while commands:
+            command = commands.popleft()
+            session = self._sessions.get(command.executor_id)
+            if session is not None:
+                stop = session[0].stop(command.order, self._ledger.is_stop_due)
+                self._spawn(stop)
+
+    def _keep_sessions(self):
+        executors = self._ledger.executors
+        for executor_id, state in executors.items():
+            if state.entry is None:
+                continue
+            if executor_id in self._sessions:
+                address = self._sessions[executor_id][2]
+                if address == state.entry.address:
+                    continue
+                self._close_session(executor_id)
+            self._open_session(state)
+        for executor_id in self._sessions.keys() - executors.keys():
+            self._close_session(executor_id)
+
+    def _close_session(self, executor_id):
+        task = self._sessions.pop(executor_id)[1]
+        task.cancel()
+
+    def _open_session(self, state):
+        session = ExecutorSession(
+            state,
+            self._node.open_executor(state.entry),
+            self._holding.fence,
+            self._rules,
+            self._node.clock,
+            self._node.ownership.may_extend,
+            self._queue.put_nowait,
+            self._ledger.note_extension,
+        )
+        task = self._spawn(session.run())
+        self._sessions[state.executor_id] = (session, task, state.entry.address)
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+        return task
+
+    def _finish_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("task-failed", "ERROR", pool=self.pool, error=task.exception())
+
+    def _cancel_tasks(self):
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/peridotspoke/nodes/view.py
@@ -0,0 +1,246 @@
+"""What a node knows of the store, kept up to date by watches."""
+
+from dataclasses import dataclass, replace
+
+import msgspec
+from reactivex.subject import Subject
+
+from peridotspoke.exceptions import RecordError
+from peridotspoke.logs import log_event
+from peridotspoke.nodes.keys import split_key
+from peridotspoke.workloads.configuration import Configuration
+from peridotspoke.workloads.jobs import Job
+from peridotspoke.workloads.progress import (
+    JobOutcome,
+    ProgressSummary,
+    decode_job,
+    decode_summary,
+)
+
+__all__ = [
+    "JobView",
+    "NodeRecord",
+    "OwnerRecord",
+    "PoolState",
+    "StoreView",
+    "Withdrawal",
+    "decode_value",
+    "encode_value",
+]
+
+TOMBSTONE = b""
+
+
+class NodeRecord(msgspec.Struct, frozen=True):
+    """A live node; `incarnation` differs for each start of its process."""
+
+    name: str
+    incarnation: str
+    zone: str = ""
+
+
+class OwnerRecord(msgspec.Struct, frozen=True):
+    """The owner of a unit."""
+
+    name: str
+    incarnation: str
+
+
+class PoolState(msgspec.Struct, frozen=True):
+    """How a pool stands, as its owner describes it.
+
+    Parameters
+    ----------
+    cores : float
+        Processors that take work.
+    backlog : float
+        Processor-seconds of work that is accepted and not done.
+    needed : float
+        Processors that the near future needs.
+    written_at : float
+        Seconds since the Unix epoch.
+    """
+
+    cores: float = 0.0
+    backlog: float = 0.0
+    needed: float = 0.0
+    written_at: float = 0.0
+    spread: int = 0
+
+
+class Withdrawal(msgspec.Struct, frozen=True):
+    """An executor that is to be emptied, and whether it is empty."""
+
+    executor_id: str
+    pool: str
+    reason: str
+    fence: int
+    empty: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobView:
+    """A job as the store has it; `job` is None for a tombstone."""
+
+    job: Job | None
+    revision: int = 0
+    summary: ProgressSummary | None = None
+    progress: object = None
+    cancelled: bool = False
+
+    @property
+    def state(self):
+        """The state that callers are told."""
+        if self.summary is not None and self.summary.outcome:
+            return self.summary.outcome
+        if self.cancelled:
+            return str(JobOutcome.CANCELLED)
+        begun = self.summary is not None and self.summary.begun
+        return "running" if begun else "queued"
+
+    @property
+    def is_open(self):
+        """Whether the job has not ended."""
+        return self.state in ("running", "queued")
+
+
+ABSENT = JobView(None)
+
+
+class StoreView:
+    """The records of the store by kind, as far as this node has read them.
+
+    `changes` is an observable of the set of changed names by kind. `revision` is
+    the revision up to which the records of the work prefix are complete.
+    """
+
+    def __init__(self):
+        self.configuration: Configuration | None = None
+        self.waves = {}
+        self.jobs = {}
+        self.owners = {}
+        self.nodes = {}
+        self.pools = {}
+        self.withdrawals = {}
+        self.entries = {}
+        self.revision = 0
+        self.has_work = False
+        self.has_entries = False
+        self.changes = Subject()
+
+    def note_configuration(self, configuration):
+        """Take in a version of the configuration; an older one is ignored."""
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        log_event(
+            "configuration-in-force",
+            version=configuration.version,
+            before=known and known.version,
+            queues=len(configuration.queues),
+        )
+        self.changes.on_next({"configuration": {str(configuration.version)}})
+
+    def note_work(self, followed):
+        """Take in changed records of the work prefix."""
+        changed = {}
+        for key in followed.changed:
+            kind, name = split_key(key)
+            try:
+                self._apply(kind, name, followed.records.get(key))
+            except RecordError as error:
+                log_event("record-unreadable", "ERROR", key=key, error=error)
+                continue
+            changed.setdefault(kind, set()).add(name)
+        self.revision = max(self.revision, followed.revision)
+        self.has_work = True
+        self.changes.on_next(changed)
+
+    def note_entries(self, followed, decode):
+        """Take in changed entries of executors; `decode` raises `RecordError`."""
+        changed = set()
+        for key in followed.changed:
+            name = key.partition("/")[2]
+            record = followed.records.get(key)
+            entry = None
+            if record is not None:
+                try:
+                    entry = decode(record)
+                except RecordError as error:
+                    log_event("entry-unreadable", "WARNING", key=key, error=error)
+            if entry is None:
+                self.entries.pop(name, None)
+            else:
+                self.entries[name] = entry
+            changed.add(name)
+        self.has_entries = True
+        if changed:
+            self.changes.on_next({"entry": changed})
+
+    def note_job(self, job, revision):
+        """Take in a job that this node has just stored."""
+        if job.job_id not in self.jobs or self.jobs[job.job_id].job is None:
+            self.jobs[job.job_id] = JobView(job, revision)
+            self.changes.on_next({"job": {job.job_id}})
+
+    def note_cancel(self, job_id):
+        """Take in that a job's cancelling is stored."""
+        self._update_job(job_id, cancelled=True)
+        self.changes.on_next({"cancel": {job_id}})
+
+    def _apply(self, kind, name, record):
+        if kind == "job":
+            self._apply_job(name, record)
+        elif kind == "progress":
+            self._apply_progress(name, record)
+        elif kind == "cancel":
+            self._update_job(name, cancelled=record is not None)
+        elif kind == "owner":
+            decoded = record and (decode_value(record, OwnerRecord), record.created)
+            _set(self.owners, name, decoded)
+        elif kind == "node":
+            _set(self.nodes, name, record and decode_value(record, NodeRecord))
+        elif kind == "pool":
+            _set(self.pools, name, record and decode_value(record, PoolState))
+        elif kind == "withdrawal":
+            decoded = record and (decode_value(record, Withdrawal), record.revision)
+            _set(self.withdrawals, name, decoded)
+
+    def _apply_job(self, job_id, record):
+        if record is None:
+            self.jobs.pop(job_id, None)
+            return
+        job = None if record.value == TOMBSTONE else decode_job(record)
+        self._update_job(job_id, job=job, revision=record.revision)
+
+    def _apply_progress(self, job_id, record):
+        if record is None:
+            return
+        self._update_job(job_id, summary=decode_summary(record), progress=record)
+
+    def _update_job(self, job_id, **fields):
+        known = self.jobs.get(job_id, ABSENT)
+        if known is ABSENT and fields.get("cancelled") is False:
+            return
+        self.jobs[job_id] = replace(known, **fields)
+
+
+def _set(records, name, value):
+    if value is None:
+        records.pop(name, None)
+    else:
+        records[name] = value
+
+
+def encode_value(value):
+    """Return the bytes of one of this module's records."""
+    return msgspec.json.encode(value)
+
+
+def decode_value(record, value_class):
+    """Return one of this module's records; raises `RecordError`."""
+    try:
+        return msgspec.json.decode(record.value, type=value_class)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise RecordError(str(error), step="decode record", peer=record.key) from error
--- a/peridotspoke/peers/lease.py
+++ b/peridotspoke/peers/lease.py
@@ -6,7 +6,7 @@
 from peridotspoke.identities import make_operation_id
 from peridotspoke.logs import log_event
 from peridotspoke.peers.records import MemberRecord, key_member
-from peridotspoke.platform import ChangeNote, Stored, decode_record, swap_stored
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 
 __all__ = ["ProcessLease"]
 
--- a/peridotspoke/peers/lending.py
+++ b/peridotspoke/peers/lending.py
@@ -19,7 +19,7 @@
     key_keeper,
 )
 from peridotspoke.peers.slots import LendingRules, SlotBorrower, SlotKeeper
-from peridotspoke.platform import (
+from peridotspoke.store import (
     ChangeNote,
     Stored,
     decode_record,
--- a/peridotspoke/peers/node.py
+++ b/peridotspoke/peers/node.py
@@ -13,7 +13,7 @@
 from peridotspoke.peers.messages import PeerView
 from peridotspoke.peers.records import MEMBERS_PREFIX, MemberRecord
 from peridotspoke.peers.server import PeerServer
-from peridotspoke.platform import FollowingRules, decode_record, follow_prefix
+from peridotspoke.store import FollowingRules, decode_record, follow_prefix
 
 __all__ = ["PeerNode", "PeerStatus"]
 
--- a/peridotspoke/peers/tests/test_gossip.py
+++ b/peridotspoke/peers/tests/test_gossip.py
@@ -19,7 +19,7 @@
     PeerLink,
     PeerNode,
 )
-from peridotspoke.platform import GatewayKeyValueService
+from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.pools import InstanceRecord, Phase
 from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 
--- a/peridotspoke/peers/tests/test_leaving.py
+++ b/peridotspoke/peers/tests/test_leaving.py
@@ -4,7 +4,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from peridotspoke.peers import LeavingNews, LeavingView
-from peridotspoke.platform import ListedInstance
+from peridotspoke.store import ListedInstance
 from peridotspoke.pools import InstanceRecord, Phase
 from peridotspoke.requests import build_routing_table
 
--- /dev/null
+++ b/peridotspoke/platform/assembly.py
@@ -0,0 +1,54 @@
+"""Puts a node together for the platform."""
+
+import random
+
+from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.nodes.node import DocumentCodec, Node
+from peridotspoke.nodes.parts import BoottimeClock, NodeParts
+from peridotspoke.nodes.view import StoreView
+from peridotspoke.platform.advice import HttpAdvice
+from peridotspoke.platform.configuration import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    WAVE_PREFIX,
+    decode_configuration,
+    decode_wave,
+)
+from peridotspoke.platform.executors import HttpExecutor, decode_entry
+from peridotspoke.platform.http import HttpPeer
+from peridotspoke.platform.keyvalue import MetadataStore
+from peridotspoke.platform.machines import HttpMachines
+
+__all__ = ["assemble_node"]
+
+MACHINES_TIMEOUT = 1.5  # seconds
+
+
+def assemble_node(settings):
+    """Return the `NodeParts` and the `Node` that use the platform's interfaces."""
+    parts = NodeParts(
+        settings, BoottimeClock(), StoreView(), MetricsRegistry(), random.Random()
+    )
+    parts.store = MetadataStore(
+        HttpPeer(settings.store),
+        parts.clock,
+        settings.timing.store_call,
+        note_contact=parts.note_contact,
+        count_call=parts.count_store_call,
+    )
+    parts.open_executor = lambda entry: HttpExecutor(
+        HttpPeer(entry.address), entry.executor_id, settings.timing.call
+    )
+    if settings.machines:
+        parts.machines = HttpMachines(HttpPeer(settings.machines), MACHINES_TIMEOUT)
+    if settings.advice:
+        parts.advice = HttpAdvice(HttpPeer(settings.advice))
+    codec = DocumentCodec(
+        OPERATOR_PREFIX,
+        CONFIGURATION_KEY,
+        WAVE_PREFIX,
+        decode_configuration,
+        decode_wave,
+        decode_entry,
+    )
+    return parts, Node(parts, codec)
--- /dev/null
+++ b/peridotspoke/platform/configuration.py
@@ -0,0 +1,127 @@
+"""The operator's documents on the platform's wire."""
+
+import msgspec
+
+from peridotspoke.exceptions import RecordError
+from peridotspoke.workloads.configuration import (
+    Advice,
+    Configuration,
+    MaintenanceWave,
+    Queue,
+    WorkPool,
+)
+from peridotspoke.workloads.jobs import QueueTerms
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "OPERATOR_PREFIX",
+    "WAVE_PREFIX",
+    "decode_configuration",
+    "decode_wave",
+    "encode_wave_status",
+    "key_wave_status",
+]
+
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+WAVE_PREFIX = "op/wave/"
+
+
+class _Advice(msgspec.Struct, rename="camel"):
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """A route of the wire is a queue here, its service a pool."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 3
+    stretch: float = 1.5
+    target_latency_ms: float = 600.0
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    admission_check: bool = False
+    spare: bool = False
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_body_bytes: int = 262_144
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Wave(msgspec.Struct, rename="camel"):
+    wave: int
+    machines: list[str]
+    duration_s: float
+    max_count: int
+
+
+def decode_configuration(record):
+    """Return the `Configuration` of the operator's record; raises `RecordError`."""
+    config = _decode(record, _Config)
+    return Configuration(
+        config.version,
+        tuple(_make_queue(route) for route in config.routes),
+        tuple(
+            WorkPool(item.name, item.admission_check, item.spare)
+            for item in config.services
+        ),
+        config.limits.max_body_bytes,
+    )
+
+
+def decode_wave(record):
+    """Return the `MaintenanceWave` of the operator's record; raises `RecordError`."""
+    wave = _decode(record, _Wave)
+    return MaintenanceWave(
+        wave.wave, tuple(wave.machines), wave.duration_s, wave.max_count
+    )
+
+
+def key_wave_status(number):
+    """Return the key at which the operator reads how a wave stands."""
+    return f"status/wave/{number}"
+
+
+def encode_wave_status(completed):
+    """Return the value that tells whether a wave is completed."""
+    state = "completed" if completed else "running"
+    return msgspec.json.encode({"state": state})
+
+
+def _make_queue(route):
+    advice = route.advice and Advice(
+        route.advice.decide_ms / 1000,
+        route.advice.each_ms / 1000,
+        route.advice.valid_ms / 1000,
+    )
+    terms = QueueTerms(
+        route.priority,
+        route.max_attempts,
+        route.stretch,
+        route.target_latency_ms / 1000,
+        advice is not None,
+    )
+    return Queue(route.name, route.host, route.prefix, route.service, terms, advice)
+
+
+def _decode(record, body_class):
+    try:
+        return msgspec.json.decode(record.value, type=body_class)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise RecordError(str(error), step="decode record", peer=record.key) from error
--- /dev/null
+++ b/peridotspoke/platform/http.py
@@ -0,0 +1,135 @@
+"""The one HTTP client of the adapter: JSON calls to one peer."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from peridotspoke.exceptions import AnswerLostError, PlatformUnavailableError
+from peridotspoke.logs import log_event
+
+__all__ = ["Answer", "HttpPeer", "decode_body"]
+
+OLD_SESSION_GRACE = 5.0  # seconds that calls on replaced connections may still take
+HTTP_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The status and the body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpPeer:
+    """Calls one peer over connections that are replaced after each time-out.
+
+    A connection may go silent for good while new ones work, so that no later call
+    uses a connection that was open when a call timed out.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    connect_timeout : float
+        Limit of opening a connection, seconds.
+    """
+
+    def __init__(self, address, connect_timeout=0.6):
+        self.address = address
+        self._connect_timeout = connect_timeout
+        self._session = None
+        self._closing = set()
+
+    async def call(self, method, path, timeout, body=None, headers=None):
+        """Return the `Answer` to one call.
+
+        Parameters
+        ----------
+        method, path : str
+        timeout : float
+            Limit of the call, seconds.
+        body : object, optional
+            Sent as JSON.
+        headers : dict, optional
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the call was certainly not received.
+        AnswerLostError
+            If it may have been received.
+        """
+        data = None if body is None else msgspec.json.encode(body)
+        sent = {"Content-Type": "application/json"} if data else {}
+        session = self._open_session()
+        try:
+            async with session.request(
+                method,
+                f"http://{self.address}{path}",
+                data=data,
+                headers={**sent, **(headers or {})},
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout, connect=self._connect_timeout
+                ),
+            ) as response:
+                return Answer(response.status, await response.read())
+        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
+            raise PlatformUnavailableError(
+                f"no connection: {error!r}", step=f"{method} {path}", peer=self.address
+            ) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self._replace_session()
+            raise AnswerLostError(
+                f"no answer: {error!r}", step=f"{method} {path}", peer=self.address
+            ) from error
+
+    async def close(self):
+        """Close all connections."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
+    def _open_session(self):
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=60.0, use_dns_cache=False
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            )
+        return self._session
+
+    def _replace_session(self):
+        if self._session is None:
+            return
+        task = asyncio.ensure_future(_close_later(self._session))
+        self._session = None
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+async def _close_later(session):
+    try:
+        await asyncio.sleep(OLD_SESSION_GRACE)
+    finally:
+        await session.close()
+
+
+def decode_body(answer, body_class, step, peer):
+    """Return the answer's body as `body_class`.
+
+    Raises
+    ------
+    AnswerLostError
+        If the body does not have that form: the call may have had an effect.
+    """
+    try:
+        return msgspec.json.decode(answer.body, type=body_class)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        log_event("answer-unreadable", "WARNING", step=step, peer=peer, error=error)
+        raise AnswerLostError(
+            f"unexpected answer {answer.status}: {error}", step=step, peer=peer
+        ) from error
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -1,153 +1,245 @@
-"""The interface of the platform's key-value service."""
-
-from abc import ABC, abstractmethod
-from dataclasses import dataclass
-
-__all__ = [
-    "MAX_VALUE",
-    "Change",
-    "KeyValueService",
-    "Lease",
-    "PrefixCheck",
-    "Record",
-    "Snapshot",
-    "SwapResult",
-    "WatchBatch",
-]
-
-MAX_VALUE = 1024 * 1024  # bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Record:
-    """A key with its value, the revision that wrote it and its lease (0: none)."""
-
+"""The platform's metadata store as a `KeyValueService`."""
+
+import asyncio
+import base64
+from urllib.parse import quote
+
+import msgspec
+
+from peridotspoke.exceptions import (
+    AnswerLostError,
+    LeaseExpiredError,
+    PlatformUnavailableError,
+)
+from peridotspoke.platform.http import HTTP_OK, decode_body
+from peridotspoke.store import (
+    Change,
+    CommitResult,
+    Condition,
+    KeyValueService,
+    Lease,
+    Put,
+    Record,
+    Snapshot,
+    SwapResult,
+    Transaction,
+    WatchBatch,
+)
+
+__all__ = ["MAX_TRANSACTION_ENTRIES", "MetadataStore", "WatchRules"]
+
+MAX_TRANSACTION_ENTRIES = 32  # the platform's protocol, "kv-txn"
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_CONDITION_FAILED = 412
+HTTP_REFUSALS = frozenset({400, 403, 410, 429, 503})
+
+
+class _Item(msgspec.Struct, rename="camel"):
     key: str
-    value: bytes
-    revision: int
+    value: str = ""
+    revision: int = 0
+    created_rev: int = 0
     lease: int = 0
+    deleted: bool = False
 
+    def decode(self):
+        value = base64.b64decode(self.value)
+        return Record(self.key, value, self.revision, self.lease, self.created_rev)
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """The records under a prefix as of one revision."""
-
-    records: tuple[Record, ...]
-    revision: int
 
+class _Items(msgspec.Struct, rename="camel"):
+    items: list[_Item] = []
+    events: list[_Item] = []
+    has_more: bool = False
+    as_of: int = 0
+    revision: int = 0
 
-@dataclass(frozen=True, slots=True)
-class PrefixCheck:
-    """How many records a prefix has, and whether any is newer than a revision."""
 
-    count: int
-    changed: bool
-
-
-@dataclass(frozen=True, slots=True)
-class SwapResult:
-    """Whether a swap won; the revision, and the record found where it lost."""
-
-    won: bool
-    revision: int
-    current: Record | None = None
+class _GrantedLease(msgspec.Struct, rename="camel"):
+    ttl_ms: int
+    lease: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Lease:
-    """A lease with its time to live in seconds.
+class WatchRules(msgspec.Struct, frozen=True):
+    """Times of a watch, in seconds.
 
-    `asked_at` is the holder's monotonic time from before the grant or the renewal
-    was sent, so that ``asked_at + ttl`` is never later than the service's expiry.
+    `wait` is how long the store may hold a poll back, `margin` how much later it
+    counts as lost, `pause` the least time between two polls.
     """
 
-    lease_id: int
-    ttl: float
-    asked_at: float
-
-    def is_held(self, now):
-        """Return whether the holder may still act at the monotonic time `now`."""
-        return now < self.asked_at + self.ttl
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """A key's new record, or None where the key was deleted."""
-
-    key: str
-    record: Record | None
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class WatchBatch:
-    """Changes in the order of their revisions, and the revision reached."""
-
-    changes: tuple[Change, ...]
-    revision: int
-
-
-class KeyValueService(ABC):
-    """A small store with compare-and-swap, leases and watches.
-
-    Every method raises `PlatformUnavailableError` where the call certainly had no
-    effect and `AnswerLostError` where it may have had one.
+    wait: float = 2.0
+    margin: float = 1.0
+    pause: float = 0.04
+
+
+class MetadataStore(KeyValueService):
+    """Client of the platform's store.
+
+    Parameters
+    ----------
+    peer : HttpPeer
+    clock : Clock
+    timeout : float
+        Limit of one call, seconds.
+    watch_rules : WatchRules, optional
+    note_contact : callable, optional
+        Called with the clock's time after each answer that served the call.
+    count_call : callable, optional
+        Called with the kind of each call and its result.
     """
 
-    @abstractmethod
+    watch_confirms = True
+
+    def __init__(
+        self,
+        peer,
+        clock,
+        timeout,
+        watch_rules=WatchRules(),
+        note_contact=None,
+        count_call=None,
+    ):
+        self._peer = peer
+        self._clock = clock
+        self._timeout = timeout
+        self._watch_rules = watch_rules
+        self._note_contact = note_contact
+        self._count_call = count_call
+
     async def read(self, key):
         """Return the `Record` of `key`, or None."""
+        answer = await self._call("GET", f"kv-key?key={quote(key)}", "key")
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        return self._decode(answer, _Item, "kv-key").decode()
 
-    @abstractmethod
     async def read_prefix(self, prefix):
-        """Return a `Snapshot` of all records whose keys begin with `prefix`."""
-
-    async def check_prefix(self, prefix, revision):
-        """Return the `PrefixCheck` of the records newer than `revision`."""
-        found = (await self.read_prefix(prefix)).records
-        newer = any(record.revision > revision for record in found)
-        return PrefixCheck(len(found), newer)
+        """Return a `Snapshot`, as of its first page, of the keys under `prefix`."""
+        records, revision, after = [], None, ""
+        while True:
+            query = f"kv-range?prefix={quote(prefix)}"
+            query += f"&after={quote(after)}" if after else ""
+            page = self._decode(
+                await self._call("GET", query, "range"), _Items, "kv-range"
+            )
+            revision = page.as_of if revision is None else revision
+            records += [item.decode() for item in page.items]
+            if not page.has_more or not page.items:
+                return Snapshot(tuple(records), revision)
+            after = page.items[-1].key
 
-    @abstractmethod
     async def swap(self, key, value, expected_revision, lease_id=0):
-        """Write `value` if the key's revision is `expected_revision`.
-
-        Parameters
-        ----------
-        key : str
-        value : bytes or None
-            None deletes the key.
-        expected_revision : int
-            The revision of the record that is replaced; 0 for an absent key.
-        lease_id : int, optional
-            The lease that the record is attached to.
-
-        Returns
-        -------
-        SwapResult
-
-        Raises
-        ------
-        RecordError
-            If the value is larger than the service holds.
-        """
-
-    @abstractmethod
+        """Write `value` if the key's revision is `expected_revision`."""
+        puts = () if value is None else (Put(key, value, lease_id),)
+        removals = (key,) if value is None else ()
+        condition = Condition(key, expected_revision)
+        result = await self.commit(Transaction((condition,), puts, removals))
+        return SwapResult(result.won, result.revision, result.find_current(key))
+
+    async def commit(self, transaction):
+        """Apply a `Transaction` as a whole and return its `CommitResult`."""
+        body = {
+            "expectedRev": [
+                {"key": item.key, "revision": item.revision}
+                for item in transaction.conditions
+            ],
+            "puts": [_encode_put(put) for put in transaction.puts],
+            "remove": list(transaction.removals),
+        }
+        answer = await self._call("POST", "kv-txn", "commit", body)
+        if answer.status == HTTP_NOT_FOUND:
+            raise LeaseExpiredError("a lease of the commit has ended", step="commit")
+        found = self._decode(answer, _Items, "kv-txn")
+        if answer.status == HTTP_OK:
+            return CommitResult(True, found.revision)
+        current = tuple(item.decode() for item in found.items if item.revision)
+        return CommitResult(False, 0, current)
+
     async def grant_lease(self, ttl):
         """Return a fresh `Lease` of `ttl` seconds."""
+        asked_at = self._clock.read_monotonic()
+        body = {"ttlMs": round(ttl * 1000)}
+        answer = await self._call("POST", "kv-lease", "grant", body)
+        granted = self._decode(answer, _GrantedLease, "kv-lease")
+        return Lease(granted.lease, granted.ttl_ms / 1000, asked_at)
 
-    @abstractmethod
     async def renew_lease(self, lease):
         """Return the renewed `Lease`, or None where it has expired."""
+        asked_at = self._clock.read_monotonic()
+        answer = await self._call("POST", f"kv-keep/{lease.lease_id}", "renew", {})
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        granted = self._decode(answer, _GrantedLease, "kv-keep")
+        return Lease(lease.lease_id, granted.ttl_ms / 1000, asked_at)
 
-    @abstractmethod
     async def revoke_lease(self, lease):
         """End the lease and delete the records attached to it."""
-
-    @abstractmethod
-    def watch(self, prefix, from_revision):
-        """Yield a `WatchBatch` for each set of changes after `from_revision`.
-
-        The iterator ends with an error when the connection is lost or when the
-        revision has been compacted; the caller then reads a new snapshot.
-        """
+        await self._call("DELETE", f"kv-lease-end/{lease.lease_id}", "revoke")
+
+    async def watch(self, prefix, from_revision):
+        """Yield a `WatchBatch` for each answered poll, empty ones included."""
+        rules = self._watch_rules
+        revision = from_revision
+        while True:
+            query = (
+                f"kv-watch?prefix={quote(prefix)}&after={revision}"
+                f"&waitMs={round(rules.wait * 1000)}"
+            )
+            answer = await self._call(
+                "GET", query, "watch", timeout=rules.wait + rules.margin
+            )
+            found = self._decode(answer, _Items, "kv-watch")
+            revision = max(revision, found.as_of)
+            changes = tuple(_decode_event(event) for event in found.events)
+            yield WatchBatch(changes, revision)
+            await asyncio.sleep(rules.pause)
+
+    async def _call(self, method, path, kind, body=None, timeout=None):
+        try:
+            answer = await self._peer.call(
+                method, f"/peridotspoke/{path}", timeout or self._timeout, body
+            )
+        except (AnswerLostError, PlatformUnavailableError) as error:
+            self._count(kind, type(error).__name__)
+            raise
+        self._count(kind, answer.status)
+        if answer.status in HTTP_REFUSALS:
+            raise PlatformUnavailableError(
+                f"refused with {answer.status}: {answer.body[:200]!r}",
+                step=kind,
+                peer=self._peer.address,
+            )
+        if answer.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONDITION_FAILED):
+            raise AnswerLostError(
+                f"unexpected status {answer.status}",
+                step=kind,
+                peer=self._peer.address,
+            )
+        if self._note_contact is not None:
+            self._note_contact(self._clock.read_monotonic())
+        return answer
+
+    def _count(self, kind, result):
+        if self._count_call is not None:
+            self._count_call(kind, str(result))
+
+    def _decode(self, answer, body_class, step):
+        if answer.status == HTTP_NOT_FOUND:
+            raise AnswerLostError(
+                "unexpected status 404", step=step, peer=self._peer.address
+            )
+        return decode_body(answer, body_class, step, self._peer.address)
+
+
+def _encode_put(put):
+    return {
+        "key": put.key,
+        "value": base64.b64encode(put.value).decode(),
+        "lease": put.lease,
+    }
+
+
+def _decode_event(event):
+    record = None if event.deleted else event.decode()
+    return Change(event.key, record, event.revision)
--- /dev/null
+++ b/peridotspoke/platform/submissions.py
@@ -0,0 +1,103 @@
+"""Jobs and their states on the wire towards callers."""
+
+import msgspec
+
+from peridotspoke.exceptions import RequestError
+from peridotspoke.workloads.jobs import Job, Need, Step
+
+__all__ = ["decode_submission", "encode_state", "encode_waiting"]
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    # The wire's "longRunning" means that the tasks run until the job is cancelled.
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Submission(msgspec.Struct, rename="camel"):
+    spec: str
+    steps: list[_Step]
+    repeat_count: int = 0
+    first_ms: float = 0.0
+    interval_ms: float = 0.0
+
+
+def decode_submission(body, job_id, queue, accepted_at):
+    """Return the `Job` that a caller hands in.
+
+    Parameters
+    ----------
+    body : bytes
+    job_id : str
+    queue : Queue
+    accepted_at : float
+        Seconds since the Unix epoch.
+
+    Raises
+    ------
+    RequestError
+        If the body can't be read.
+    """
+    try:
+        submission = msgspec.json.decode(body, type=_Submission)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise RequestError(str(error), step="read job", peer=job_id) from error
+    return Job(
+        job_id=job_id,
+        queue=queue.name,
+        pool=queue.pool,
+        spec=submission.spec,
+        steps=tuple(_make_step(step) for step in submission.steps),
+        terms=queue.terms,
+        accepted_at=accepted_at,
+        first_due=submission.first_ms / 1000,
+        interval=submission.interval_ms / 1000,
+        repeats=submission.repeat_count,
+    )
+
+
+def encode_state(state):
+    """Return the body that tells a job's state."""
+    return msgspec.json.encode({"state": state})
+
+
+def encode_waiting(count):
+    """Return the body that tells how many jobs of a queue wait."""
+    return msgspec.json.encode({"waiting": count})
+
+
+def _make_step(step):
+    return Step(
+        count=step.count,
+        need=Need(step.cpu, step.mem_mb, step.gpu),
+        estimate=step.estimate_ms / 1000,
+        after=tuple(step.after),
+        checkpointing=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        requires=step.requires,
+        affinity=step.affinity,
+        most_per_executor=step.anti_affinity,
+        speculative=step.speculative,
+        lasting=step.long_running,
+        image=step.image,
+        target=step.target_ms / 1000,
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
--- a/peridotspoke/pools/actions.py
+++ b/peridotspoke/pools/actions.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from peridotspoke.planning import PlannedMove
-from peridotspoke.platform import ListedInstance, UsageReport
+from peridotspoke.store import ListedInstance, UsageReport
 from peridotspoke.pools.conditions import PoolCondition
 from peridotspoke.pools.drains import DrainBounds, EntryView
 from peridotspoke.pools.ledger import Disruption, DisruptionLedger, PermitRequest
--- a/peridotspoke/pools/controlling.py
+++ b/peridotspoke/pools/controlling.py
@@ -15,7 +15,7 @@
     PlatformError,
 )
 from peridotspoke.logs import log_event
-from peridotspoke.platform import decode_record
+from peridotspoke.store import decode_record
 from peridotspoke.pools.actions import BeginOperation, RebootInstance, ReportLate
 from peridotspoke.pools.drains import InFlight
 from peridotspoke.pools.ledger import POOLS_PREFIX
--- a/peridotspoke/pools/observing.py
+++ b/peridotspoke/pools/observing.py
@@ -4,7 +4,7 @@
 
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.platform import decode_record
+from peridotspoke.store import decode_record
 from peridotspoke.pools.actions import FleetView
 from peridotspoke.pools.entries import EntryWatch
 from peridotspoke.pools.ledger import POOLS_PREFIX, DisruptionLedger, key_ledger
--- a/peridotspoke/pools/ownership.py
+++ b/peridotspoke/pools/ownership.py
@@ -6,7 +6,7 @@
 from peridotspoke.exceptions import OperationConflictError
 from peridotspoke.hashing import choose_member
 from peridotspoke.logs import log_event
-from peridotspoke.platform import ChangeNote, Stored, decode_record, swap_stored
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 
 __all__ = [
     "OWNERS_PREFIX",
--- a/peridotspoke/pools/tests/sites.py
+++ b/peridotspoke/pools/tests/sites.py
@@ -10,7 +10,7 @@
     ServiceDeclaration,
 )
 from peridotspoke.exceptions import RecordError
-from peridotspoke.platform import decode_record
+from peridotspoke.store import decode_record
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
 from peridotspoke.standins.site import FleetSite, list_machines
 
--- a/peridotspoke/pools/tests/test_fleet_faults.py
+++ b/peridotspoke/pools/tests/test_fleet_faults.py
@@ -12,7 +12,7 @@
     PlatformError,
 )
 from peridotspoke.planning import PlannedMove
-from peridotspoke.platform import UsageReport, decode_record, parse_instances
+from peridotspoke.store import UsageReport, decode_record, parse_instances
 from peridotspoke.pools import (
     DisruptionLedger,
     FixedPlanner,
--- a/peridotspoke/pools/writing.py
+++ b/peridotspoke/pools/writing.py
@@ -4,7 +4,7 @@
 
 from peridotspoke.exceptions import OperationConflictError, PermitRefusedError
 from peridotspoke.logs import log_event
-from peridotspoke.platform import ChangeNote, Stored, decode_record, swap_stored
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 from peridotspoke.pools.actions import (
     AddRecord,
     BeginOperation,
--- a/peridotspoke/programs/audit.py
+++ b/peridotspoke/programs/audit.py
@@ -12,7 +12,7 @@
 from peridotspoke.clock import SystemClock
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.platform import (
+from peridotspoke.store import (
     AUDIT_PREFIX,
     ArchivedChanges,
     ChangeNote,
--- a/peridotspoke/programs/connecting.py
+++ b/peridotspoke/programs/connecting.py
@@ -6,7 +6,7 @@
 
 from peridotspoke.declarations import ConfigurationFollower
 from peridotspoke.peers import GrpcLink, PeerClient, PeerNode, make_member
-from peridotspoke.platform import (
+from peridotspoke.store import (
     HttpInstanceList,
     InstanceList,
     KeyValueService,
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -11,7 +11,7 @@
 from peridotspoke.peers import (
     PeerHandlers,
 )
-from peridotspoke.platform import (
+from peridotspoke.store import (
     HttpInstanceActions,
     HttpUsageReports,
 )
--- a/peridotspoke/programs/fleet.py
+++ b/peridotspoke/programs/fleet.py
@@ -7,7 +7,7 @@
 
 from peridotspoke.exceptions import PlatformError
 from peridotspoke.identities import make_operation_id
-from peridotspoke.platform import FollowingRules, follow_prefix
+from peridotspoke.store import FollowingRules, follow_prefix
 from peridotspoke.pools import (
     INSTANCES_PREFIX,
     OWNERS_PREFIX,
--- a/peridotspoke/programs/fleetjobs.py
+++ b/peridotspoke/programs/fleetjobs.py
@@ -11,7 +11,7 @@
     JobsTask,
 )
 from peridotspoke.peers import InFlightSource
-from peridotspoke.platform.workers import HttpWorker
+from peridotspoke.store.workers import HttpWorker
 from peridotspoke.programs.fleet import NodeIdentity
 from peridotspoke.programs.jobpools import describe_pools
 
--- /dev/null
+++ b/peridotspoke/programs/node.py
@@ -0,0 +1,57 @@
+"""The program that runs on each instance of the prepared machines."""
+
+import asyncio
+import signal
+import sys
+
+from peridotspoke.exceptions import SettingsError
+from peridotspoke.logs import configure_logs, log_event
+from peridotspoke.nodes.desk import JobDesk
+from peridotspoke.platform import (
+    Ingress,
+    assemble_node,
+    decode_submission,
+    read_settings_file,
+)
+
+__all__ = ["main"]
+
+EXIT_USAGE = 2
+LEAVE_SHARE = 0.55  # of the grace, during which requests are still served
+
+
+async def _run(settings):
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log_event("settings-signal"))
+    parts, node = assemble_node(settings)
+    job_desk = JobDesk(parts, decode_submission, admit=lambda job: None)
+    ingress = Ingress(settings, job_desk, parts.metrics.render)
+    await ingress.open()
+    node.start()
+    log_event("started", front=settings.front, zone=settings.zone)
+    await stop.wait()
+    log_event("stopping", grace=settings.bounds.grace)
+    ingress.leave()
+    await node.leave()
+    await asyncio.sleep(settings.bounds.grace * LEAVE_SHARE)
+    await ingress.close()
+    await node.stop()
+    log_event("stopped")
+
+
+def main():
+    """Run the node until it is told to stop."""
+    try:
+        settings = read_settings_file()
+    except SettingsError as error:
+        print(f"peridotspoke-node: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    configure_logs("node", settings.name, stream=sys.stdout)
+    asyncio.run(_run(settings))
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/publish.py
+++ b/peridotspoke/programs/publish.py
@@ -39,7 +39,7 @@
     OperationConflictError,
     PlatformError,
 )
-from peridotspoke.platform import open_service
+from peridotspoke.store import open_service
 from peridotspoke.programs.output import print_rows
 from peridotspoke.programs.running import make_command, run_commands
 from peridotspoke.programs.settings import PublishSettings
--- a/peridotspoke/programs/tests/test_audit.py
+++ b/peridotspoke/programs/tests/test_audit.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from peridotspoke.clock import ManualClock
-from peridotspoke.platform import ChangeNote, Stored, decode_record, swap_stored
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 from peridotspoke.programs.audit import list_changes
 from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
 
--- a/peridotspoke/programs/tests/test_jobs.py
+++ b/peridotspoke/programs/tests/test_jobs.py
@@ -22,7 +22,7 @@
 from peridotspoke.jobs import JobAcceptor, JobBatch
 from peridotspoke.jobs.lifecycle import JobFinished, JobStarting, apply_event
 from peridotspoke.jobs.messages import Attempt
-from peridotspoke.platform import (
+from peridotspoke.store import (
     GatewayKeyValueService,
     ListedInstance,
     Stored,
--- a/peridotspoke/programs/trial.py
+++ b/peridotspoke/programs/trial.py
@@ -12,7 +12,7 @@
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import publish_declarations, read_declarations
-from peridotspoke.platform import GatewayKeyValueService, ListedInstance
+from peridotspoke.store import GatewayKeyValueService, ListedInstance
 from peridotspoke.programs.control import Controller
 from peridotspoke.programs.entry import EntryInstance
 from peridotspoke.programs.running import make_command, run_commands
--- a/peridotspoke/programs/upstreams.py
+++ b/peridotspoke/programs/upstreams.py
@@ -4,7 +4,7 @@
 
 from peridotspoke.exceptions import PlatformError, RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.platform import decode_record, follow_prefix
+from peridotspoke.store import decode_record, follow_prefix
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
 from peridotspoke.requests import build_routing_table
 
--- a/peridotspoke/requests/claiming.py
+++ b/peridotspoke/requests/claiming.py
@@ -11,7 +11,7 @@
     RecordError,
 )
 from peridotspoke.identities import make_operation_id
-from peridotspoke.platform import ChangeNote, Stored, decode_record, swap_stored
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 from peridotspoke.requests.claims import (
     AnswerState,
     ClaimRecord,
--- a/peridotspoke/requests/tests/keys.py
+++ b/peridotspoke/requests/tests/keys.py
@@ -13,7 +13,7 @@
     PeerError,
     PlatformUnavailableError,
 )
-from peridotspoke.platform import KeyValueService, Lease
+from peridotspoke.store import KeyValueService, Lease
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.requests import (
     AdmittedRequest,
--- a/peridotspoke/standins/memory.py
+++ b/peridotspoke/standins/memory.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from peridotspoke.exceptions import PlatformUnavailableError, RecordError
-from peridotspoke.platform.keyvalue import KeyValueService, Lease, WatchBatch
+from peridotspoke.store.keyvalue import KeyValueService, Lease, WatchBatch
 
 __all__ = ["MemoryKeyValueService"]
 
--- a/peridotspoke/standins/platform.py
+++ b/peridotspoke/standins/platform.py
@@ -8,9 +8,9 @@
 import xxhash
 from aiohttp import web
 
-from peridotspoke.platform.gateway import decode_text, encode_text
-from peridotspoke.platform.instances import ListedInstance
-from peridotspoke.platform.usage import UsageReport
+from peridotspoke.store.gateway import decode_text, encode_text
+from peridotspoke.store.instances import ListedInstance
+from peridotspoke.store.usage import UsageReport
 from peridotspoke.standins.faults import PlatformFaults
 from peridotspoke.standins.fleet import FleetStandIn
 from peridotspoke.standins.store import StoreStandIn
--- a/peridotspoke/standins/site.py
+++ b/peridotspoke/standins/site.py
@@ -8,8 +8,8 @@
 from peridotspoke.exceptions import OperationConflictError, PeerError, RecordError
 from peridotspoke.identities import make_operation_id
 from peridotspoke.peers import InFlightReport, InFlightSource, MemberRecord
-from peridotspoke.platform import InstanceActions, ListedInstance, decode_record
-from peridotspoke.platform.keyvalue import Change
+from peridotspoke.store import InstanceActions, ListedInstance, decode_record
+from peridotspoke.store.keyvalue import Change
 from peridotspoke.pools import (
     INSTANCES_PREFIX,
     OWNERS_PREFIX,
--- a/peridotspoke/standins/store.py
+++ b/peridotspoke/standins/store.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
-from peridotspoke.platform.keyvalue import (
+from peridotspoke.store.keyvalue import (
     MAX_VALUE,
     Change,
     PrefixCheck,
--- a/peridotspoke/standins/worker.py
+++ b/peridotspoke/standins/worker.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from peridotspoke.platform.workers import (
+from peridotspoke.store.workers import (
     EndTasks,
     Exchange,
     StartTask,
--- /dev/null
+++ b/peridotspoke/store/__init__.py
@@ -0,0 +1,90 @@
+"""What the platform gives: key-value service, instance list, pools and workers."""
+
+from peridotspoke.store.actions import HttpInstanceActions, InstanceActions
+from peridotspoke.store.budget import (
+    BudgetedKeyValueService,
+    CallPriority,
+    open_service,
+)
+from peridotspoke.store.following import (
+    FollowedRecords,
+    FollowingRules,
+    follow_prefix,
+)
+from peridotspoke.store.gateway import GatewayKeyValueService
+from peridotspoke.store.instances import (
+    HttpInstanceList,
+    InstanceList,
+    ListedInstance,
+    parse_instances,
+)
+from peridotspoke.store.keyvalue import (
+    MAX_VALUE,
+    Change,
+    CommitResult,
+    Condition,
+    KeyValueService,
+    Lease,
+    PrefixCheck,
+    Put,
+    Record,
+    Snapshot,
+    SwapResult,
+    Transaction,
+    WatchBatch,
+)
+from peridotspoke.store.records import (
+    AUDIT_PREFIX,
+    ArchivedChanges,
+    ChangeNote,
+    Stored,
+    decode_record,
+    encode_stored,
+    swap_stored,
+)
+from peridotspoke.store.usage import (
+    HttpUsageReports,
+    UsageReport,
+    UsageReports,
+    parse_usage,
+)
+
+__all__ = [
+    "HttpUsageReports",
+    "UsageReport",
+    "UsageReports",
+    "parse_usage",
+    "AUDIT_PREFIX",
+    "ArchivedChanges",
+    "MAX_VALUE",
+    "BudgetedKeyValueService",
+    "CallPriority",
+    "Change",
+    "ChangeNote",
+    "CommitResult",
+    "Condition",
+    "FollowedRecords",
+    "FollowingRules",
+    "GatewayKeyValueService",
+    "HttpInstanceActions",
+    "HttpInstanceList",
+    "InstanceActions",
+    "InstanceList",
+    "KeyValueService",
+    "Lease",
+    "ListedInstance",
+    "PrefixCheck",
+    "Put",
+    "Record",
+    "Snapshot",
+    "Stored",
+    "SwapResult",
+    "Transaction",
+    "WatchBatch",
+    "decode_record",
+    "encode_stored",
+    "follow_prefix",
+    "open_service",
+    "parse_instances",
+    "swap_stored",
+]
--- a/peridotspoke/platform/budget.py
+++ b/peridotspoke/store/budget.py
@@ -4,8 +4,8 @@
 import enum
 
 from peridotspoke.exceptions import PlatformUnavailableError
-from peridotspoke.platform.gateway import GatewayKeyValueService
-from peridotspoke.platform.keyvalue import KeyValueService
+from peridotspoke.store.gateway import GatewayKeyValueService
+from peridotspoke.store.keyvalue import KeyValueService
 from peridotspoke.tokenbucket import TokenBucket
 
 __all__ = ["BudgetedKeyValueService", "CallPriority", "open_service"]
@@ -70,6 +70,11 @@
         await self._take(self._writes, CallPriority.SWAP)
         return await self._service.swap(key, value, expected_revision, lease_id)
 
+    async def commit(self, transaction):
+        """Apply a `Transaction` as a whole and return its `CommitResult`."""
+        await self._take(self._writes, CallPriority.SWAP)
+        return await self._service.commit(transaction)
+
     async def grant_lease(self, ttl):
         """Return a fresh `Lease` of `ttl` seconds."""
         await self._take(self._writes, CallPriority.LEASE)
--- a/peridotspoke/platform/following.py
+++ b/peridotspoke/store/following.py
@@ -11,7 +11,7 @@
 from peridotspoke.clock import SystemClock
 from peridotspoke.exceptions import PlatformError, PlatformUnavailableError
 from peridotspoke.logs import log_event
-from peridotspoke.platform.keyvalue import Record
+from peridotspoke.store.keyvalue import Record
 
 __all__ = ["FollowedRecords", "FollowingRules", "follow_prefix"]
 
@@ -37,12 +37,13 @@
     """All records under the prefix, and the keys that changed since the last.
 
     `confirmed_at` is the monotonic time, in seconds, as of which the records were
-    known to be complete.
+    known to be complete, and `revision` the revision up to which they are.
     """
 
     records: Mapping[str, Record]
     changed: frozenset[str]
     confirmed_at: float = 0.0
+    revision: int = 0
 
 
 async def follow_prefix(
@@ -80,7 +81,7 @@
             snapshot = await service.read_prefix(prefix)
             changed = _replace_records(records, snapshot.records)
             failures = 0
-            yield FollowedRecords(records, changed, asked_at)
+            yield FollowedRecords(records, changed, asked_at, snapshot.revision)
             follower = _WatchFollower(
                 service, prefix, rules, clock, chance, records, asked_at
             )
@@ -119,6 +120,11 @@
         check that finds more than the watch has told means that the watch is silent
         only if no batch came since the check before: one may be on its way.
         """
+        if self._service.watch_confirms:
+            async with aclosing(self._follow_confirming(revision)) as steps:
+                async for followed in steps:
+                    yield followed
+            return
         loop = asyncio.get_running_loop()
         due = loop.time() + self._draw_wait()
         quiet = True
@@ -133,7 +139,8 @@
                         revision = _find_revision(batch)
                         pending = asyncio.ensure_future(anext(batches, None))
                         quiet = False
-                        yield self._report(_apply_batch(self._records, batch))
+                        changed = _apply_batch(self._records, batch)
+                        yield self._report(changed, revision)
                     if loop.time() < due:
                         continue
                     result = await self._check(revision)
@@ -141,7 +148,7 @@
                         self._log_silence(revision)
                         return
                     if result is _CheckResult.CONFIRMED:
-                        yield self._report(frozenset())
+                        yield self._report(frozenset(), revision)
                     due = loop.time() + self._draw_wait()
                     quiet = True
             finally:
@@ -180,8 +187,16 @@
     def _log_silence(self, revision):
         log_event("watch-silent", "WARNING", prefix=self._prefix, revision=revision)
 
-    def _report(self, changed):
-        return FollowedRecords(self._records, changed, self._confirmed_at)
+    async def _follow_confirming(self, revision):
+        """Yield after each batch; each proves the records up to its revision."""
+        async with aclosing(self._service.watch(self._prefix, revision)) as batches:
+            async for batch in batches:
+                self._confirmed_at = self._clock.read_monotonic()
+                changed = _apply_batch(self._records, batch)
+                yield self._report(changed, batch.revision)
+
+    def _report(self, changed, revision):
+        return FollowedRecords(self._records, changed, self._confirmed_at, revision)
 
 
 def _find_revision(batch):
@@ -198,9 +213,15 @@
 
 
 def _apply_batch(records, batch):
+    """Apply the changes that are newer than what is known of their keys."""
+    changed = set()
     for change in batch.changes:
+        known = records.get(change.key)
+        if known is not None and known.revision >= change.revision:
+            continue
+        changed.add(change.key)
         if change.record is None:
             records.pop(change.key, None)
         else:
             records[change.key] = change.record
-    return frozenset(change.key for change in batch.changes)
+    return frozenset(changed)
--- a/peridotspoke/platform/gateway.py
+++ b/peridotspoke/store/gateway.py
@@ -11,7 +11,7 @@
     PlatformUnavailableError,
     RecordError,
 )
-from peridotspoke.platform.keyvalue import (
+from peridotspoke.store.keyvalue import (
     MAX_VALUE,
     Change,
     KeyValueService,
--- a/peridotspoke/platform/records.py
+++ b/peridotspoke/store/records.py
@@ -12,7 +12,7 @@
     PlatformUnavailableError,
     RecordError,
 )
-from peridotspoke.platform.keyvalue import Record
+from peridotspoke.store.keyvalue import Record
 
 __all__ = [
     "AUDIT_PREFIX",
--- a/peridotspoke/platform/tests/test_following.py
+++ b/peridotspoke/store/tests/test_following.py
@@ -5,7 +5,7 @@
 from contextlib import aclosing
 
 from peridotspoke.clock import ManualClock
-from peridotspoke.platform import FollowingRules, follow_prefix
+from peridotspoke.store import FollowingRules, follow_prefix
 from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
 
 MOST_CHANGES = 500
--- a/peridotspoke/platform/tests/test_instance_list.py
+++ b/peridotspoke/store/tests/test_instance_list.py
@@ -6,7 +6,7 @@
 
 from peridotspoke.clock import ManualClock
 from peridotspoke.exceptions import PlatformError, PlatformUnavailableError
-from peridotspoke.platform import HttpInstanceList, ListedInstance
+from peridotspoke.store import HttpInstanceList, ListedInstance
 from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 
 scenarios("instance_list.feature")
--- a/peridotspoke/platform/tests/test_keyvalue.py
+++ b/peridotspoke/store/tests/test_keyvalue.py
@@ -15,7 +15,7 @@
     PlatformUnavailableError,
     RecordError,
 )
-from peridotspoke.platform import (
+from peridotspoke.store import (
     MAX_VALUE,
     ChangeNote,
     FollowingRules,
--- a/peridotspoke/platform/tests/test_records.py
+++ b/peridotspoke/store/tests/test_records.py
@@ -15,7 +15,7 @@
     OperationConflictError,
     PlatformUnavailableError,
 )
-from peridotspoke.platform import (
+from peridotspoke.store import (
     AUDIT_PREFIX,
     ArchivedChanges,
     BudgetedKeyValueService,
--- a/peridotspoke/platform/tests/test_workers.py
+++ b/peridotspoke/store/tests/test_workers.py
@@ -6,7 +6,7 @@
 
 from peridotspoke.clock import ManualClock
 from peridotspoke.exceptions import PlatformError
-from peridotspoke.platform.workers import (
+from peridotspoke.store.workers import (
     EndTasks,
     Exchange,
     HttpWorker,
--- /dev/null
+++ b/peridotspoke/workloads/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps and tasks: their types, and the decisions about their runs."""
