Keep waves of maintenance: withdraw, empty, then order

The fleet's owner withdraws machines pool by pool, the pool's owner moves or ends their runs and marks them empty, then maintenance is ordered under the fleet's fence.

Ruled out: ordering maintenance without emptying; it throws work away and can end lasting tasks beyond what they may miss.

--- a/peridotspoke/nodes/keys.py
+++ b/peridotspoke/nodes/keys.py
@@ -9,6 +9,7 @@
     "key_owner",
     "key_pool_state",
     "key_progress",
+    "key_wave",
     "key_withdrawal",
     "split_key",
 ]
@@ -47,6 +48,11 @@
     return f"{WORK_PREFIX}pool/{pool}"
 
 
+def key_wave(number):
+    """Return the key of what is known of a maintenance wave."""
+    return f"{WORK_PREFIX}wave/{number}"
+
+
 def key_withdrawal(machine):
     """Return the key of a machine that is to be emptied."""
     return f"{WORK_PREFIX}withdrawal/{machine}"
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -4,6 +4,7 @@
 
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
+from peridotspoke.nodes.fleet import FLEET, FleetKeeper
 from peridotspoke.nodes.keys import EXECUTOR_PREFIX, WORK_PREFIX
 from peridotspoke.nodes.ownership import Ownership
 from peridotspoke.nodes.supervising import PoolSupervisor
@@ -23,6 +24,8 @@
     decode_configuration, decode_wave, decode_entry : callable
         From a `Record`; each raises `RecordError`.
     wave_prefix : str
+    encode_wave_status, key_wave_status : callable
+        How the operator is told whether a wave is completed, and where.
     """
 
     def __init__(
@@ -33,6 +36,8 @@
         decode_configuration,
         decode_wave,
         decode_entry,
+        encode_wave_status,
+        key_wave_status,
     ):
         self.prefix = prefix
         self.configuration_key = configuration_key
@@ -40,6 +45,8 @@
         self.decode_configuration = decode_configuration
         self.decode_wave = decode_wave
         self.decode_entry = decode_entry
+        self.encode_wave_status = encode_wave_status
+        self.key_wave_status = key_wave_status
 
 
 class Node:
@@ -88,13 +95,22 @@
         configuration = self._parts.view.configuration
         if configuration is None:
             return []
-        return [pool.name for pool in configuration.pools]
+        pools = [pool.name for pool in configuration.pools]
+        return [FLEET, *pools] if self._parts.machines is not None else pools
 
     def _gain(self, holding):
         if not self._following_entries:
             self._following_entries = True
             self._spawn(self._follow_entries())
-        supervisor = PoolSupervisor(self._parts, holding)
+        if holding.unit == FLEET:
+            supervisor = FleetKeeper(
+                self._parts,
+                holding,
+                self._codec.encode_wave_status,
+                self._codec.key_wave_status,
+            )
+        else:
+            supervisor = PoolSupervisor(self._parts, holding)
         self._supervisors[holding.unit] = self._spawn(supervisor.run())
 
     def _lose(self, holding):
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
-from peridotspoke.exceptions import RecordError
+from msgspec import structs
+
+from peridotspoke.exceptions import PlatformError, RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.committing import MOST_JOBS, OwnershipLostError, ProgressWriter
+from peridotspoke.nodes.keys import key_owner, key_withdrawal
 from peridotspoke.nodes.messages import (
     CommitDone,
     ExecutorLeft,
@@ -16,6 +19,9 @@
     Unreachable,
 )
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
+from peridotspoke.nodes.view import encode_value
+from peridotspoke.store import Condition, Put, Transaction
+from peridotspoke.workloads.evacuation import plan_evacuation
 from peridotspoke.workloads.executors import Refusal
 from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
 from peridotspoke.workloads.progress import decode_progress
@@ -25,6 +31,7 @@
 
 TICK = 0.1  # seconds between rounds without messages
 ROUND_PAUSE = 0.01  # seconds between two rounds
+MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
 SLOW_CLOCK = 1.02  # from the platform's protocol
 
 
@@ -48,6 +55,7 @@
         self._changed_jobs = set()
         self._changed_entries = set()
         self._revisions = {}
+        self._marking = set()
         settings = node.settings
         self._rules = SessionRules(hold=settings.hold, look=settings.timing.look)
         life = (settings.hold + settings.timing.hold_alone) * SLOW_CLOCK
@@ -132,7 +140,11 @@
         self._take_changes()
         now = self._node.clock.read_monotonic()
         self._ledger.expire_leases(now)
+        self._keep_withdrawals()
         if self._node.ownership.may_order():
+            notice = self._node.settings.bounds.notice
+            for run in plan_evacuation(self._ledger, now, notice):
+                self._ledger.stop_run(run, "executor leaves")
             plan_runs(self._ledger, now, self._node.clock.read_wall())
         self._send_commands()
         self._keep_sessions()
@@ -177,6 +189,36 @@
         if known.cancelled:
             self._ledger.cancel_job(job_id, self._node.clock.read_wall())
 
+    def _keep_withdrawals(self):
+        withdrawals = {
+            machine: (withdrawal, revision)
+            for machine, (withdrawal, revision) in self._node.view.withdrawals.items()
+            if withdrawal.pool == self.pool
+        }
+        self._ledger.set_withdrawn(
+            {withdrawal.executor_id for withdrawal, _ in withdrawals.values()}
+        )
+        for machine, (withdrawal, revision) in withdrawals.items():
+            if withdrawal.empty or machine in self._marking:
+                continue
+            if self._ledger.is_empty(withdrawal.executor_id):
+                self._marking.add(machine)
+                self._spawn(self._mark_empty(machine, withdrawal, revision))
+
+    async def _mark_empty(self, machine, withdrawal, revision):
+        key = key_withdrawal(machine)
+        owner = Condition(key_owner(self.pool), self._holding.fence)
+        put = Put(key, encode_value(structs.replace(withdrawal, empty=True)))
+        transaction = Transaction((owner, Condition(key, revision)), (put,))
+        try:
+            result = await self._node.store.commit(transaction)
+            self._note("executor-empty", machine=machine, stored=result.won)
+            await asyncio.sleep(MARK_PAUSE)
+        except PlatformError as error:
+            log_event("executor-not-marked", "WARNING", machine=machine, error=error)
+        finally:
+            self._marking.discard(machine)
+
     async def _commit(self):
         """Store all that is dirty; then ends may be forgotten by their executors."""
         cursors = {
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -13,6 +13,8 @@
     WAVE_PREFIX,
     decode_configuration,
     decode_wave,
+    encode_wave_status,
+    key_wave_status,
 )
 from peridotspoke.platform.executors import HttpExecutor, decode_entry
 from peridotspoke.platform.http import HttpPeer
@@ -50,5 +52,7 @@
         decode_configuration,
         decode_wave,
         decode_entry,
+        encode_wave_status,
+        key_wave_status,
     )
     return parts, Node(parts, codec)
--- /dev/null
+++ b/peridotspoke/workloads/evacuation.py
@@ -0,0 +1,110 @@
+"""Decides which runs are stopped on executors that are to be empty."""
+
+from peridotspoke.workloads.placement import choose_executor
+from peridotspoke.workloads.progress import JobOutcome, TaskStatus
+from peridotspoke.workloads.runs import RunPhase, compute_need
+from peridotspoke.workloads.scheduling import make_offers
+
+__all__ = ["count_away", "may_interrupt", "plan_evacuation"]
+
+AT_WORK = 100  # percent of a lasting task that serves
+SHORT_REST = 1.0  # seconds; what ends so soon is not stopped for a withdrawal
+
+
+def count_away(ledger, run, now, notice):
+    """Return how many other tasks of a lasting run's step are not surely at work.
+
+    A task counts as away until it has been at work again; one that only just came
+    back counts as at work.
+    """
+    progress, key = run.progress, run.key
+    away = 0
+    for task in progress.occurrences[key.occurrence][key.step]:
+        if task is run.task:
+            continue
+        other = ledger.find_run(task)
+        if other is None or not _is_at_work(other):
+            away += 1
+    return away
+
+
+def _is_at_work(run):
+    return run.phase is RunPhase.RUNNING and run.percent >= AT_WORK
+
+
+def may_interrupt(ledger, run, now, notice):
+    """Return whether stopping a lasting run keeps its step's availability."""
+    if not run.step.lasting:
+        return True
+    if run.phase is RunPhase.PLANNED or run.percent < AT_WORK:
+        return True
+    if not run.step.may_miss:
+        return True
+    return count_away(ledger, run, now, notice) < run.step.may_miss
+
+
+def plan_evacuation(ledger, now, notice):
+    """Yield the runs to stop now on executors that drain or are withdrawn.
+
+    Runs move only where there is room for them: lasting ones within what their step
+    may miss, checkpointing ones unless they end soon. Others run to their end,
+    unless their executor leaves before that.
+
+    Parameters
+    ----------
+    ledger : PoolLedger
+    now : float
+        Monotonic seconds.
+    notice : float
+        Seconds for which a lasting task counts as away after it was ended.
+    """
+    leaving = [state for state in ledger.executors.values() if _is_leaving(state)]
+    if not leaving:
+        return
+    offers = list(make_offers(ledger, now).values())
+    for state in leaving:
+        for run in list(state.runs.values()):
+            if not _should_move(ledger, state, run, now):
+                continue
+            if not may_interrupt(ledger, run, now, notice) and not _will_leave(state):
+                continue
+            need = compute_need(run.step)
+            group = run.key[:3]
+            offer = choose_executor(offers, run.step, need, group)
+            if offer is None:
+                continue
+            offer.take(need, group)
+            yield run
+
+
+def _is_leaving(state):
+    return state.entry is not None and state.drains and bool(state.runs)
+
+
+def _will_leave(state):
+    return state.entry is not None and state.entry.remaining is not None
+
+
+def _should_move(ledger, state, run, now):
+    if run.phase is RunPhase.PLANNED:
+        return True
+    if run.phase is not RunPhase.RUNNING or run.step.gang:
+        return False
+    if run.progress.outcome is not JobOutcome.OPEN:
+        return False
+    if run.task.status is not TaskStatus.ASSIGNED:
+        return False
+    if run.step.lasting:
+        return True
+    rest = _predict_rest(ledger, run, now)
+    if run.step.checkpointing:
+        return rest > SHORT_REST
+    remaining = state.entry.remaining
+    return remaining is not None and rest > remaining + SHORT_REST
+
+
+def _predict_rest(ledger, run, now):
+    job = run.progress.job
+    expected = ledger.durations.predict(job.queue, run.step.estimate)
+    begun = now if run.started_at is None else run.started_at
+    return max(0.0, expected - (now - begun))
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -142,7 +142,7 @@
         self.dirty.add(progress.job.job_id)
         self._note("job-ended", job=progress.job.job_id, outcome=str(outcome))
         for task in progress.list_tasks():
-            run = self._find_run(task)
+            run = self.find_run(task)
             if run is not None:
                 self.stop_run(run, "job ended")
 
@@ -173,6 +173,24 @@
             state.entry = None
             self._note("executor-unlisted", executor=executor_id, runs=len(state.runs))
 
+    def set_withdrawn(self, executor_ids):
+        """Note which executors are to be emptied."""
+        for state in self.executors.values():
+            withdrawn = state.executor_id in executor_ids
+            if withdrawn != state.withdrawn:
+                state.withdrawn = withdrawn
+                self._note(
+                    "executor-withdrawn",
+                    executor=state.executor_id,
+                    withdrawn=withdrawn,
+                    runs=len(state.runs),
+                )
+
+    def is_empty(self, executor_id):
+        """Return whether nothing runs, or may yet start, on an executor."""
+        state = self.executors.get(executor_id)
+        return state is None or not (state.runs or state.foreign)
+
     def note_left(self, executor_id, now):
         """Release the runs of an executor that certainly has gone."""
         state = self.executors.get(executor_id)
@@ -349,7 +367,7 @@
         if run.step.gang:
             tasks = progress.occurrences[key.occurrence][key.step]
         for task in tasks:
-            other = self._find_run(task)
+            other = self.find_run(task)
             if other is not None and other.number == run.number:
                 self._release(other)
             task.status = TaskStatus.DONE
@@ -519,7 +537,8 @@
         run = state.runs.get(order.key)
         return run is not None and run.number == order.run
 
-    def _find_run(self, task):
+    def find_run(self, task):
+        """Return the `Run` of a task's latest run, or None once it is over."""
         state = self.executors.get(task.executor)
         return None if state is None else state.runs.get(task.key)
 
