Forget an ended job only once its ended state is stored

The answer of an older write arrived after the job had ended; the ledger forgot the job before its completed state was written, while the executors' ends were noted. The next owner found the tasks assigned and nowhere running, and ran them again.

Ruled out: a stale view at the new owner (its record was the newest in the store).

Test: workloads/tests/test_ledger.py, failing before.

--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -52,10 +52,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredBatch:
-    """Progress to store: bytes by job, and what depends on their being stored."""
+    """Progress to store: bytes by job, and what depends on their being stored.
+
+    `runs` may start once it is stored, and the jobs in `ended` be forgotten.
+    """
 
     values: dict[str, bytes]
     runs: tuple[Run, ...]
+    ended: frozenset[str]
 
 
 class PoolLedger:
@@ -447,7 +451,12 @@
             for job_id in job_ids
             if job_id in self.jobs
         }
-        return StoredBatch(values, self.list_planned(values))
+        ended = frozenset(
+            job_id
+            for job_id in values
+            if self.jobs[job_id].outcome is not JobOutcome.OPEN
+        )
+        return StoredBatch(values, self.list_planned(values), ended)
 
     def note_cursors(self):
         """Let ends be forgotten by their executors while nothing is to be stored."""
@@ -465,7 +474,7 @@
                 continue
             run.phase = RunPhase.STARTING
             started.append(run)
-        for job_id in batch.values:
+        for job_id in batch.ended:
             self.drop_ended(job_id)
         return started
 
--- /dev/null
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -0,0 +1,135 @@
+"""Tests of the ledger: what an owner believes after each answer and report."""
+
+from peridotspoke.workloads.executors import EndKind, Refusal
+from peridotspoke.workloads.progress import JobOutcome, TaskStatus, decode_summary
+from peridotspoke.workloads.tests.ledgers import (
+    add_job,
+    end,
+    make_ledger,
+    plan,
+    report,
+    start_all,
+    store,
+)
+from peridotspoke.store import Record
+
+
+def read_outcome(batch, job_id):
+    return decode_summary(Record("key", batch.values[job_id], 1)).outcome
+
+
+def test_a_job_that_ends_while_an_earlier_state_is_stored_is_stored_again():
+    """The completed state is written, although an older write returns after it."""
+    ledger = make_ledger("e1")
+    progress = add_job(ledger)
+    plan(ledger, 0.0)
+    older = ledger.take_batch(15)
+    runs = ledger.note_stored(older)
+    for run in runs:
+        ledger.take_start_answer(run, None, 0.1)
+    ledger.dirty.add(progress.job.job_id)
+    older = ledger.take_batch(15)
+    report(ledger, "e1", 1.0, ended=[end(1, runs[0]), end(2, runs[1])])
+    ledger.note_stored(older)
+    newer = ledger.take_batch(15)
+    assert read_outcome(newer, progress.job.job_id) == "completed"
+    ledger.note_stored(newer)
+    assert ledger.jobs == {}
+
+
+def test_a_start_without_an_answer_is_stopped_before_its_task_waits_again():
+    """The task waits until a report after the answered stop doesn't list the run."""
+    ledger = make_ledger("e1", "e2")
+    progress = add_job(ledger)
+    plan(ledger, 0.0)
+    run = store(ledger)[0]
+    ledger.take_start_lost(run)
+    stop = ledger.commands.popleft()
+    assert stop.order.run == run.number
+    report(ledger, run.executor_id, 1.0)
+    assert run.task.status is TaskStatus.ASSIGNED
+    ledger.take_stop_answer(stop.executor_id, stop.order, 1.5)
+    report(ledger, run.executor_id, 1.9, asked_at=1.4)
+    assert run.task.status is TaskStatus.ASSIGNED
+    report(ledger, run.executor_id, 2.0, asked_at=1.6)
+    assert run.task.status is TaskStatus.WAITING
+    assert progress.outcome is JobOutcome.OPEN
+
+
+def test_a_run_that_nobody_ordered_is_stopped():
+    """A start that is carried out late, after its task was given up, is stopped."""
+    ledger = make_ledger("e1")
+    add_job(ledger)
+    run = start_all(ledger, 0.0)[0]
+    report(ledger, "e1", 1.0, ended=[end(1, run, EndKind.STOPPED)])
+    report(ledger, "e1", 2.0, running=[run])
+    assert ledger.commands.popleft().order.key == run.key
+
+
+def test_failures_are_counted_once_and_end_the_job():
+    """A repeated listing of the same end counts no second attempt."""
+    ledger = make_ledger("e1")
+    progress = add_job(ledger)
+    number = 0
+    for attempt in range(3):
+        runs = start_all(ledger, float(attempt))
+        number += 1
+        failed = next(run for run in runs if run.key.index == 0)
+        ends = [end(number, failed, EndKind.FAILED)]
+        others = [run for run in ledger.list_runs() if run is not failed]
+        report(ledger, "e1", attempt + 0.5, others, ends)
+        report(ledger, "e1", attempt + 0.6, others, ends)
+    assert progress.outcome is JobOutcome.FAILED
+    assert failed.task.failures == 3
+
+
+def test_runs_of_an_earlier_owner_are_adopted_or_wait_again():
+    """After the first report under the own fence the rest certainly isn't there."""
+    first = make_ledger("e1")
+    progress = add_job(first)
+    runs = start_all(first, 0.0)
+    second = make_ledger(fence=8)
+    second.add_job(progress)
+    assert plan(second, 0.0) == []
+    report(second, "e1", 1.0, running=[runs[0]])
+    assert runs[0].task.status is TaskStatus.ASSIGNED
+    assert runs[1].task.status is TaskStatus.WAITING
+
+
+def test_runs_on_an_unreachable_executor_wait_for_the_end_of_every_lease():
+    """An earlier owner may go on holding for a while, and then the lease runs on."""
+    first = make_ledger("e1")
+    progress = add_job(first)
+    runs = start_all(first, 0.0)
+    second = make_ledger(fence=8)
+    second.add_job(progress)
+    second.note_unreachable("e1", "no answer")
+    second.expire_leases(12.0)
+    assert runs[0].task.status is TaskStatus.ASSIGNED
+    second.expire_leases(12.2)
+    assert runs[0].task.status is TaskStatus.WAITING
+
+
+def test_a_reborn_executor_frees_answered_starts_and_stops_unsure_ones():
+    """A start without an answer may still be carried out in the new life."""
+    ledger = make_ledger("e1")
+    add_job(ledger)
+    plan(ledger, 0.0)
+    sure, unsure = store(ledger)
+    ledger.take_start_answer(sure, None, 0.1)
+    ledger.take_start_lost(unsure)
+    ledger.commands.clear()
+    report(ledger, "e1", 1.0, born=2)
+    assert sure.task.status is TaskStatus.WAITING
+    assert unsure.task.status is TaskStatus.ASSIGNED
+
+
+def test_a_refused_start_waits_before_the_executor_is_used_again():
+    """An executor without room is not asked again at once."""
+    ledger = make_ledger("e1")
+    add_job(ledger)
+    plan(ledger, 0.0)
+    for run in store(ledger):
+        ledger.take_start_answer(run, Refusal.ROOM, 0.1)
+    assert plan(ledger, 0.2) == []
+    assert len(plan(ledger, 1.0)) == 2
