--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -197,6 +197,18 @@
         self._note_extension(self.executor_id, now + self._rules.hold)
         return self._bounds.to_executor(now, self._rules.hold)
 
+    async def look_now(self):
+        """Ask for the lists without a wait, beside the look that may be waiting."""
+        asked_at = self._clock.read_monotonic()
+        order = HoldOrder(self._fence, self._state.noted)
+        try:
+            report = await self._calls.hold(order)
+        except (AnswerLostError, PlatformUnavailableError) as error:
+            self._post(Unreachable(self.executor_id, error.message))
+            return
+        if report.refusal is None:
+            self._post(ReportArrived(self.executor_id, report, asked_at))
+
     async def _look(self):
         asked_at = self._clock.read_monotonic()
         until = None
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -56,6 +56,7 @@
         self._changed_entries = set()
         self._revisions = {}
         self._marking = set()
+        self._under_way = set()
         settings = node.settings
         self._rules = SessionRules(hold=settings.hold, look=settings.timing.look)
         life = (settings.hold + settings.timing.hold_alone) * SLOW_CLOCK
@@ -93,6 +94,9 @@
             self._cancel_tasks()
 
     def _note(self, event, **fields):
+        key = fields.pop("task", None)
+        if key is not None:
+            fields = {"job": key.job_id, "task": _name_task(key), **fields}
         log_event(event, pool=self.pool, **fields)
 
     def _note_changes(self, changed):
@@ -142,12 +146,12 @@
         self._ledger.expire_leases(now)
         self._keep_withdrawals()
         if self._node.ownership.may_order():
-            notice = self._node.settings.bounds.notice
-            for run in plan_evacuation(self._ledger, now, notice):
+            for run in plan_evacuation(self._ledger, now):
                 self._ledger.stop_run(run, "executor leaves")
             plan_runs(self._ledger, now, self._node.clock.read_wall())
-        self._send_commands()
         self._keep_sessions()
+        self._send_stops()
+        self._send_looks()
         if self._committing is not None:
             return
         if self._ledger.dirty:
@@ -250,25 +254,35 @@
                 now = self._node.clock.read_monotonic()
                 self._ledger.take_start_answer(run, Refusal.LATE, now)
                 continue
-            log_event(
+            self._note(
                 "run-start",
-                pool=self.pool,
-                job=run.key.job_id,
-                task=run.key[1:],
+                task=run.key,
                 run=run.number,
                 executor=run.executor_id,
                 fence=self._holding.fence,
             )
             self._spawn(session[0].start(run))
 
-    def _send_commands(self):
-        commands = self._ledger.commands
-        while commands:
-            command = commands.popleft()
+    def _send_stops(self):
+        for command in self._ledger.list_stops():
+            name = (command.executor_id, command.order)
             session = self._sessions.get(command.executor_id)
-            if session is not None:
+            if session is not None and name not in self._under_way:
                 stop = session[0].stop(command.order, self._ledger.is_stop_due)
-                self._spawn(stop)
+                self._spawn_once(name, stop)
+
+    def _send_looks(self):
+        wanted = self._ledger.wanted_looks
+        while wanted:
+            executor_id = wanted.pop()
+            session = self._sessions.get(executor_id)
+            if session is not None and executor_id not in self._under_way:
+                self._spawn_once(executor_id, session[0].look_now())
+
+    def _spawn_once(self, name, coroutine):
+        self._under_way.add(name)
+        task = self._spawn(coroutine)
+        task.add_done_callback(lambda _: self._under_way.discard(name))
 
     def _keep_sessions(self):
         executors = self._ledger.executors
@@ -316,3 +330,7 @@
     def _cancel_tasks(self):
         for task in list(self._tasks):
             task.cancel()
+
+
+def _name_task(key):
+    return f"{key.occurrence}.{key.step}.{key.index}"
--- a/peridotspoke/workloads/evacuation.py
+++ b/peridotspoke/workloads/evacuation.py
@@ -8,14 +8,15 @@
 __all__ = ["count_away", "may_interrupt", "plan_evacuation"]
 
 AT_WORK = 100  # percent of a lasting task that serves
+FRESH = 0.3  # seconds since a report was asked for
 SHORT_REST = 1.0  # seconds; what ends so soon is not stopped for a withdrawal
 
 
-def count_away(ledger, run, now, notice):
+def count_away(ledger, run, now):
     """Return how many other tasks of a lasting run's step are not surely at work.
 
-    A task counts as away until it has been at work again; one that only just came
-    back counts as at work.
+    A task is surely at work only as of a fresh report. Where the last one is older,
+    its executor is added to the ledger's wanted looks.
     """
     progress, key = run.progress, run.key
     away = 0
@@ -23,27 +24,26 @@
         if task is run.task:
             continue
         other = ledger.find_run(task)
-        if other is None or not _is_at_work(other):
+        if other is None or other.phase is not RunPhase.RUNNING:
+            away += 1
+        elif other.percent < AT_WORK:
+            away += 1
+        elif now - other.seen_at > FRESH:
+            ledger.wanted_looks.add(other.executor_id)
             away += 1
     return away
 
 
-def _is_at_work(run):
-    return run.phase is RunPhase.RUNNING and run.percent >= AT_WORK
-
-
-def may_interrupt(ledger, run, now, notice):
+def may_interrupt(ledger, run, now):
     """Return whether stopping a lasting run keeps its step's availability."""
-    if not run.step.lasting:
+    if not run.step.lasting or not run.step.may_miss:
         return True
     if run.phase is RunPhase.PLANNED or run.percent < AT_WORK:
         return True
-    if not run.step.may_miss:
-        return True
-    return count_away(ledger, run, now, notice) < run.step.may_miss
+    return count_away(ledger, run, now) < run.step.may_miss
 
 
-def plan_evacuation(ledger, now, notice):
+def plan_evacuation(ledger, now):
     """Yield the runs to stop now on executors that drain or are withdrawn.
 
     Runs move only where there is room for them: lasting ones within what their step
@@ -55,8 +55,6 @@
     ledger : PoolLedger
     now : float
         Monotonic seconds.
-    notice : float
-        Seconds for which a lasting task counts as away after it was ended.
     """
     leaving = [state for state in ledger.executors.values() if _is_leaving(state)]
     if not leaving:
@@ -66,7 +64,7 @@
         for run in list(state.runs.values()):
             if not _should_move(ledger, state, run, now):
                 continue
-            if not may_interrupt(ledger, run, now, notice) and not _will_leave(state):
+            if not may_interrupt(ledger, run, now) and not _will_leave(state):
                 continue
             need = compute_need(run.step)
             group = run.key[:3]
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -3,7 +3,6 @@
 All methods are plain state changes; the time is passed in and I/O stands elsewhere.
 """
 
-from collections import deque
 from dataclasses import dataclass
 
 from peridotspoke.workloads.estimation import DurationModel
@@ -82,7 +81,7 @@
         self.jobs = {}
         self.executors = {}
         self.dirty = set()
-        self.commands = deque()
+        self.wanted_looks = set()
         self.durations = DurationModel()
         self.failed_on = {}
         self._rules = rules
@@ -277,24 +276,22 @@
                 state.cursor = end.number
                 self._take_end(state, end, now, wall)
         listed = {(held.key, held.run): held for held in report.running}
-        self._match_listed(state, listed, now)
+        self._match_listed(state, listed, asked_at, now)
         self._find_missing(state, listed, asked_at, now)
         state.reported_at = asked_at
 
-    def _match_listed(self, state, listed, now):
+    def _match_listed(self, state, listed, asked_at, now):
         foreign = {}
         for (key, number), held in listed.items():
             run = state.runs.get(key)
             if run is None or run.number != number:
                 foreign[key, number] = self._find_need(key)
-                order = StopOrder(key, number, self.fence)
-                self.commands.append(StopCommand(state.executor_id, order))
                 self._note("run-foreign", executor=state.executor_id, task=key)
                 continue
-            self._note_running(run, held, now)
+            self._note_running(run, held, asked_at, now)
         state.foreign = foreign
 
-    def _note_running(self, run, held, now):
+    def _note_running(self, run, held, asked_at, now):
         if run.started_at is None:
             run.started_at = now
             run.moved_at = now
@@ -304,6 +301,7 @@
         if held.percent != run.percent or held.checkpoint != run.task.checkpoint:
             run.moved_at = now
         run.percent = held.percent
+        run.seen_at = asked_at
         run.load = held.load
         if held.checkpoint:
             run.task.checkpoint = held.checkpoint
@@ -328,7 +326,6 @@
     def _repeat_stop(self, run, asked_at):
         if asked_at - run.stop_answered_at > 1.0:
             run.stop_answered_at = None
-            self._send_stop(run)
 
     def _find_need(self, key):
         progress = self.jobs.get(key.job_id)
@@ -467,7 +464,7 @@
         """Return the runs of a stored batch that are to be started now."""
         started = []
         for run in batch.runs:
-            if run.phase is not RunPhase.PLANNED:
+            if run.phase is not RunPhase.PLANNED or not self._is_current(run):
                 continue
             if run.progress.outcome is not JobOutcome.OPEN:
                 self._release(run)
@@ -488,17 +485,24 @@
             return
         self._note("run-stop", task=run.key, run=run.number, reason=reason)
         run.phase = RunPhase.STOPPING
-        self._send_stop(run)
 
-    def _send_stop(self, run):
-        order = StopOrder(run.key, run.number, self.fence)
-        self.commands.append(StopCommand(run.executor_id, order))
+    def list_stops(self):
+        """Yield a `StopCommand` for each run whose stop is not answered yet."""
+        for state in self.executors.values():
+            due = [
+                (run.key, run.number)
+                for run in state.runs.values()
+                if run.phase is RunPhase.STOPPING and run.stop_answered_at is None
+            ]
+            for key, number in [*due, *state.foreign]:
+                order = StopOrder(key, number, self.fence)
+                yield StopCommand(state.executor_id, order)
 
     def take_start_answer(self, run, refusal, now):
         """Take in that a start was carried out (None) or certainly was not."""
-        state = self.executors.get(run.executor_id)
-        if state is None or state.runs.get(run.key) is not run:
+        if not self._is_current(run):
             return
+        state = self.executors[run.executor_id]
         if refusal is None:
             run.start_unsure = False
             run.started_at = run.started_at or now
@@ -522,10 +526,7 @@
 
     def take_start_lost(self, run):
         """Take in that a start had no answer: it is stopped before it is retried."""
-        state = self.executors.get(run.executor_id)
-        if state is None or state.runs.get(run.key) is not run:
-            return
-        if run.phase is RunPhase.STARTING:
+        if self._is_current(run) and run.phase is RunPhase.STARTING:
             run.start_unsure = True
             self.stop_run(run, "no answer to its start")
 
@@ -551,10 +552,14 @@
         state = self.executors.get(task.executor)
         return None if state is None else state.runs.get(task.key)
 
-    def _release(self, run):
+    def _is_current(self, run):
+        """Return whether a run was not released meanwhile."""
         state = self.executors.get(run.executor_id)
-        if state is not None and state.runs.get(run.key) is run:
-            del state.runs[run.key]
+        return state is not None and state.runs.get(run.key) is run
+
+    def _release(self, run):
+        if self._is_current(run):
+            del self.executors[run.executor_id].runs[run.key]
 
     def _requeue(self, run, now, reason):
         """Let the task of a run that has certainly ended wait for another."""
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -45,6 +45,8 @@
     stop_answered_at : float or None
     percent, load : int
         As last reported.
+    seen_at : float
+        When the latest report that lists it was asked for.
     moved_at : float
         When its percent last changed.
     share : int
@@ -63,6 +65,7 @@
     stop_answered_at: float | None = None
     percent: int = 0
     load: int = 0
+    seen_at: float = float("-inf")
     moved_at: float = 0.0
     share: int = 100
     ticket: str = ""
--- /dev/null
+++ b/peridotspoke/workloads/tests/test_evacuation.py
@@ -0,0 +1,65 @@
+"""Tests of the stops by which executors are emptied."""
+
+from peridotspoke.workloads.evacuation import plan_evacuation
+from peridotspoke.workloads.executors import HeldRun
+from peridotspoke.workloads.jobs import Need, Step
+from peridotspoke.workloads.tests.ledgers import (
+    add_job,
+    make_ledger,
+    report,
+    start_all,
+)
+
+LASTING = Step(3, Need(1000, 100), lasting=True, may_miss=1, most_per_executor=1)
+
+
+def hold_all(ledger, runs, now, percent=100):
+    for run in runs:
+        held = HeldRun(run.key, run.number, "", percent)
+        report(ledger, run.executor_id, now, running=[held])
+
+
+def start_lasting(*names):
+    ledger = make_ledger(*names)
+    add_job(ledger, LASTING)
+    return ledger, start_all(ledger, 0.0)
+
+
+def test_a_lasting_task_moves_only_while_the_others_are_surely_at_work():
+    """A sibling on an executor that was not heard lately counts as away."""
+    ledger, runs = start_lasting("e1", "e2", "e3", "e4")
+    hold_all(ledger, runs, 1.0)
+    ledger.set_withdrawn({runs[0].executor_id})
+    assert list(plan_evacuation(ledger, 2.0)) == []
+    assert ledger.wanted_looks == {runs[1].executor_id, runs[2].executor_id}
+    hold_all(ledger, runs, 2.1)
+    assert list(plan_evacuation(ledger, 2.2)) == [runs[0]]
+
+
+def test_a_lasting_task_stays_while_a_sibling_starts_up():
+    """Below full work a sibling counts as away."""
+    ledger, runs = start_lasting("e1", "e2", "e3", "e4")
+    hold_all(ledger, runs[:2], 1.0)
+    hold_all(ledger, runs[2:], 1.0, percent=40)
+    ledger.set_withdrawn({runs[0].executor_id})
+    assert list(plan_evacuation(ledger, 1.1)) == []
+
+
+def test_two_withdrawn_executors_do_not_lose_two_tasks_at_once():
+    """The first stop counts against the second in the same round."""
+    ledger, runs = start_lasting("e1", "e2", "e3", "e4", "e5")
+    hold_all(ledger, runs, 1.0)
+    ledger.set_withdrawn({runs[0].executor_id, runs[1].executor_id})
+    stopped = []
+    for run in plan_evacuation(ledger, 1.1):
+        ledger.stop_run(run, "executor leaves")
+        stopped.append(run)
+    assert len(stopped) == 1
+
+
+def test_a_lasting_task_stays_without_room_elsewhere():
+    """It would be away for as long as nothing has room for it."""
+    ledger, runs = start_lasting("e1", "e2", "e3")
+    hold_all(ledger, runs, 1.0)
+    ledger.set_withdrawn({runs[0].executor_id})
+    assert list(plan_evacuation(ledger, 1.1)) == []
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -44,7 +44,7 @@
     plan(ledger, 0.0)
     run = store(ledger)[0]
     ledger.take_start_lost(run)
-    stop = ledger.commands.popleft()
+    (stop,) = ledger.list_stops()
     assert stop.order.run == run.number
     report(ledger, run.executor_id, 1.0)
     assert run.task.status is TaskStatus.ASSIGNED
@@ -63,7 +63,8 @@
     run = start_all(ledger, 0.0)[0]
     report(ledger, "e1", 1.0, ended=[end(1, run, EndKind.STOPPED)])
     report(ledger, "e1", 2.0, running=[run])
-    assert ledger.commands.popleft().order.key == run.key
+    (stop,) = ledger.list_stops()
+    assert stop.order.key == run.key
 
 
 def test_failures_are_counted_once_and_end_the_job():
@@ -118,7 +119,6 @@
     sure, unsure = store(ledger)
     ledger.take_start_answer(sure, None, 0.1)
     ledger.take_start_lost(unsure)
-    ledger.commands.clear()
     report(ledger, "e1", 1.0, born=2)
     assert sure.task.status is TaskStatus.WAITING
     assert unsure.task.status is TaskStatus.ASSIGNED
@@ -133,3 +133,34 @@
         ledger.take_start_answer(run, Refusal.ROOM, 0.1)
     assert plan(ledger, 0.2) == []
     assert len(plan(ledger, 1.0)) == 2
+
+
+def test_a_job_cancelled_as_it_is_taken_over_has_its_runs_stopped():
+    """The stop stays due until it is answered, whenever the session opens."""
+    first = make_ledger("e1")
+    progress = add_job(first)
+    runs = start_all(first, 0.0)
+    second = make_ledger(fence=8)
+    second.add_job(progress)
+    second.cancel_job(progress.job.job_id, 0.0)
+    report(second, "e1", 1.0, running=runs)
+    stops = list(second.list_stops())
+    assert {stop.order.key for stop in stops} == {run.key for run in runs}
+    for stop in stops:
+        second.take_stop_answer(stop.executor_id, stop.order, 1.1)
+    assert list(second.list_stops()) == []
+    report(second, "e1", 3.0, running=runs)
+    assert len(list(second.list_stops())) == 2
+
+
+def test_a_planned_run_that_was_released_meanwhile_does_not_start():
+    """Its task may already be planned elsewhere when the older write returns."""
+    ledger = make_ledger("e1", "e2")
+    add_job(ledger)
+    plan(ledger, 0.0)
+    batch = ledger.take_batch(15)
+    planned = list(ledger.list_runs())
+    ledger.stop_run(planned[0], "executor leaves")
+    ledger.note_unreachable(planned[1].executor_id, "no answer")
+    ledger.expire_leases(20.0)
+    assert ledger.note_stored(batch) == []
