Size pools by the work accepted, with machines from the spare pool

Owners describe their demand; the fleet's owner lends machines.

Ruled out: order of jobs (all of the pool was in use during the peak).

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,9 +18,9 @@
 import uvloop
 
 from peridotspoke.clock import SystemClock
-from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.requests.tests.entries import EntryUnderTest
 from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
+from peridotspoke.store import GatewayKeyValueService
 
 DELAYS = (0.0, 0.002, 0.005)  # seconds
 
--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -1,7 +1,7 @@
 """Fleets of any size for benchmarks: declarations, lists and records."""
 
-from peridotspoke.store import ChangeNote, ListedInstance, Stored, encode_stored
 from peridotspoke.pools import InstanceRecord, Phase, key_instance
+from peridotspoke.store import ChangeNote, ListedInstance, Stored, encode_stored
 
 __all__ = ["make_instances", "make_records", "make_texts", "name_pool"]
 
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -23,8 +23,8 @@
 from peridotspoke.jobs.actions import CallStart
 from peridotspoke.jobs.needs import QueuedJob, RunningJob
 from peridotspoke.jobs.tests.harness import POOL, ControllerUnderTest, World
-from peridotspoke.store import encode_stored
 from peridotspoke.standins import WorkerFaults
+from peridotspoke.store import encode_stored
 
 SEED = 1
 STEP = 0.1  # seconds
--- a/benchmarks/list_bytes.py
+++ b/benchmarks/list_bytes.py
@@ -9,8 +9,8 @@
 
 from benchmarks.fleets import make_instances
 from peridotspoke.clock import SystemClock
-from peridotspoke.store import HttpInstanceList
 from peridotspoke.standins import PlatformStandIn, start_server
+from peridotspoke.store import HttpInstanceList
 
 SIZES = (40, 275, 550, 1100)
 
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -25,8 +25,8 @@
     PeerHandlers,
     PeerNode,
 )
-from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.standins import PlatformStandIn, start_server
+from peridotspoke.store import GatewayKeyValueService
 
 __all__ = ["measure_members"]
 
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -19,8 +19,8 @@
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import publish_declarations
-from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.standins import PlatformFaults
+from peridotspoke.store import GatewayKeyValueService
 from tests.processes import ProgramProcess
 
 __all__ = ["Round", "measure_rounds"]
--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -18,8 +18,8 @@
 from benchmarks.relay import CountingRelay
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import publish_declarations
-from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.standins import TaskRunner, WorkerStandIn, start_server
+from peridotspoke.store import GatewayKeyValueService
 from tests.processes import ProgramProcess
 
 __all__ = ["measure_workers"]
--- a/peridotspoke/declarations/tests/test_publishing.py
+++ b/peridotspoke/declarations/tests/test_publishing.py
@@ -29,8 +29,8 @@
     PlatformUnavailableError,
 )
 from peridotspoke.peers.records import MemberRecord, key_member
-from peridotspoke.store import Stored, decode_record, encode_stored
 from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
+from peridotspoke.store import Stored, decode_record, encode_stored
 
 scenarios("publishing.feature")
 
--- a/peridotspoke/jobs/tests/harness.py
+++ b/peridotspoke/jobs/tests/harness.py
@@ -23,9 +23,9 @@
 )
 from peridotspoke.jobs.lifecycle import CancelAsked, apply_event
 from peridotspoke.jobs.records import key_batch
+from peridotspoke.standins import StoreStandIn, TaskRunner
 from peridotspoke.store import Record, Stored, decode_record, encode_stored
 from peridotspoke.store.records import ChangeNote
-from peridotspoke.standins import StoreStandIn, TaskRunner
 
 POOL = "feldkirch"
 SIZE = Need(4.0, 16 << 30, 2)
--- a/peridotspoke/nodes/committing.py
+++ b/peridotspoke/nodes/committing.py
@@ -57,7 +57,9 @@
                 result = await self._store.commit(self._make_transaction(values))
             except (AnswerLostError, PlatformUnavailableError) as error:
                 failures += 1
-                log_event("progress-not-stored", "WARNING", error=error, jobs=len(values))
+                log_event(
+                    "progress-not-stored", "WARNING", error=error, jobs=len(values)
+                )
                 await asyncio.sleep(compute_backoff(RETRIES, failures, self._chance))
                 continue
             if result.won:
--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -283,4 +283,3 @@
 
 def _find_reason(answer):
     return getattr(answer, "reason", None)
-
--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -15,6 +15,7 @@
 from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.machines import MachineState, Token
 from peridotspoke.workloads.maintenance import plan_wave
+from peridotspoke.workloads.sizing import DemandHistory, SizingRules, plan_moves
 
 __all__ = ["FLEET", "FleetKeeper"]
 
@@ -24,6 +25,7 @@
 IDLE_LISTING_AGE = 4.0  # seconds after which they are listed again otherwise
 HOLDER_MARGIN = 0.3  # seconds beyond the least time between two holders
 RETURN_MARGIN = 0.2  # seconds
+RESIZE = "resize"
 
 
 class WaveRecord(msgspec.Struct, frozen=True):
@@ -52,6 +54,9 @@
         self._down = {}
         self._waves = {}
         self._ordering = set()
+        self._moving = {}
+        self._histories = {}
+        self._rules = SizingRules()
         self._tasks = set()
 
     async def run(self):
@@ -80,11 +85,12 @@
             for wave, _ in self._node.view.waves.values()
             if not self._is_completed(wave.number)
         ]
-        busy = bool(waves or self._node.view.withdrawals)
+        busy = bool(waves or self._moving or self._node.view.withdrawals)
         await self._list_machines(LISTING_AGE if busy else IDLE_LISTING_AGE)
         self._note_returns()
         for wave in waves:
             await self._keep_wave(wave)
+        await self._keep_sizes()
         await self._clear_withdrawals()
 
     async def _list_machines(self, age):
@@ -109,6 +115,87 @@
             elif machine.state is MachineState.UP and not executor_id:
                 del self._down[name]
 
+        for name, (pool, ordered_at) in list(self._moving.items()):
+            machine = self._machines.get(name)
+            away = self._node.settings.bounds.move + RETURN_MARGIN
+            arrived = machine is not None and machine.pool == pool
+            if machine is None or (
+                machine.state is MachineState.UP
+                and (arrived or self._listed_at - ordered_at > 2 * away)
+            ):
+                del self._moving[name]
+
+    async def _keep_sizes(self):
+        """Withdraw, move and restore machines for the sizes of pools."""
+        if not self._machines:
+            return
+        now = self._node.clock.read_monotonic()
+        demands = self._read_demands()
+        held = {}
+        for pool, demand in demands.items():
+            history = self._histories.setdefault(pool, DemandHistory(self._rules.hold))
+            held[pool] = history.note(demand.cores * self._rules.headroom, now)
+        withdrawn = self._node.view.withdrawals
+        resizing = {
+            name: empty
+            for name, empty in self._list_withdrawn().items()
+            if withdrawn[name][0].reason == RESIZE
+        }
+        others = (set(withdrawn) - set(resizing)) | self._ordering | set(self._down)
+        plan = plan_moves(
+            self._machines,
+            demands,
+            held,
+            next(iter(sorted(self._list_spare())), ""),
+            resizing,
+            {name: pool for name, (pool, _) in self._moving.items()},
+            others,
+            self._rules,
+        )
+        for name in plan.withdraw:
+            await self._withdraw(name, RESIZE)
+        for name in plan.restore:
+            await self._remove_withdrawal(name, withdrawn[name][1])
+        for name, pool in plan.moves:
+            self._ordering.add(name)
+            self._moving[name] = (pool, now)
+            self._spawn(self._move(name, pool))
+
+    def _read_demands(self):
+        spare = self._list_spare()
+        configuration = self._node.view.configuration
+        return {
+            pool.name: self._node.view.pools[pool.name]
+            for pool in configuration.pools
+            if pool.name in self._node.view.pools and pool.name not in spare
+        }
+
+    async def _move(self, name, pool):
+        """Order one machine's move."""
+        machine = self._machines[name]
+        outcome = "unknown"
+        try:
+            outcome = await self._order(
+                name, lambda token: self._node.machines.move(name, pool, token)
+            )
+            if outcome is not None:
+                self._moving.pop(name, None)
+        except PlatformUnavailableError as error:
+            self._moving.pop(name, None)
+            outcome = error
+        except AnswerLostError as error:
+            outcome = error
+        finally:
+            self._ordering.discard(name)
+            log_event(
+                "move-ordered",
+                machine=name,
+                pool=pool,
+                before=machine.pool,
+                fence=self._holding.fence,
+                outcome=outcome or "done",
+            )
+
     def _is_completed(self, number):
         record = self._waves.get(number)
         return record is not None and record.completed
@@ -181,11 +268,11 @@
     async def _begin(self, wave, name):
         """Order one machine's maintenance and store that it has begun."""
         machine = self._machines[name]
+        self._down[name] = (self._node.clock.read_monotonic(), machine.executor_id)
         try:
             refusal = await self._order(
-                name, lambda token: self._node.machines.maintain(
-                    name, wave.number, token
-                )
+                name,
+                lambda token: self._node.machines.maintain(name, wave.number, token),
             )
             log_event(
                 "maintenance-ordered",
@@ -219,8 +306,6 @@
             raise PlatformUnavailableError(
                 "the right to order may have ended", step="order", peer=name
             )
-        machine = self._machines[name]
-        self._down[name] = (self._node.clock.read_monotonic(), machine.executor_id)
         token = Token(self._node.settings.name, self._holding.fence)
         return await call(token)
 
@@ -246,10 +331,11 @@
                 and machine.executor_id != withdrawal.executor_id
             )
             if gone and name not in self._ordering:
-                await self._commit(
-                    (Condition(key_withdrawal(name), revision),),
-                    removals=(key_withdrawal(name),),
-                )
+                await self._remove_withdrawal(name, revision)
+
+    async def _remove_withdrawal(self, name, revision):
+        key = key_withdrawal(name)
+        await self._commit((Condition(key, revision),), removals=(key,))
 
     async def _commit(self, conditions, puts=(), removals=()):
         owner = Condition(key_owner(self._holding.unit), self._holding.fence)
--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -49,9 +49,7 @@
         Called with a `Holding`.
     """
 
-    def __init__(
-        self, settings, store, view, clock, list_units, on_gained, on_lost
-    ):
+    def __init__(self, settings, store, view, clock, list_units, on_gained, on_lost):
         self.incarnation = uuid.uuid4().hex
         self.holdings = {}
         self._settings = settings
@@ -127,9 +125,7 @@
 
     async def _grant(self):
         lease = await self._store.grant_lease(self._settings.lease)
-        record = NodeRecord(
-            self._settings.name, self.incarnation, self._settings.zone
-        )
+        record = NodeRecord(self._settings.name, self.incarnation, self._settings.zone)
         put = Put(key_node(record.name), encode_value(record), lease.lease_id)
         await self._store.commit(Transaction((), (put,)))
         self._lease = lease
@@ -217,9 +213,7 @@
         record = OwnerRecord(self._settings.name, self.incarnation)
         put = Put(key, encode_value(record), lease.lease_id)
         try:
-            result = await self._store.commit(
-                Transaction((Condition(key, 0),), (put,))
-            )
+            result = await self._store.commit(Transaction((Condition(key, 0),), (put,)))
         except LeaseExpiredError as error:
             log_event("claim-refused", "WARNING", unit=unit, error=error)
             return
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -7,7 +7,7 @@
 from peridotspoke.exceptions import PlatformError, RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.committing import MOST_JOBS, OwnershipLostError, ProgressWriter
-from peridotspoke.nodes.keys import key_owner, key_withdrawal
+from peridotspoke.nodes.keys import key_owner, key_pool_state, key_withdrawal
 from peridotspoke.nodes.messages import (
     CommitDone,
     ExecutorLeft,
@@ -25,13 +25,21 @@
 from peridotspoke.workloads.executors import Refusal
 from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
 from peridotspoke.workloads.progress import decode_progress
-from peridotspoke.workloads.scheduling import plan_runs
+from peridotspoke.workloads.scheduling import list_remaining, plan_runs
+from peridotspoke.workloads.sizing import (
+    DemandTracker,
+    SizingRules,
+    describe_demand,
+)
 
 __all__ = ["PoolSupervisor"]
 
 TICK = 0.1  # seconds between rounds without messages
 ROUND_PAUSE = 0.01  # seconds between two rounds
 MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
+DEMAND_INTERVAL = 0.3  # seconds between two descriptions of the pool's demand
+DEMAND_AGE = 3.0  # seconds after which an unchanged demand is described again
+DEMAND_STEP = 0.1  # share of the demand below which a change is not described
 SLOW_CLOCK = 1.02  # from the platform's protocol
 
 
@@ -57,6 +65,9 @@
         self._revisions = {}
         self._marking = set()
         self._under_way = set()
+        self._arrivals = DemandTracker(SizingRules().window)
+        self._described = None
+        self._described_at = float("-inf")
         settings = node.settings
         self._rules = SessionRules(hold=settings.hold, look=settings.timing.look)
         life = (settings.hold + settings.timing.hold_alone) * SLOW_CLOCK
@@ -67,9 +78,7 @@
             node.clock.read_monotonic(),
             self._note,
         )
-        self._writer = ProgressWriter(
-            node.store, holding, self._revisions, node.chance
-        )
+        self._writer = ProgressWriter(node.store, holding, self._revisions, node.chance)
 
     @property
     def pool(self):
@@ -152,6 +161,7 @@
         self._keep_sessions()
         self._send_stops()
         self._send_looks()
+        self._describe_demand(now)
         if self._committing is not None:
             return
         if self._ledger.dirty:
@@ -190,6 +200,7 @@
             self._revisions[job_id] = known.progress.revision if known.progress else 0
             self._note("job-taken", job=job_id, revision=known.revision)
             self._ledger.add_job(progress)
+            self._note_arrival(known.job)
         if known.cancelled:
             self._ledger.cancel_job(job_id, self._node.clock.read_wall())
 
@@ -209,6 +220,29 @@
                 self._marking.add(machine)
                 self._spawn(self._mark_empty(machine, withdrawal, revision))
 
+    def _describe_demand(self, now):
+        """Tell the fleet's owner what the pool needs, where that has changed."""
+        if now - self._described_at < DEMAND_INTERVAL:
+            return
+        wall = self._node.clock.read_wall()
+        works = list_remaining(self._ledger, wall)
+        rate = self._arrivals.read_rate(now)
+        demand = describe_demand(self._ledger, works, rate, wall)
+        fresh = now - self._described_at < DEMAND_AGE
+        if fresh and not _differs(self._described, demand):
+            return
+        if "demand" not in self._under_way:
+            self._described, self._described_at = demand, now
+            self._spawn_once("demand", self._store_demand(demand))
+
+    async def _store_demand(self, demand):
+        owner = Condition(key_owner(self.pool), self._holding.fence)
+        put = Put(key_pool_state(self.pool), encode_value(demand))
+        try:
+            await self._node.store.commit(Transaction((owner,), (put,)))
+        except PlatformError as error:
+            log_event("demand-not-stored", "WARNING", pool=self.pool, error=error)
+
     async def _mark_empty(self, machine, withdrawal, revision):
         key = key_withdrawal(machine)
         owner = Condition(key_owner(self.pool), self._holding.fence)
@@ -223,6 +257,15 @@
         finally:
             self._marking.discard(machine)
 
+    def _note_arrival(self, job):
+        predict = self._ledger.durations.predict
+        work = sum(
+            step.count * step.need.cpu / 1000 * predict(job.queue, step.estimate)
+            for step in job.steps
+            if not step.lasting
+        )
+        self._arrivals.note_arrival(work, self._node.clock.read_monotonic())
+
     async def _commit(self):
         """Store all that is dirty; then ends may be forgotten by their executors."""
         cursors = {
@@ -334,3 +377,14 @@
 
 def _name_task(key):
     return f"{key.occurrence}.{key.step}.{key.index}"
+
+
+def _differs(known, demand):
+    """Return whether a demand differs from the known one by what matters."""
+    if known is None or known.spread != demand.spread:
+        return True
+    if known.unusable != demand.unusable or set(known.removable) != set(
+        demand.removable
+    ):
+        return True
+    return abs(known.cores - demand.cores) > DEMAND_STEP * max(known.cores, 1.0)
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -16,12 +16,12 @@
     decode_job,
     decode_summary,
 )
+from peridotspoke.workloads.sizing import PoolDemand
 
 __all__ = [
     "JobView",
     "NodeRecord",
     "OwnerRecord",
-    "PoolState",
     "StoreView",
     "Withdrawal",
     "decode_value",
@@ -46,28 +46,6 @@
     incarnation: str
 
 
-class PoolState(msgspec.Struct, frozen=True):
-    """How a pool stands, as its owner describes it.
-
-    Parameters
-    ----------
-    cores : float
-        Processors that take work.
-    backlog : float
-        Processor-seconds of work that is accepted and not done.
-    needed : float
-        Processors that the near future needs.
-    written_at : float
-        Seconds since the Unix epoch.
-    """
-
-    cores: float = 0.0
-    backlog: float = 0.0
-    needed: float = 0.0
-    written_at: float = 0.0
-    spread: int = 0
-
-
 class Withdrawal(msgspec.Struct, frozen=True):
     """An executor that is to be emptied, and whether it is empty."""
 
@@ -202,7 +180,7 @@
         elif kind == "node":
             _set(self.nodes, name, record and decode_value(record, NodeRecord))
         elif kind == "pool":
-            _set(self.pools, name, record and decode_value(record, PoolState))
+            _set(self.pools, name, record and decode_value(record, PoolDemand))
         elif kind == "withdrawal":
             decoded = record and (decode_value(record, Withdrawal), record.revision)
             _set(self.withdrawals, name, decoded)
--- a/peridotspoke/peers/lending.py
+++ b/peridotspoke/peers/lending.py
@@ -19,6 +19,7 @@
     key_keeper,
 )
 from peridotspoke.peers.slots import LendingRules, SlotBorrower, SlotKeeper
+from peridotspoke.requests import SlotShares
 from peridotspoke.store import (
     ChangeNote,
     Stored,
@@ -26,7 +27,6 @@
     follow_prefix,
     swap_stored,
 )
-from peridotspoke.requests import SlotShares
 
 __all__ = ["LentShares", "SlotLending"]
 
--- a/peridotspoke/peers/tests/test_gossip.py
+++ b/peridotspoke/peers/tests/test_gossip.py
@@ -19,9 +19,9 @@
     PeerLink,
     PeerNode,
 )
-from peridotspoke.store import GatewayKeyValueService
 from peridotspoke.pools import InstanceRecord, Phase
 from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
+from peridotspoke.store import GatewayKeyValueService
 
 scenarios("gossip.feature")
 
--- a/peridotspoke/peers/tests/test_leaving.py
+++ b/peridotspoke/peers/tests/test_leaving.py
@@ -4,9 +4,9 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from peridotspoke.peers import LeavingNews, LeavingView
-from peridotspoke.store import ListedInstance
 from peridotspoke.pools import InstanceRecord, Phase
 from peridotspoke.requests import build_routing_table
+from peridotspoke.store import ListedInstance
 
 scenarios("leaving.feature")
 
--- a/peridotspoke/pools/actions.py
+++ b/peridotspoke/pools/actions.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from peridotspoke.planning import PlannedMove
-from peridotspoke.store import ListedInstance, UsageReport
 from peridotspoke.pools.conditions import PoolCondition
 from peridotspoke.pools.drains import DrainBounds, EntryView
 from peridotspoke.pools.ledger import Disruption, DisruptionLedger, PermitRequest
 from peridotspoke.pools.maintenance import LateMaintenance
 from peridotspoke.pools.records import InstanceRecord, Operation
+from peridotspoke.store import ListedInstance, UsageReport
 
 if TYPE_CHECKING:
     # Declarations import peers, which import this subpackage.
--- a/peridotspoke/pools/controlling.py
+++ b/peridotspoke/pools/controlling.py
@@ -15,7 +15,6 @@
     PlatformError,
 )
 from peridotspoke.logs import log_event
-from peridotspoke.store import decode_record
 from peridotspoke.pools.actions import BeginOperation, RebootInstance, ReportLate
 from peridotspoke.pools.drains import InFlight
 from peridotspoke.pools.ledger import POOLS_PREFIX
@@ -29,6 +28,7 @@
 )
 from peridotspoke.pools.records import INSTANCES_PREFIX
 from peridotspoke.pools.rounds import decide_round
+from peridotspoke.store import decode_record
 
 __all__ = ["FleetController"]
 
--- a/peridotspoke/pools/observing.py
+++ b/peridotspoke/pools/observing.py
@@ -4,7 +4,6 @@
 
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.store import decode_record
 from peridotspoke.pools.actions import FleetView
 from peridotspoke.pools.entries import EntryWatch
 from peridotspoke.pools.ledger import POOLS_PREFIX, DisruptionLedger, key_ledger
@@ -14,6 +13,7 @@
     Phase,
     key_instance,
 )
+from peridotspoke.store import decode_record
 
 __all__ = ["FleetObserver"]
 
--- a/peridotspoke/pools/tests/sites.py
+++ b/peridotspoke/pools/tests/sites.py
@@ -10,9 +10,9 @@
     ServiceDeclaration,
 )
 from peridotspoke.exceptions import RecordError
-from peridotspoke.store import decode_record
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
 from peridotspoke.standins.site import FleetSite, list_machines
+from peridotspoke.store import decode_record
 
 MAX_UNAVAILABLE = 2
 FOLLOWERS = {
--- a/peridotspoke/pools/tests/test_fleet_faults.py
+++ b/peridotspoke/pools/tests/test_fleet_faults.py
@@ -12,7 +12,6 @@
     PlatformError,
 )
 from peridotspoke.planning import PlannedMove
-from peridotspoke.store import UsageReport, decode_record, parse_instances
 from peridotspoke.pools import (
     DisruptionLedger,
     FixedPlanner,
@@ -23,6 +22,7 @@
 )
 from peridotspoke.pools.starting import start_planned_work
 from peridotspoke.pools.tests.sites import HistoryCheck, make_service, make_site
+from peridotspoke.store import UsageReport, decode_record, parse_instances
 
 scenarios("fleet_faults.feature")
 
--- a/peridotspoke/pools/writing.py
+++ b/peridotspoke/pools/writing.py
@@ -4,7 +4,6 @@
 
 from peridotspoke.exceptions import OperationConflictError, PermitRefusedError
 from peridotspoke.logs import log_event
-from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 from peridotspoke.pools.actions import (
     AddRecord,
     BeginOperation,
@@ -26,6 +25,7 @@
 from peridotspoke.pools.maintenance import LateMaintenance, format_date
 from peridotspoke.pools.phases import adopt_instance, begin_operation
 from peridotspoke.pools.records import InstanceRecord, key_instance
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 
 __all__ = ["FleetWriter", "PoolStatus", "key_status"]
 
--- a/peridotspoke/programs/audit.py
+++ b/peridotspoke/programs/audit.py
@@ -12,13 +12,6 @@
 from peridotspoke.clock import SystemClock
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.store import (
-    AUDIT_PREFIX,
-    ArchivedChanges,
-    ChangeNote,
-    decode_record,
-    open_service,
-)
 from peridotspoke.programs.output import print_rows
 from peridotspoke.programs.running import (
     EXIT_FAILURE,
@@ -27,6 +20,13 @@
     run_commands,
 )
 from peridotspoke.programs.settings import AuditSettings
+from peridotspoke.store import (
+    AUDIT_PREFIX,
+    ArchivedChanges,
+    ChangeNote,
+    decode_record,
+    open_service,
+)
 
 __all__ = ["list_changes", "main"]
 
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -11,16 +11,16 @@
 from peridotspoke.peers import (
     PeerHandlers,
 )
-from peridotspoke.store import (
-    HttpInstanceActions,
-    HttpUsageReports,
-)
 from peridotspoke.programs.admin import Health, HealthSource, serve_admin
 from peridotspoke.programs.connecting import connect_platform
 from peridotspoke.programs.fleet import FleetTasks
 from peridotspoke.programs.fleetjobs import FleetJobs, RunningWork
 from peridotspoke.programs.running import make_command, run_commands, watch_signals
 from peridotspoke.programs.settings import ControlSettings
+from peridotspoke.store import (
+    HttpInstanceActions,
+    HttpUsageReports,
+)
 
 __all__ = ["Controller", "main"]
 
--- a/peridotspoke/programs/fleet.py
+++ b/peridotspoke/programs/fleet.py
@@ -7,7 +7,6 @@
 
 from peridotspoke.exceptions import PlatformError
 from peridotspoke.identities import make_operation_id
-from peridotspoke.store import FollowingRules, follow_prefix
 from peridotspoke.pools import (
     INSTANCES_PREFIX,
     OWNERS_PREFIX,
@@ -20,6 +19,7 @@
     ProcessIdentity,
     RoundBounds,
 )
+from peridotspoke.store import FollowingRules, follow_prefix
 
 __all__ = ["FleetTasks"]
 
--- a/peridotspoke/programs/fleetjobs.py
+++ b/peridotspoke/programs/fleetjobs.py
@@ -11,9 +11,9 @@
     JobsTask,
 )
 from peridotspoke.peers import InFlightSource
-from peridotspoke.store.workers import HttpWorker
 from peridotspoke.programs.fleet import NodeIdentity
 from peridotspoke.programs.jobpools import describe_pools
+from peridotspoke.store.workers import HttpWorker
 
 __all__ = ["FleetJobs", "RunningWork"]
 
--- a/peridotspoke/programs/publish.py
+++ b/peridotspoke/programs/publish.py
@@ -39,10 +39,10 @@
     OperationConflictError,
     PlatformError,
 )
-from peridotspoke.store import open_service
 from peridotspoke.programs.output import print_rows
 from peridotspoke.programs.running import make_command, run_commands
 from peridotspoke.programs.settings import PublishSettings
+from peridotspoke.store import open_service
 
 __all__ = ["EXIT_CONFLICT", "EXIT_INCOMPLETE", "EXIT_UNKNOWN", "main"]
 
--- a/peridotspoke/programs/tests/test_audit.py
+++ b/peridotspoke/programs/tests/test_audit.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from peridotspoke.clock import ManualClock
-from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 from peridotspoke.programs.audit import list_changes
 from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 
 KEY = "instances/i1"
 
--- a/peridotspoke/programs/tests/test_jobs.py
+++ b/peridotspoke/programs/tests/test_jobs.py
@@ -22,6 +22,9 @@
 from peridotspoke.jobs import JobAcceptor, JobBatch
 from peridotspoke.jobs.lifecycle import JobFinished, JobStarting, apply_event
 from peridotspoke.jobs.messages import Attempt
+from peridotspoke.programs.jobs import JobRequests
+from peridotspoke.requests import IncomingRequest, admit_request
+from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 from peridotspoke.store import (
     GatewayKeyValueService,
     ListedInstance,
@@ -29,9 +32,6 @@
     decode_record,
     encode_stored,
 )
-from peridotspoke.programs.jobs import JobRequests
-from peridotspoke.requests import IncomingRequest, admit_request
-from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 
 scenarios("jobs.feature")
 
--- a/peridotspoke/programs/tests/test_supervision.py
+++ b/peridotspoke/programs/tests/test_supervision.py
@@ -11,7 +11,6 @@
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import publish_declarations
-from peridotspoke.store import GatewayKeyValueService, ListedInstance
 from peridotspoke.programs.control import Controller
 from peridotspoke.programs.entry import EntryInstance
 from peridotspoke.programs.settings import ControlSettings, EntrySettings
@@ -22,6 +21,7 @@
     WorkerStandIn,
     start_server,
 )
+from peridotspoke.store import GatewayKeyValueService, ListedInstance
 
 scenarios("supervision.feature")
 
--- a/peridotspoke/programs/trial.py
+++ b/peridotspoke/programs/trial.py
@@ -12,7 +12,6 @@
 
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import publish_declarations, read_declarations
-from peridotspoke.store import GatewayKeyValueService, ListedInstance
 from peridotspoke.programs.control import Controller
 from peridotspoke.programs.entry import EntryInstance
 from peridotspoke.programs.running import make_command, run_commands
@@ -22,6 +21,7 @@
     TrialSettings,
 )
 from peridotspoke.standins import PlatformStandIn, UpstreamStandIn, start_server
+from peridotspoke.store import GatewayKeyValueService, ListedInstance
 
 __all__ = ["main"]
 
--- a/peridotspoke/programs/upstreams.py
+++ b/peridotspoke/programs/upstreams.py
@@ -4,9 +4,9 @@
 
 from peridotspoke.exceptions import PlatformError, RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.store import decode_record, follow_prefix
 from peridotspoke.pools import INSTANCES_PREFIX, InstanceRecord
 from peridotspoke.requests import build_routing_table
+from peridotspoke.store import decode_record, follow_prefix
 
 __all__ = ["UpstreamFollower"]
 
--- a/peridotspoke/requests/claiming.py
+++ b/peridotspoke/requests/claiming.py
@@ -11,7 +11,6 @@
     RecordError,
 )
 from peridotspoke.identities import make_operation_id
-from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 from peridotspoke.requests.claims import (
     AnswerState,
     ClaimRecord,
@@ -22,6 +21,7 @@
     key_claim,
 )
 from peridotspoke.requests.messages import Outcome, Refusal, UpstreamAnswer
+from peridotspoke.store import ChangeNote, Stored, decode_record, swap_stored
 
 __all__ = ["KeyedRunner"]
 
--- a/peridotspoke/requests/tests/keys.py
+++ b/peridotspoke/requests/tests/keys.py
@@ -13,7 +13,6 @@
     PeerError,
     PlatformUnavailableError,
 )
-from peridotspoke.store import KeyValueService, Lease
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.requests import (
     AdmittedRequest,
@@ -26,6 +25,7 @@
     UpstreamAnswer,
 )
 from peridotspoke.standins import StoreStandIn
+from peridotspoke.store import KeyValueService, Lease
 
 LIFETIME = 600.0
 LIMIT = 5.0
--- a/peridotspoke/standins/platform.py
+++ b/peridotspoke/standins/platform.py
@@ -8,12 +8,12 @@
 import xxhash
 from aiohttp import web
 
-from peridotspoke.store.gateway import decode_text, encode_text
-from peridotspoke.store.instances import ListedInstance
-from peridotspoke.store.usage import UsageReport
 from peridotspoke.standins.faults import PlatformFaults
 from peridotspoke.standins.fleet import FleetStandIn
 from peridotspoke.standins.store import StoreStandIn
+from peridotspoke.store.gateway import decode_text, encode_text
+from peridotspoke.store.instances import ListedInstance
+from peridotspoke.store.usage import UsageReport
 
 __all__ = ["PlatformStandIn"]
 
--- a/peridotspoke/standins/site.py
+++ b/peridotspoke/standins/site.py
@@ -8,8 +8,6 @@
 from peridotspoke.exceptions import OperationConflictError, PeerError, RecordError
 from peridotspoke.identities import make_operation_id
 from peridotspoke.peers import InFlightReport, InFlightSource, MemberRecord
-from peridotspoke.store import InstanceActions, ListedInstance, decode_record
-from peridotspoke.store.keyvalue import Change
 from peridotspoke.pools import (
     INSTANCES_PREFIX,
     OWNERS_PREFIX,
@@ -25,6 +23,8 @@
 from peridotspoke.standins.fleet import FleetStandIn
 from peridotspoke.standins.local import FaultyKeyValueService
 from peridotspoke.standins.store import StoreStandIn
+from peridotspoke.store import InstanceActions, ListedInstance, decode_record
+from peridotspoke.store.keyvalue import Change
 
 __all__ = [
     "EntriesStandIn",
--- a/peridotspoke/standins/worker.py
+++ b/peridotspoke/standins/worker.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from peridotspoke.standins.faults import WorkerFaults
 from peridotspoke.store.workers import (
     EndTasks,
     Exchange,
@@ -18,7 +19,6 @@
     ThrottleTasks,
     WorkerReport,
 )
-from peridotspoke.standins.faults import WorkerFaults
 
 __all__ = ["TaskRunner", "WorkerStandIn"]
 
--- a/peridotspoke/store/tests/test_following.py
+++ b/peridotspoke/store/tests/test_following.py
@@ -5,8 +5,8 @@
 from contextlib import aclosing
 
 from peridotspoke.clock import ManualClock
-from peridotspoke.store import FollowingRules, follow_prefix
 from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
+from peridotspoke.store import FollowingRules, follow_prefix
 
 MOST_CHANGES = 500
 RULES = FollowingRules(check_interval=0.02)
--- a/peridotspoke/store/tests/test_instance_list.py
+++ b/peridotspoke/store/tests/test_instance_list.py
@@ -6,8 +6,8 @@
 
 from peridotspoke.clock import ManualClock
 from peridotspoke.exceptions import PlatformError, PlatformUnavailableError
-from peridotspoke.store import HttpInstanceList, ListedInstance
 from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
+from peridotspoke.store import HttpInstanceList, ListedInstance
 
 scenarios("instance_list.feature")
 
--- a/peridotspoke/store/tests/test_keyvalue.py
+++ b/peridotspoke/store/tests/test_keyvalue.py
@@ -15,6 +15,7 @@
     PlatformUnavailableError,
     RecordError,
 )
+from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 from peridotspoke.store import (
     MAX_VALUE,
     ChangeNote,
@@ -27,7 +28,6 @@
     follow_prefix,
     swap_stored,
 )
-from peridotspoke.standins import PlatformFaults, PlatformStandIn, start_server
 
 scenarios("keyvalue.feature")
 
--- a/peridotspoke/store/tests/test_records.py
+++ b/peridotspoke/store/tests/test_records.py
@@ -15,6 +15,7 @@
     OperationConflictError,
     PlatformUnavailableError,
 )
+from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
 from peridotspoke.store import (
     AUDIT_PREFIX,
     ArchivedChanges,
@@ -27,7 +28,6 @@
     encode_stored,
     swap_stored,
 )
-from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
 from peridotspoke.tokenbucket import TokenBucket
 
 KEY = "instances/i1"
--- a/peridotspoke/store/tests/test_workers.py
+++ b/peridotspoke/store/tests/test_workers.py
@@ -6,6 +6,12 @@
 
 from peridotspoke.clock import ManualClock
 from peridotspoke.exceptions import PlatformError
+from peridotspoke.standins import (
+    TaskRunner,
+    WorkerFaults,
+    WorkerStandIn,
+    start_server,
+)
 from peridotspoke.store.workers import (
     EndTasks,
     Exchange,
@@ -13,12 +19,6 @@
     StartTask,
     TaskStop,
 )
-from peridotspoke.standins import (
-    TaskRunner,
-    WorkerFaults,
-    WorkerStandIn,
-    start_server,
-)
 
 scenarios("workers.feature")
 
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -419,9 +419,7 @@
         task.executor = executor_id
         task.born = state.born
         step = progress.job.steps[task.key.step]
-        run = Run(
-            task, progress, step, task.run, executor_id, RunPhase.PLANNED, now
-        )
+        run = Run(task, progress, step, task.run, executor_id, RunPhase.PLANNED, now)
         run.ticket = ticket
         state.runs[task.key] = run
         progress.begun = True
@@ -576,4 +574,3 @@
         """Yield all runs."""
         for state in self.executors.values():
             yield from state.runs.values()
-
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -12,7 +12,14 @@
     rank_timing,
 )
 
-__all__ = ["StepWork", "list_work", "make_offers", "open_due", "plan_runs"]
+__all__ = [
+    "StepWork",
+    "list_remaining",
+    "list_work",
+    "make_offers",
+    "open_due",
+    "plan_runs",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +81,25 @@
         yield StepWork(progress, occurrence, number, tuple(waiting), timing, tail)
 
 
+def list_remaining(ledger, wall):
+    """Yield the processor-seconds left and the slack of each open finite job."""
+    for progress in ledger.jobs.values():
+        job = progress.job
+        if progress.outcome is not JobOutcome.OPEN or job.lasts:
+            continue
+        durations = [
+            ledger.durations.predict(job.queue, step.estimate) for step in job.steps
+        ]
+        for occurrence, steps in progress.occurrences.items():
+            done = {
+                number
+                for number in range(len(steps))
+                if progress.is_step_done(occurrence, number)
+            }
+            timing = _time_job(job, steps, durations, done, occurrence, wall)
+            yield timing.work, timing.slack
+
+
 def _time_job(job, steps, durations, done, occurrence, wall):
     chain = compute_chain(job, durations)
     remaining = compute_chain(job, durations, done)
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -1,5 +1,6 @@
 """Tests of the ledger: what an owner believes after each answer and report."""
 
+from peridotspoke.store import Record
 from peridotspoke.workloads.executors import EndKind, Refusal
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, decode_summary
 from peridotspoke.workloads.tests.ledgers import (
@@ -11,7 +12,6 @@
     start_all,
     store,
 )
-from peridotspoke.store import Record
 
 
 def read_outcome(batch, job_id):
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -10,9 +10,9 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from peridotspoke.pools import InstanceRecord, Phase, key_instance
 from peridotspoke.store import ChangeNote, Stored, encode_stored
 from peridotspoke.store.gateway import encode_text
-from peridotspoke.pools import InstanceRecord, Phase, key_instance
 from tests.fleet import send
 from tests.processes import ProgramProcess, run_program
 
