--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -25,12 +25,8 @@
 from peridotspoke.workloads.executors import Refusal
 from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
 from peridotspoke.workloads.progress import decode_progress
-from peridotspoke.workloads.scheduling import list_remaining, plan_runs
-from peridotspoke.workloads.sizing import (
-    DemandTracker,
-    SizingRules,
-    describe_demand,
-)
+from peridotspoke.workloads.scheduling import list_timings, plan_runs, sum_ready
+from peridotspoke.workloads.sizing import describe_demand
 
 __all__ = ["PoolSupervisor"]
 
@@ -65,7 +61,6 @@
         self._revisions = {}
         self._marking = set()
         self._under_way = set()
-        self._arrivals = DemandTracker(SizingRules().window)
         self._described = None
         self._described_at = float("-inf")
         settings = node.settings
@@ -200,7 +195,6 @@
             self._revisions[job_id] = known.progress.revision if known.progress else 0
             self._note("job-taken", job=job_id, revision=known.revision)
             self._ledger.add_job(progress)
-            self._note_arrival(known.job)
         if known.cancelled:
             self._ledger.cancel_job(job_id, self._node.clock.read_wall())
 
@@ -225,9 +219,8 @@
         if now - self._described_at < DEMAND_INTERVAL:
             return
         wall = self._node.clock.read_wall()
-        works = list_remaining(self._ledger, wall)
-        rate = self._arrivals.read_rate(now)
-        demand = describe_demand(self._ledger, works, rate, wall)
+        timings = list_timings(self._ledger, wall)
+        demand = describe_demand(self._ledger, timings, sum_ready(self._ledger))
         fresh = now - self._described_at < DEMAND_AGE
         if fresh and not _differs(self._described, demand):
             return
@@ -257,15 +250,6 @@
         finally:
             self._marking.discard(machine)
 
-    def _note_arrival(self, job):
-        predict = self._ledger.durations.predict
-        work = sum(
-            step.count * step.need.cpu / 1000 * predict(job.queue, step.estimate)
-            for step in job.steps
-            if not step.lasting
-        )
-        self._arrivals.note_arrival(work, self._node.clock.read_monotonic())
-
     async def _commit(self):
         """Store all that is dirty; then ends may be forgotten by their executors."""
         cursors = {
--- a/peridotspoke/workloads/estimation.py
+++ b/peridotspoke/workloads/estimation.py
@@ -11,9 +11,10 @@
 
 @dataclass(slots=True)
 class _Observed:
-    mean: float
-    ratio: float
-    error: float = 0.5
+    duration: float
+    estimate: float
+    scaled_error: float = 0.0
+    mean_error: float = 0.0
     count: int = 0
 
 
@@ -22,16 +23,17 @@
 
     Notes
     -----
-    The estimate counts by how well estimates of the queue have proved: its weight is
-    one less the mean relative error of the estimate, and at least 0.
+    Two predictions are blended: the estimate, scaled by the ratio of the means of
+    durations and estimates, and the mean duration. Each counts by the inverse square
+    of the mean absolute error that it has had.
 
     Examples
     --------
     >>> model = DurationModel()
     >>> model.predict("quotes", 2.0)
     2.0
-    >>> for _ in range(100):
-    ...     model.observe("quotes", 4.0, 1.0)
+    >>> for estimate in (1.0, 4.0) * 50:
+    ...     model.observe("quotes", estimate, 1.0)
     >>> round(model.predict("quotes", 4.0), 1)
     1.0
     """
@@ -44,19 +46,26 @@
         estimate = max(estimate, LEAST_DURATION)
         known = self._observed.get(queue)
         if known is None:
-            known = self._observed[queue] = _Observed(duration, duration / estimate)
+            known = self._observed[queue] = _Observed(duration, estimate)
         weight = max(WEIGHT, 1.0 / (known.count + 1))
-        error = abs(estimate * known.ratio - duration) / max(duration, LEAST_DURATION)
+        scaled = estimate * known.duration / known.estimate
+        scaled_error = abs(scaled - duration)
+        mean_error = abs(known.duration - duration)
         known.count += 1
-        known.mean += weight * (duration - known.mean)
-        known.ratio += weight * (duration / estimate - known.ratio)
-        known.error += weight * (min(error, 1.0) - known.error)
+        known.scaled_error += weight * (scaled_error - known.scaled_error)
+        known.mean_error += weight * (mean_error - known.mean_error)
+        known.duration += weight * (duration - known.duration)
+        known.estimate += weight * (estimate - known.estimate)
 
     def predict(self, queue, estimate):
         """Return the expected seconds of a task with an `estimate`."""
         known = self._observed.get(queue)
         if known is None:
             return estimate or FIRST_DURATION
-        trust = max(0.0, 1.0 - known.error)
-        scaled = estimate * known.ratio if estimate else known.mean
-        return max(LEAST_DURATION, trust * scaled + (1.0 - trust) * known.mean)
+        if not estimate:
+            return known.duration
+        scaled = estimate * known.duration / known.estimate
+        errors = known.scaled_error**2 + known.mean_error**2
+        trust = known.mean_error**2 / errors if errors else 1.0
+        blended = trust * scaled + (1.0 - trust) * known.duration
+        return max(LEAST_DURATION, blended)
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -14,11 +14,12 @@
 
 __all__ = [
     "StepWork",
-    "list_remaining",
+    "list_timings",
     "list_work",
     "make_offers",
     "open_due",
     "plan_runs",
+    "sum_ready",
 ]
 
 
@@ -81,8 +82,24 @@
         yield StepWork(progress, occurrence, number, tuple(waiting), timing, tail)
 
 
-def list_remaining(ledger, wall):
-    """Yield the processor-seconds left and the slack of each open finite job."""
+def sum_ready(ledger):
+    """Return the processors used if all finite tasks that may start ran."""
+    cores = 0.0
+    for progress in ledger.jobs.values():
+        job = progress.job
+        if progress.outcome is not JobOutcome.OPEN or job.lasts:
+            continue
+        for occurrence, steps in progress.occurrences.items():
+            for number, tasks in enumerate(steps):
+                step = job.steps[number]
+                if all(progress.is_step_done(occurrence, item) for item in step.after):
+                    left = sum(task.status is not TaskStatus.DONE for task in tasks)
+                    cores += left * compute_need(step).cpu / 1000
+    return cores
+
+
+def list_timings(ledger, wall):
+    """Yield the `JobTiming` of each occurrence of the open finite jobs."""
     for progress in ledger.jobs.values():
         job = progress.job
         if progress.outcome is not JobOutcome.OPEN or job.lasts:
@@ -96,8 +113,7 @@
                 for number in range(len(steps))
                 if progress.is_step_done(occurrence, number)
             }
-            timing = _time_job(job, steps, durations, done, occurrence, wall)
-            yield timing.work, timing.slack
+            yield _time_job(job, steps, durations, done, occurrence, wall)
 
 
 def _time_job(job, steps, durations, done, occurrence, wall):
--- a/peridotspoke/workloads/sizing.py
+++ b/peridotspoke/workloads/sizing.py
@@ -16,7 +16,6 @@
 
 __all__ = [
     "DemandHistory",
-    "DemandTracker",
     "MovePlan",
     "PoolDemand",
     "SizingRules",
@@ -25,18 +24,19 @@
 ]
 
 
+SHORTEST_SPAN = 0.2  # seconds
+
+
 @dataclass(frozen=True, slots=True)
 class SizingRules:
     """How demand becomes machines.
 
     Parameters
     ----------
-    horizon : float
-        Seconds in which accepted work that can be in time should be done.
+    slack_share : float
+        Share of a job's slack that its work may be spread over.
     late_horizon : float
-        The same for work that is late anyway.
-    window : float
-        Seconds over which the rate of arriving work is measured.
+        Seconds in which work that is late anyway should be done.
     hold : float
         Seconds for which the highest need is kept.
     headroom : float
@@ -45,10 +45,9 @@
         Machines that a pool keeps.
     """
 
-    horizon: float = 1.5
+    slack_share: float = 0.5
     late_horizon: float = 6.0
-    window: float = 1.0
-    hold: float = 1.5
+    hold: float = 2.0
     headroom: float = 1.15
     least: int = 2
 
@@ -75,33 +74,6 @@
     unusable: tuple[str, ...] = ()
 
 
-class DemandTracker:
-    """Measures the rate of arriving work in processor-seconds a second.
-
-    Examples
-    --------
-    >>> tracker = DemandTracker(window=2.0)
-    >>> tracker.note_arrival(10.0, now=0.0)
-    >>> tracker.note_arrival(30.0, now=1.0)
-    >>> tracker.read_rate(now=1.5), tracker.read_rate(now=2.5)
-    (20.0, 15.0)
-    """
-
-    def __init__(self, window):
-        self._window = window
-        self._arrivals = deque()
-
-    def note_arrival(self, work, now):
-        """Note `work` processor-seconds that were accepted."""
-        self._arrivals.append((now, work))
-
-    def read_rate(self, now):
-        """Return the mean rate over the window that ends now."""
-        while self._arrivals and self._arrivals[0][0] < now - self._window:
-            self._arrivals.popleft()
-        return sum(work for _, work in self._arrivals) / self._window
-
-
 class DemandHistory:
     """Keeps the highest need of the last seconds.
 
@@ -124,30 +96,31 @@
         return max(kept for _, kept in self._needs)
 
 
-def describe_demand(ledger, works, rate, wall, rules=SizingRules()):
+def describe_demand(ledger, timings, ready, rules=SizingRules()):
     """Return the `PoolDemand` of a pool.
 
+    A job needs its work done over the chain that is left and a share of its slack.
+    All jobs together need at most what could run at once, and at least what runs.
+
     Parameters
     ----------
     ledger : PoolLedger
-    works : iterable of (float, float)
-        For each open job the processor-seconds that are left and its slack, seconds.
-    rate : float
-        Arriving work, processor-seconds a second.
-    wall : float
-        Seconds since the Unix epoch.
+    timings : iterable of JobTiming
+        Of each open finite job.
+    ready : float
+        Processors that would be used if all that may start ran.
     rules : SizingRules, optional
     """
     timely = late = 0.0
-    for work, slack in works:
-        if slack >= 0:
-            timely += work
+    for timing in timings:
+        if timing.slack >= 0:
+            span = timing.remaining + rules.slack_share * timing.slack
+            timely += timing.work / max(span, SHORTEST_SPAN)
         else:
-            late += work
-    lasting = _sum_lasting(ledger)
-    finite = max(rate, timely / rules.horizon + late / rules.late_horizon)
+            late += timing.work / rules.late_horizon
+    finite = max(_sum_running(ledger), min(ready, timely + late))
     return PoolDemand(
-        cores=lasting + finite,
+        cores=_sum_lasting(ledger) + finite,
         spread=_compute_spread(ledger),
         removable=_rank_removable(ledger),
         unusable=tuple(
@@ -160,6 +133,14 @@
     )
 
 
+def _sum_running(ledger):
+    return sum(
+        compute_need(run.step).cpu / 1000
+        for run in ledger.list_runs()
+        if not run.step.lasting
+    )
+
+
 def _sum_lasting(ledger):
     cores = 0.0
     for progress in ledger.jobs.values():
