Provision a pool at the rate of the last second's arrivals

Cause: the slack of the match queues (1.1 to 1.4 s) is shorter than a move, so that a pool sized to its backlog lags each peak.

--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -26,7 +26,7 @@
 from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
 from peridotspoke.workloads.progress import decode_progress
 from peridotspoke.workloads.scheduling import list_timings, plan_runs, sum_ready
-from peridotspoke.workloads.sizing import describe_demand
+from peridotspoke.workloads.sizing import ArrivalRate, SizingRules, describe_demand
 
 __all__ = ["PoolSupervisor"]
 
@@ -61,6 +61,7 @@
         self._revisions = {}
         self._marking = set()
         self._under_way = set()
+        self._arrivals = ArrivalRate(SizingRules().window)
         self._described = None
         self._described_at = float("-inf")
         settings = node.settings
@@ -195,6 +196,7 @@
             self._revisions[job_id] = known.progress.revision if known.progress else 0
             self._note("job-taken", job=job_id, revision=known.revision)
             self._ledger.add_job(progress)
+            self._note_arrival(known.job)
         if known.cancelled:
             self._ledger.cancel_job(job_id, self._node.clock.read_wall())
 
@@ -220,7 +222,9 @@
             return
         wall = self._node.clock.read_wall()
         timings = list_timings(self._ledger, wall)
-        demand = describe_demand(self._ledger, timings, sum_ready(self._ledger))
+        rate = self._arrivals.read(now)
+        ready = sum_ready(self._ledger)
+        demand = describe_demand(self._ledger, timings, ready, rate)
         fresh = now - self._described_at < DEMAND_AGE
         if fresh and not _differs(self._described, demand):
             return
@@ -250,6 +254,15 @@
         finally:
             self._marking.discard(machine)
 
+    def _note_arrival(self, job):
+        predict = self._ledger.durations.predict
+        work = sum(
+            step.count * step.need.cpu / 1000 * predict(job.queue, step.estimate)
+            for step in job.steps
+            if not step.lasting
+        )
+        self._arrivals.note(work, self._node.clock.read_monotonic())
+
     async def _commit(self):
         """Store all that is dirty; then ends may be forgotten by their executors."""
         cursors = {
--- a/peridotspoke/workloads/sizing.py
+++ b/peridotspoke/workloads/sizing.py
@@ -15,6 +15,7 @@
 from peridotspoke.workloads.runs import RunPhase, compute_need
 
 __all__ = [
+    "ArrivalRate",
     "DemandHistory",
     "MovePlan",
     "PoolDemand",
@@ -35,6 +36,8 @@
     ----------
     slack_share : float
         Share of a job's slack that its work may be spread over.
+    window : float
+        Seconds over which the rate of arriving work is measured.
     late_horizon : float
         Seconds in which work that is late anyway should be done.
     hold : float
@@ -46,6 +49,7 @@
     """
 
     slack_share: float = 0.5
+    window: float = 1.0
     late_horizon: float = 6.0
     hold: float = 2.0
     headroom: float = 1.15
@@ -74,6 +78,33 @@
     unusable: tuple[str, ...] = ()
 
 
+class ArrivalRate:
+    """Measures the rate of arriving work in processor-seconds a second.
+
+    Examples
+    --------
+    >>> arrivals = ArrivalRate(window=2.0)
+    >>> arrivals.note(10.0, now=0.0)
+    >>> arrivals.note(30.0, now=1.0)
+    >>> arrivals.read(now=1.5), arrivals.read(now=2.5)
+    (20.0, 15.0)
+    """
+
+    def __init__(self, window):
+        self._window = window
+        self._arrivals = deque()
+
+    def note(self, work, now):
+        """Note `work` processor-seconds that were accepted."""
+        self._arrivals.append((now, work))
+
+    def read(self, now):
+        """Return the mean rate over the window that ends now."""
+        while self._arrivals and self._arrivals[0][0] < now - self._window:
+            self._arrivals.popleft()
+        return sum(work for _, work in self._arrivals) / self._window
+
+
 class DemandHistory:
     """Keeps the highest need of the last seconds.
 
@@ -96,7 +127,7 @@
         return max(kept for _, kept in self._needs)
 
 
-def describe_demand(ledger, timings, ready, rules=SizingRules()):
+def describe_demand(ledger, timings, ready, rate, rules=SizingRules()):
     """Return the `PoolDemand` of a pool.
 
     A job needs its work done over the chain that is left and a share of its slack.
@@ -109,6 +140,8 @@
         Of each open finite job.
     ready : float
         Processors that would be used if all that may start ran.
+    rate : float
+        Arriving work, processor-seconds a second.
     rules : SizingRules, optional
     """
     timely = late = 0.0
@@ -118,7 +151,7 @@
             timely += timing.work / max(span, SHORTEST_SPAN)
         else:
             late += timing.work / rules.late_horizon
-    finite = max(_sum_running(ledger), min(ready, timely + late))
+    finite = max(_sum_running(ledger), min(ready, timely + late), rate)
     return PoolDemand(
         cores=_sum_lasting(ledger) + finite,
         spread=_compute_spread(ledger),
