--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -2,16 +2,22 @@
 
 import asyncio
 
+from peridotspoke.backoff import BackoffRules
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.fleet import FLEET, FleetKeeper
 from peridotspoke.nodes.keys import EXECUTOR_PREFIX, WORK_PREFIX
 from peridotspoke.nodes.ownership import Ownership
 from peridotspoke.nodes.supervising import PoolSupervisor
-from peridotspoke.store import follow_prefix
+from peridotspoke.store import FollowingRules, follow_prefix
 
 __all__ = ["DocumentCodec", "Node"]
 
+FOLLOWING = FollowingRules(backoff=BackoffRules(first=0.1, most=0.6))
+WORK_PAUSE = 0.06  # seconds between two polls for work where pools are owned
+IDLE_PAUSE = 0.15  # seconds between two polls for work elsewhere
+ENTRY_PAUSE = 0.2  # seconds between two polls for executors' entries
+
 
 class DocumentCodec:
     """How the operator's and the executors' records are found and read.
@@ -118,11 +124,18 @@
         if task is not None:
             task.cancel()
 
+    def _follow(self, prefix):
+        parts = self._parts
+        return follow_prefix(
+            parts.store,
+            prefix,
+            rules=FOLLOWING,
+            clock=parts.clock,
+            chance=parts.chance,
+        )
+
     async def _follow_operator(self):
-        parts, codec = self._parts, self._codec
-        async for followed in follow_prefix(
-            parts.store, codec.prefix, clock=parts.clock, chance=parts.chance
-        ):
+        async for followed in self._follow(self._codec.prefix):
             for key in followed.changed:
                 record = followed.records.get(key)
                 try:
@@ -142,18 +155,14 @@
             log_event("wave-announced", wave=wave.number, machines=len(wave.machines))
 
     async def _follow_work(self):
-        parts = self._parts
-        async for followed in follow_prefix(
-            parts.store, WORK_PREFIX, clock=parts.clock, chance=parts.chance
-        ):
-            parts.view.note_work(followed)
+        async for followed in self._follow(WORK_PREFIX):
+            self._parts.view.note_work(followed)
+            await asyncio.sleep(WORK_PAUSE if self._supervisors else IDLE_PAUSE)
 
     async def _follow_entries(self):
-        parts = self._parts
-        async for followed in follow_prefix(
-            parts.store, EXECUTOR_PREFIX, clock=parts.clock, chance=parts.chance
-        ):
-            parts.view.note_entries(followed, self._codec.decode_entry)
+        async for followed in self._follow(EXECUTOR_PREFIX):
+            self._parts.view.note_entries(followed, self._codec.decode_entry)
+            await asyncio.sleep(ENTRY_PAUSE)
 
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -1,6 +1,5 @@
 """The platform's metadata store as a `KeyValueService`."""
 
-import asyncio
 import base64
 from urllib.parse import quote
 
@@ -65,12 +64,11 @@
     """Times of a watch, in seconds.
 
     `wait` is how long the store may hold a poll back, `margin` how much later it
-    counts as lost, `pause` the least time between two polls.
+    counts as lost.
     """
 
     wait: float = 2.0
     margin: float = 1.0
-    pause: float = 0.04
 
 
 class MetadataStore(KeyValueService):
@@ -193,7 +191,6 @@
             revision = max(revision, found.as_of)
             changes = tuple(_decode_event(event) for event in found.events)
             yield WatchBatch(changes, revision)
-            await asyncio.sleep(rules.pause)
 
     async def _call(self, method, path, kind, body=None, timeout=None):
         try:
