Count every lasting task that is stopped, also one that starts up

The short cut for tasks below full work is gone. Ruled out: a sibling on a silent executor (its leases had been released before). Test: test_evacuation, failing before.

--- a/peridotspoke/workloads/evacuation.py
+++ b/peridotspoke/workloads/evacuation.py
@@ -38,7 +38,7 @@
     """Return whether stopping a lasting run keeps its step's availability."""
     if not run.step.lasting or not run.step.may_miss:
         return True
-    if run.phase is RunPhase.PLANNED or run.percent < AT_WORK:
+    if run.phase is RunPhase.PLANNED:
         return True
     return count_away(ledger, run, now) < run.step.may_miss
 
--- a/peridotspoke/workloads/tests/test_evacuation.py
+++ b/peridotspoke/workloads/tests/test_evacuation.py
@@ -63,3 +63,12 @@
     hold_all(ledger, runs, 1.0)
     ledger.set_withdrawn({runs[0].executor_id})
     assert list(plan_evacuation(ledger, 1.1)) == []
+
+
+def test_a_task_that_may_have_come_to_work_since_counts_as_at_work():
+    """A report of a startup is old news a moment later."""
+    ledger, runs = start_lasting("e1", "e2", "e3", "e4", "e5")
+    hold_all(ledger, runs[:2], 1.0, percent=50)
+    hold_all(ledger, runs[2:], 1.0)
+    ledger.set_withdrawn({runs[0].executor_id, runs[1].executor_id})
+    assert list(plan_evacuation(ledger, 1.1)) == []
