Restart stalled runs, copy tasks behind silence, answer demand sooner

Steps that may run twice wait no more for the lease of a silent executor. Demand is described every 0.15 s and wakes the fleet's owner.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -21,6 +21,7 @@
 
 FLEET = "~fleet"
 ROUND = 0.25  # seconds between two rounds
+ROUND_PAUSE = 0.03  # seconds between a change and the round that it causes
 LISTING_AGE = 0.7  # seconds after which machines are listed again while duties stand
 IDLE_LISTING_AGE = 4.0  # seconds after which they are listed again otherwise
 HOLDER_MARGIN = 0.3  # seconds beyond the least time between two holders
@@ -55,6 +56,7 @@
         self._waves = {}
         self._ordering = set()
         self._moving = {}
+        self._changed = asyncio.Event()
         self._histories = {}
         self._rules = SizingRules()
         self._tasks = set()
@@ -65,9 +67,10 @@
         while view.revision < self._holding.fence:
             await asyncio.sleep(ROUND)
         settled = self._node.settings.bounds.holder_change + HOLDER_MARGIN
+        subscription = view.changes.subscribe(self._note_changes)
         try:
             while True:
-                await asyncio.sleep(ROUND)
+                await self._wait()
                 now = self._node.clock.read_monotonic()
                 if now - self._holding.since < settled:
                     continue
@@ -76,9 +79,24 @@
                 except PlatformError as error:
                     log_event("fleet-round-failed", "WARNING", error=error)
         finally:
+            subscription.dispose()
             for task in list(self._tasks):
                 task.cancel()
 
+    def _note_changes(self, changed):
+        if "pool" in changed or "withdrawal" in changed:
+            self._changed.set()
+
+    async def _wait(self):
+        """Wait for a change of the pools or the end of the round."""
+        try:
+            async with asyncio.timeout(ROUND):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+        self._changed.clear()
+        await asyncio.sleep(ROUND_PAUSE)
+
     async def _run_round(self):
         waves = [
             wave
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -117,7 +117,19 @@
             )
         else:
             supervisor = PoolSupervisor(self._parts, holding)
-        self._supervisors[holding.unit] = self._spawn(supervisor.run())
+        self._supervisors[holding.unit] = self._spawn(
+            self._supervise(holding, supervisor)
+        )
+
+    async def _supervise(self, holding, supervisor):
+        """Run a supervisor; one that fails gives its unit to another node."""
+        try:
+            await supervisor.run()
+        except Exception as error:
+            log_event(
+                "supervisor-failed", "ERROR", unit=holding.unit, error=repr(error)
+            )
+            self._parts.ownership.give_up(holding, "its supervisor failed")
 
     def _lose(self, holding):
         task = self._supervisors.pop(holding.unit, None)
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -33,7 +33,7 @@
 TICK = 0.1  # seconds between rounds without messages
 ROUND_PAUSE = 0.01  # seconds between two rounds
 MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
-DEMAND_INTERVAL = 0.3  # seconds between two descriptions of the pool's demand
+DEMAND_INTERVAL = 0.15  # seconds between two descriptions of the pool's demand
 DEMAND_AGE = 3.0  # seconds after which an unchanged demand is described again
 DEMAND_STEP = 0.1  # share of the demand below which a change is not described
 SLOW_CLOCK = 1.02  # from the platform's protocol
@@ -129,6 +129,7 @@
         match message:
             case ReportArrived(executor_id, report, asked_at):
                 ledger.take_report(executor_id, report, asked_at, now, wall)
+                ledger.stop_stalled(executor_id, now)
             case StartAnswered(run, refusal):
                 ledger.take_start_answer(run, refusal, now)
             case StartLost(run):
@@ -149,6 +150,7 @@
         self._take_changes()
         now = self._node.clock.read_monotonic()
         self._ledger.expire_leases(now)
+        self._ledger.copy_unreachable(now)
         self._keep_withdrawals()
         if self._node.ownership.may_order():
             for run in plan_evacuation(self._ledger, now):
@@ -194,7 +196,13 @@
                 log_event("progress-unreadable", "ERROR", job=job_id, error=error)
                 return
             self._revisions[job_id] = known.progress.revision if known.progress else 0
-            self._note("job-taken", job=job_id, revision=known.revision)
+            self._note(
+                "job-taken",
+                job=job_id,
+                revision=known.revision,
+                queue=known.job.queue,
+                steps=" ".join(_describe_step(step) for step in known.job.steps),
+            )
             self._ledger.add_job(progress)
             self._note_arrival(known.job)
         if known.cancelled:
@@ -385,3 +393,18 @@
     ):
         return True
     return abs(known.cores - demand.cores) > DEMAND_STEP * max(known.cores, 1.0)
+
+
+def _describe_step(step):
+    marks = (
+        ("gang", step.gang),
+        ("lasting", step.lasting),
+        ("fills", step.fills),
+        ("saves", step.checkpointing),
+        ("copies", step.speculative),
+        (f"target={step.target:g}", step.target),
+        (f"miss={step.may_miss}", step.may_miss),
+        (f"apart={step.most_per_executor}", step.most_per_executor),
+    )
+    shown = "".join(f",{mark}" for mark, is_set in marks if is_set)
+    return f"{step.count}x{step.need.cpu}m@{step.estimate:g}s{shown}"
--- a/peridotspoke/workloads/evacuation.py
+++ b/peridotspoke/workloads/evacuation.py
@@ -4,6 +4,7 @@
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus
 from peridotspoke.workloads.runs import RunPhase, compute_need
 from peridotspoke.workloads.scheduling import make_offers
+from peridotspoke.workloads.suspicion import predict_rest
 
 __all__ = ["count_away", "may_interrupt", "plan_evacuation"]
 
@@ -104,5 +105,4 @@
 def _predict_rest(ledger, run, now):
     job = run.progress.job
     expected = ledger.durations.predict(job.queue, run.step.estimate)
-    begun = now if run.started_at is None else run.started_at
-    return max(0.0, expected - (now - begun))
+    return predict_rest(run, expected, now)
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -14,10 +14,13 @@
     encode_progress,
 )
 from peridotspoke.workloads.runs import ExecutorState, Run, RunPhase, compute_need
+from peridotspoke.workloads.suspicion import find_stalled
 
 __all__ = ["LedgerRules", "PoolLedger", "StopCommand", "StoredBatch"]
 
 STRIKE_LIFE = 8.0  # seconds after which a suspicion has lost half of its weight
+STALL_STRIKE = 2.0  # weight of a look that finds stalled runs
+MOST_STRIKES = 6.0
 UNHEALTHY_PAUSE = 1.0  # seconds without starts after a refusal as unhealthy
 ROOM_PAUSE = 0.4  # seconds without starts after a refusal for want of room
 
@@ -245,6 +248,27 @@
             state.reachable = False
             self._note("executor-unreachable", executor=executor_id, reason=reason)
 
+    def copy_unreachable(self, now):
+        """Let tasks that may run twice wait again while their executor is silent."""
+        for state in self.executors.values():
+            if state.reachable:
+                continue
+            for run in list(state.runs.values()):
+                if run.step.speculative and run.phase is not RunPhase.PLANNED:
+                    self._requeue(run, now, "executor silent, copies allowed")
+
+    def stop_stalled(self, executor_id, now):
+        """Stop the runs of an executor that stand still or are far too slow."""
+        state = self.executors.get(executor_id)
+        if state is None:
+            return
+        stalled = list(find_stalled(self, state, now))
+        if stalled:
+            self._strike(state, now, STALL_STRIKE)
+        for run in stalled:
+            self.failed_on.setdefault(run.key, set()).add(executor_id)
+            self.stop_run(run, f"stalled at {run.percent} percent")
+
     def expire_leases(self, now):
         """Release the runs whose lease certainly has ended; forget gone executors."""
         for state in list(self.executors.values()):
@@ -295,11 +319,12 @@
         if run.started_at is None:
             run.started_at = now
             run.moved_at = now
+            run.first_percent = held.percent
         run.start_unsure = False
         if run.phase in (RunPhase.STARTING, RunPhase.INHERITED):
             run.phase = RunPhase.RUNNING
         if held.percent != run.percent or held.checkpoint != run.task.checkpoint:
-            run.moved_at = now
+            run.moved_at = asked_at
         run.percent = held.percent
         run.seen_at = asked_at
         run.load = held.load
@@ -357,7 +382,7 @@
         self.dirty.add(progress.job.job_id)
 
     def _learn(self, state, run, now):
-        if run.started_at is not None and not run.task.checkpoint:
+        if run.started_at is not None and not run.resumed:
             spent = now - run.started_at
             self.durations.observe(run.progress.job.queue, run.step.estimate, spent)
         state.strikes *= 0.5
@@ -402,7 +427,8 @@
             self._end_job(progress, JobOutcome.FAILED, wall)
 
     def _strike(self, state, now, weight):
-        state.strikes = self.read_strikes(state, now) + weight
+        strikes = self.read_strikes(state, now) + weight
+        state.strikes = min(strikes, MOST_STRIKES)
         state.struck_at = now
 
     def read_strikes(self, state, now):
@@ -421,6 +447,7 @@
         step = progress.job.steps[task.key.step]
         run = Run(task, progress, step, task.run, executor_id, RunPhase.PLANNED, now)
         run.ticket = ticket
+        run.resumed = bool(task.checkpoint)
         state.runs[task.key] = run
         progress.begun = True
         self.dirty.add(progress.job.job_id)
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -45,12 +45,18 @@
     stop_answered_at : float or None
     percent, load : int
         As last reported.
+    first_percent : int
+        As reported first.
     seen_at : float
         When the latest report that lists it was asked for.
     moved_at : float
         When its percent last changed.
     share : int
         Percent of its speed at which it was told to work.
+    ticket : str
+        Sent with its start, where its queue needs advice.
+    resumed : bool
+        Whether it began from a checkpoint.
     """
 
     task: TaskProgress
@@ -65,10 +71,12 @@
     stop_answered_at: float | None = None
     percent: int = 0
     load: int = 0
+    first_percent: int = 0
     seen_at: float = float("-inf")
     moved_at: float = 0.0
     share: int = 100
     ticket: str = ""
+    resumed: bool = False
 
     @property
     def key(self):
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 from peridotspoke.store import Record
 from peridotspoke.workloads.executors import EndKind, Refusal
+from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, decode_summary
 from peridotspoke.workloads.tests.ledgers import (
     add_job,
@@ -164,3 +165,30 @@
     ledger.note_unreachable(planned[1].executor_id, "no answer")
     ledger.expire_leases(20.0)
     assert ledger.note_stored(batch) == []
+
+
+def test_a_run_that_stands_still_is_stopped_and_its_executor_avoided():
+    """Two reports of the same percent, far enough apart, show it."""
+    ledger = make_ledger("e1", "e2")
+    add_job(ledger, Step(1, Need(1000, 100)))
+    (run,) = start_all(ledger, 0.0)
+    for now in (0.3, 0.8, 1.4):
+        report(ledger, run.executor_id, now, running=[run])
+        ledger.stop_stalled(run.executor_id, now)
+    (stop,) = ledger.list_stops()
+    assert stop.order.key == run.key
+    report(ledger, run.executor_id, 1.5, ended=[end(1, run, EndKind.STOPPED)])
+    (again,) = start_all(ledger, 1.6)
+    assert again.executor_id != run.executor_id
+
+
+def test_a_task_that_may_run_twice_is_copied_while_its_executor_is_silent():
+    """Others wait for the end of the lease."""
+    ledger = make_ledger("e1", "e2")
+    add_job(ledger, Step(1, Need(1000, 100), speculative=True))
+    (run,) = start_all(ledger, 0.0)
+    ledger.note_unreachable(run.executor_id, "no answer")
+    ledger.copy_unreachable(1.0)
+    (again,) = start_all(ledger, 1.0)
+    assert again.executor_id != run.executor_id
+    assert again.number == run.number + 1
