--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -1,6 +1,8 @@
 """The one HTTP client of the adapter: JSON calls to one peer."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 
 import aiohttp
@@ -13,6 +15,7 @@
 
 OLD_SESSION_GRACE = 5.0  # seconds that calls on replaced connections may still take
 HTTP_OK = 200
+DISCARD_AT_CLOSE = struct.pack("ii", 1, 0)  # struct linger, socket(7)
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +98,10 @@
     def _open_session(self):
         if self._session is None:
             connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=60.0, use_dns_cache=False
+                limit=0,
+                keepalive_timeout=60.0,
+                use_dns_cache=False,
+                socket_factory=_make_socket,
             )
             self._session = aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar()
@@ -111,6 +117,17 @@
         task.add_done_callback(self._closing.discard)
 
 
+def _make_socket(address):
+    """Return a socket whose close discards what has not been delivered.
+
+    An order held up by a partition must not arrive after its sender gave it up.
+    """
+    family, kind, protocol, *_ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_AT_CLOSE)
+    return opened
+
+
 async def _close_later(session):
     try:
         await asyncio.sleep(OLD_SESSION_GRACE)
