Renew leases at once after the store's return; add tickets and paces

Callers heard 504 only after 3.6 s while answers were lost; now within 1.5 s, and are refused at once after three failed calls in a row.

--- a/peridotspoke/nodes/committing.py
+++ b/peridotspoke/nodes/committing.py
@@ -11,7 +11,8 @@
 __all__ = ["MOST_JOBS", "OwnershipLostError", "ProgressWriter"]
 
 MOST_JOBS = 15  # a condition and a put each, and the owner's condition, in 32 entries
-RETRIES = BackoffRules(first=0.1, most=0.6)
+RETRIES = BackoffRules(first=0.05, most=0.4)
+TIMEOUTS = (0.4, 0.6, 0.8)  # seconds of the first tries; the last one for all others
 
 
 class OwnershipLostError(Exception):
@@ -54,7 +55,10 @@
         failures = 0
         while True:
             try:
-                result = await self._store.commit(self._make_transaction(values))
+                timeout = TIMEOUTS[min(failures, len(TIMEOUTS) - 1)]
+                result = await self._store.commit(
+                    self._make_transaction(values), timeout
+                )
             except (AnswerLostError, PlatformUnavailableError) as error:
                 failures += 1
                 log_event(
--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -28,8 +28,8 @@
 ]
 
 STORE_RETRY = 1.0  # seconds after which a caller may come back when the store is away
-STALE_CONTACT = 2.0  # seconds without an answer after which the store counts as away
 WRITE_TRIES = 2
+WRITE_TIMEOUT = 0.5  # seconds of one try, so that callers hear long before they leave
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,11 +104,7 @@
 
     def is_ready(self):
         """Return whether this node serves: it has a configuration and the store."""
-        return self._node.view.configuration is not None and self._has_store()
-
-    def _has_store(self):
-        now = self._node.clock.read_monotonic()
-        return now - self._node.read_contact() < STALE_CONTACT
+        return self._node.view.configuration is not None and self._node.has_store()
 
     async def submit(self, host, path, body):
         """Take in a job; return one of this module's answers."""
@@ -137,7 +133,7 @@
         return self._log("submit", job_id, answer, reason=_find_reason(answer))
 
     def _refuse(self, job):
-        if not self._has_store():
+        if not self._node.has_store():
             return Refused("the store is away", STORE_RETRY)
         return self._admit(job)
 
@@ -212,7 +208,7 @@
         lost = None
         for _ in range(WRITE_TRIES):
             try:
-                result = await self._node.store.commit(transaction)
+                result = await self._node.store.commit(transaction, WRITE_TIMEOUT)
             except AnswerLostError as error:
                 lost = error
                 continue
@@ -240,7 +236,7 @@
         key = key_job(job_id)
         burial = Transaction((Condition(key, revision),), (Put(key, TOMBSTONE),))
         try:
-            result = await self._node.store.commit(burial)
+            result = await self._node.store.commit(burial, WRITE_TIMEOUT)
         except PlatformError as error:
             return Unknown(f"{lost}; {error}")
         if result.won:
@@ -254,10 +250,12 @@
         key = key_cancel(job_id)
         conditions = (Condition(key_job(job_id), known.revision), Condition(key, 0))
         transaction = Transaction(conditions, (Put(key, b"1"),))
+        if not self._node.has_store():
+            return Refused("the store is away", STORE_RETRY)
         reason = ""
         for _ in range(WRITE_TRIES):
             try:
-                result = await self._node.store.commit(transaction)
+                result = await self._node.store.commit(transaction, WRITE_TIMEOUT)
             except PlatformError as error:
                 reason = str(error)
                 continue
--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -19,6 +19,7 @@
 __all__ = ["Holding", "Ownership"]
 
 TICK = 0.1  # seconds
+RETRY = 0.1  # seconds after a renewal that failed
 RENEWALS = 4  # tries of a renewal within a lease
 RANK_WAIT = 0.25  # seconds that each rank leaves to the one before
 ORDER_MARGIN = 0.1  # seconds before the lease's end at which orders cease
@@ -115,12 +116,14 @@
         interval = self._settings.lease / RENEWALS
         while not self._leaving:
             try:
+                if self._lease is not None:
+                    await self._renew()
                 if self._lease is None:
                     await self._grant()
-                else:
-                    await self._renew()
             except PlatformError as error:
                 log_event("lease-not-renewed", "WARNING", error=error)
+                await asyncio.sleep(RETRY)
+                continue
             await asyncio.sleep(interval)
 
     async def _grant(self):
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -6,12 +6,16 @@
 from dataclasses import dataclass, field
 
 from peridotspoke.clock import SystemClock
+from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
 
 __all__ = ["BoottimeClock", "NodeParts"]
 
+STALE_CONTACT = 2.0  # seconds without an answer after which the store counts as away
+MOST_FAILURES = 3  # calls in a row after which the store counts as away
+
 
 class BoottimeClock(SystemClock):
     """The system's clocks; the monotonic one counts the time while suspended."""
@@ -25,7 +29,8 @@
 class NodeParts:
     """The parts that a node's tasks share.
 
-    `contact_at` is the monotonic time of the store's latest answer.
+    `contact_at` is the monotonic time at which the store last served a call, and
+    `store_failures` the number of calls that have failed since.
     """
 
     settings: NodeSettings
@@ -39,15 +44,27 @@
     machines: object = None
     advice: object = None
     contact_at: float = field(default=float("-inf"))
+    store_failures: int = 0
 
-    def read_contact(self):
-        """Return the monotonic time of the store's latest answer, seconds."""
-        return self.contact_at
-
-    def note_contact(self, now):
-        """Note that the store answered at the monotonic time `now`."""
-        self.contact_at = max(self.contact_at, now)
+    def has_store(self):
+        """Return whether the store has served this node lately."""
+        age = self.clock.read_monotonic() - self.contact_at
+        return age < STALE_CONTACT and self.store_failures < MOST_FAILURES
 
-    def count_store_call(self, kind, result):
-        """Count a call to the store."""
+    def note_store_call(self, kind, result, served):
+        """Count a call to the store, and note whether the store served it."""
         self.metrics.count("store_calls", kind=kind, result=result)
+        had_store = self.has_store()
+        if served:
+            self.contact_at = self.clock.read_monotonic()
+            self.store_failures = 0
+        else:
+            self.store_failures += 1
+        if had_store != self.has_store():
+            log_event(
+                "store-regained" if served else "store-lost",
+                "INFO" if served else "WARNING",
+                kind=kind,
+                result=result,
+                failures=self.store_failures,
+            )
--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -64,7 +64,7 @@
     hold_alone: float = 7.5
     look: float = 1.0
     call: float = 0.7
-    store_call: float = 1.2
+    store_call: float = 0.8
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -19,11 +19,13 @@
     Unreachable,
 )
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
+from peridotspoke.nodes.tickets import TicketBook
 from peridotspoke.nodes.view import encode_value
 from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.evacuation import plan_evacuation
-from peridotspoke.workloads.executors import Refusal
+from peridotspoke.workloads.executors import PaceOrder, Refusal
 from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
+from peridotspoke.workloads.pacing import plan_paces
 from peridotspoke.workloads.progress import decode_progress
 from peridotspoke.workloads.scheduling import list_timings, plan_runs, sum_ready
 from peridotspoke.workloads.sizing import ArrivalRate, SizingRules, describe_demand
@@ -74,6 +76,9 @@
             node.clock.read_monotonic(),
             self._note,
         )
+        self._tickets = TicketBook(
+            node.advice, node.clock, self._spawn, self._find_advice
+        )
         self._writer = ProgressWriter(node.store, holding, self._revisions, node.chance)
 
     @property
@@ -155,7 +160,9 @@
         if self._node.ownership.may_order():
             for run in plan_evacuation(self._ledger, now):
                 self._ledger.stop_run(run, "executor leaves")
-            plan_runs(self._ledger, now, self._node.clock.read_wall())
+            wall = self._node.clock.read_wall()
+            plan_runs(self._ledger, now, wall, self._tickets.find)
+            self._send_paces(now)
         self._keep_sessions()
         self._send_stops()
         self._send_looks()
@@ -319,6 +326,22 @@
                 stop = session[0].stop(command.order, self._ledger.is_stop_due)
                 self._spawn_once(name, stop)
 
+    def _find_advice(self, queue_name):
+        queues = self._node.view.configuration.queues
+        return next(
+            (queue.advice for queue in queues if queue.name == queue_name), None
+        )
+
+    def _send_paces(self, now):
+        for run, share in plan_paces(self._ledger, now):
+            session = self._sessions.get(run.executor_id)
+            if session is None:
+                continue
+            run.share, run.paced_at = share, now
+            self._note("run-paced", task=run.key, run=run.number, share=share)
+            order = PaceOrder(run.key, run.number, share, self._holding.fence)
+            self._spawn(session[0].pace(order))
+
     def _send_looks(self):
         wanted = self._ledger.wanted_looks
         while wanted:
--- /dev/null
+++ b/peridotspoke/nodes/tests/test_tickets.py
@@ -0,0 +1,65 @@
+"""Tests of the tickets of queues that need advice."""
+
+import asyncio
+
+from peridotspoke.clock import ManualClock
+from peridotspoke.exceptions import PlatformUnavailableError
+from peridotspoke.nodes.tickets import TicketBook
+from peridotspoke.workloads.configuration import Advice
+from peridotspoke.workloads.executors import TicketGrant
+from peridotspoke.workloads.scheduling import list_work, open_due
+from peridotspoke.workloads.tests.ledgers import WALL, add_job, make_ledger
+
+
+class AdviceStandIn:
+    """Allows every second executor; fails while told to."""
+
+    def __init__(self):
+        self.calls = []
+        self.fails = False
+
+    async def advise(self, key, executor_ids, timeout):
+        self.calls.append(tuple(executor_ids))
+        if self.fails:
+            raise PlatformUnavailableError("too many calls wait", step="advise")
+        good = {name: f"ticket-{name}" for name in list(executor_ids)[::2]}
+        return TicketGrant(good, 3.0)
+
+
+def make_book():
+    advice, clock = AdviceStandIn(), ManualClock(10.0)
+    book = TicketBook(advice, clock, asyncio.ensure_future, lambda queue: Advice())
+    ledger = make_ledger("e1", "e2")
+    add_job(ledger)
+    open_due(ledger, WALL)
+    (work,) = list_work(ledger, WALL)
+    return advice, clock, book, work
+
+
+async def test_a_step_is_asked_for_once_and_again_for_new_executors():
+    """Tickets are kept while they hold."""
+    advice, clock, book, work = make_book()
+    assert book.find(work, ("e1", "e2")) is None
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert book.find(work, ("e1", "e2")) == {"e1": "ticket-e1"}
+    book.find(work, ("e1", "e2", "e3"))
+    await asyncio.sleep(0)
+    assert advice.calls == [("e1", "e2"), ("e3",)]
+    clock.advance(3.0)
+    assert book.find(work, ("e1",)) is None
+
+
+async def test_a_failed_call_is_repeated_only_after_a_while():
+    """A busy service isn't asked again at once."""
+    advice, clock, book, work = make_book()
+    advice.fails = True
+    for _ in range(3):
+        book.find(work, ("e1",))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    assert len(advice.calls) == 1
+    clock.advance(1.0)
+    book.find(work, ("e1",))
+    await asyncio.sleep(0)
+    assert len(advice.calls) == 2
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -35,8 +35,7 @@
         HttpPeer(settings.store),
         parts.clock,
         settings.timing.store_call,
-        note_contact=parts.note_contact,
-        count_call=parts.count_store_call,
+        note_call=parts.note_store_call,
     )
     parts.open_executor = lambda entry: HttpExecutor(
         HttpPeer(entry.address), entry.executor_id, settings.timing.call
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -81,10 +81,8 @@
     timeout : float
         Limit of one call, seconds.
     watch_rules : WatchRules, optional
-    note_contact : callable, optional
-        Called with the clock's time after each answer that served the call.
-    count_call : callable, optional
-        Called with the kind of each call and its result.
+    note_call : callable, optional
+        Called with the kind of each call, its result and whether it was served.
     """
 
     watch_confirms = True
@@ -95,15 +93,13 @@
         clock,
         timeout,
         watch_rules=WatchRules(),
-        note_contact=None,
-        count_call=None,
+        note_call=None,
     ):
         self._peer = peer
         self._clock = clock
         self._timeout = timeout
         self._watch_rules = watch_rules
-        self._note_contact = note_contact
-        self._count_call = count_call
+        self._note_call = note_call
 
     async def read(self, key):
         """Return the `Record` of `key`, or None."""
@@ -135,7 +131,7 @@
         result = await self.commit(Transaction((condition,), puts, removals))
         return SwapResult(result.won, result.revision, result.find_current(key))
 
-    async def commit(self, transaction):
+    async def commit(self, transaction, timeout=None):
         """Apply a `Transaction` as a whole and return its `CommitResult`."""
         body = {
             "expectedRev": [
@@ -145,7 +141,7 @@
             "puts": [_encode_put(put) for put in transaction.puts],
             "remove": list(transaction.removals),
         }
-        answer = await self._call("POST", "kv-txn", "commit", body)
+        answer = await self._call("POST", "kv-txn", "commit", body, timeout)
         if answer.status == HTTP_NOT_FOUND:
             raise LeaseExpiredError("a lease of the commit has ended", step="commit")
         found = self._decode(answer, _Items, "kv-txn")
@@ -198,28 +194,27 @@
                 method, f"/peridotspoke/{path}", timeout or self._timeout, body
             )
         except (AnswerLostError, PlatformUnavailableError) as error:
-            self._count(kind, type(error).__name__)
+            self._note(kind, type(error).__name__, served=False)
             raise
-        self._count(kind, answer.status)
+        served = answer.status in (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONDITION_FAILED)
+        self._note(kind, answer.status, served or answer.status == HTTP_GONE)
         if answer.status in HTTP_REFUSALS:
             raise PlatformUnavailableError(
                 f"refused with {answer.status}: {answer.body[:200]!r}",
                 step=kind,
                 peer=self._peer.address,
             )
-        if answer.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONDITION_FAILED):
+        if not served:
             raise AnswerLostError(
                 f"unexpected status {answer.status}",
                 step=kind,
                 peer=self._peer.address,
             )
-        if self._note_contact is not None:
-            self._note_contact(self._clock.read_monotonic())
         return answer
 
-    def _count(self, kind, result):
-        if self._count_call is not None:
-            self._count_call(kind, str(result))
+    def _note(self, kind, result, served):
+        if self._note_call is not None:
+            self._note_call(kind, str(result), served)
 
     def _decode(self, answer, body_class, step):
         if answer.status == HTTP_NOT_FOUND:
--- a/peridotspoke/store/budget.py
+++ b/peridotspoke/store/budget.py
@@ -70,10 +70,10 @@
         await self._take(self._writes, CallPriority.SWAP)
         return await self._service.swap(key, value, expected_revision, lease_id)
 
-    async def commit(self, transaction):
+    async def commit(self, transaction, timeout=None):
         """Apply a `Transaction` as a whole and return its `CommitResult`."""
         await self._take(self._writes, CallPriority.SWAP)
-        return await self._service.commit(transaction)
+        return await self._service.commit(transaction, timeout)
 
     async def grant_lease(self, ttl):
         """Return a fresh `Lease` of `ttl` seconds."""
--- a/peridotspoke/store/keyvalue.py
+++ b/peridotspoke/store/keyvalue.py
@@ -186,9 +186,15 @@
             If the value is larger than the service holds.
         """
 
-    async def commit(self, transaction):
+    async def commit(self, transaction, timeout=None):
         """Apply a `Transaction` as a whole and return its `CommitResult`.
 
+        Parameters
+        ----------
+        transaction : Transaction
+        timeout : float, optional
+            Limit of the call in seconds, in place of the usual one.
+
         Raises
         ------
         LeaseExpiredError
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -53,6 +53,8 @@
         When its percent last changed.
     share : int
         Percent of its speed at which it was told to work.
+    paced_at : float
+        When it was last told so.
     ticket : str
         Sent with its start, where its queue needs advice.
     resumed : bool
@@ -75,6 +77,7 @@
     seen_at: float = float("-inf")
     moved_at: float = 0.0
     share: int = 100
+    paced_at: float = float("-inf")
     ticket: str = ""
     resumed: bool = False
 
