--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -66,7 +66,9 @@
         view = self._node.view
         while view.revision < self._holding.fence:
             await asyncio.sleep(ROUND)
-        settled = self._node.settings.bounds.holder_change + HOLDER_MARGIN
+        settled = 0.0
+        if self._holding.previous != self._node.settings.name:
+            settled = self._node.settings.bounds.holder_change + HOLDER_MARGIN
         subscription = view.changes.subscribe(self._note_changes)
         try:
             while True:
--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -21,17 +21,23 @@
 TICK = 0.1  # seconds
 RETRY = 0.1  # seconds after a renewal that failed
 RENEWALS = 4  # tries of a renewal within a lease
+SETTLING = 0.4  # seconds after a lease's grant that leave units to former owners
 RANK_WAIT = 0.25  # seconds that each rank leaves to the one before
 ORDER_MARGIN = 0.1  # seconds before the lease's end at which orders cease
 
 
 @dataclass(frozen=True, slots=True)
 class Holding:
-    """A unit owned by this node; its key was created at the revision `fence`."""
+    """A unit owned by this node; its key was created at the revision `fence`.
+
+    `since` is the monotonic time of its gain in seconds, `previous` the name of the
+    node that was last known to own it.
+    """
 
     unit: str
     fence: int
     since: float
+    previous: str = ""
 
 
 class Ownership:
@@ -62,6 +68,7 @@
         self._on_lost = on_lost
         self._lease = None
         self._contact_at = clock.read_monotonic()
+        self._granted_at = float("-inf")
         self._absent_since = {}
         self._claiming = set()
         self._given_up = set()
@@ -132,7 +139,7 @@
         put = Put(key_node(record.name), encode_value(record), lease.lease_id)
         await self._store.commit(Transaction((), (put,)))
         self._lease = lease
-        self._contact_at = lease.asked_at
+        self._granted_at = self._contact_at = lease.asked_at
         log_event("lease-granted", lease=lease.lease_id, ttl=lease.ttl)
 
     async def _renew(self):
@@ -186,16 +193,19 @@
 
     def _consider_claim(self, unit, now):
         since = self._absent_since.setdefault(unit, now)
-        members = list(self._view.nodes)
-        ranks = rank_members(unit, members)
-        name = self._settings.name
-        rank = ranks.index(name) if name in ranks else len(ranks)
-        if now - since < rank * RANK_WAIT or unit in self._claiming:
-            return
-        if not self.may_order():
+        if unit in self._claiming or not self.may_order():
             return
+        if self._view.last_owners.get(unit) != self._settings.name:
+            since = max(since, self._granted_at + SETTLING)
+            if now - since < self._rank(unit) * RANK_WAIT:
+                return
         self._start_claim(unit, self._claim(unit))
 
+    def _rank(self, unit):
+        ranks = rank_members(unit, list(self._view.nodes))
+        name = self._settings.name
+        return ranks.index(name) if name in ranks else len(ranks)
+
     def _start_claim(self, unit, coroutine):
         self._claiming.add(unit)
         task = asyncio.ensure_future(coroutine)
@@ -212,6 +222,7 @@
 
     async def _claim(self, unit):
         lease = self._lease
+        previous = self._view.last_owners.get(unit, "")
         key = key_owner(unit)
         record = OwnerRecord(self._settings.name, self.incarnation)
         put = Put(key, encode_value(record), lease.lease_id)
@@ -224,13 +235,13 @@
             log_event("claim-unknown", "WARNING", unit=unit, error=error)
             return
         if result.won and self._lease is not None and not self._leaving:
-            self._gain(unit, result.revision)
+            self._gain(unit, result.revision, previous)
 
-    def _gain(self, unit, fence):
+    def _gain(self, unit, fence, previous=""):
         if unit in self.holdings:
             return
         now = self._clock.read_monotonic()
-        holding = self.holdings[unit] = Holding(unit, fence, now)
+        holding = self.holdings[unit] = Holding(unit, fence, now, previous)
         self._absent_since.pop(unit, None)
         log_event("ownership-gained", unit=unit, fence=fence)
         self._on_gained(holding)
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -260,7 +260,8 @@
 
     async def _wait(self, answered):
         if not answered:
-            await asyncio.sleep(self._rules.retry)
+            first = self._failures == 1
+            await asyncio.sleep(self._rules.pause if first else self._rules.retry)
             return
         if self._state.runs:
             await asyncio.sleep(self._rules.pause)
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -142,7 +142,7 @@
             case StopAnswered(executor_id, order):
                 ledger.take_stop_answer(executor_id, order, now)
             case Unreachable(executor_id, reason):
-                ledger.note_unreachable(executor_id, reason)
+                ledger.note_unreachable(executor_id, reason, now)
             case ExecutorLeft(executor_id):
                 ledger.note_left(executor_id, now)
             case Fenced(executor_id):
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -97,6 +97,7 @@
         self.waves = {}
         self.jobs = {}
         self.owners = {}
+        self.last_owners = {}
         self.nodes = {}
         self.pools = {}
         self.withdrawals = {}
@@ -177,6 +178,8 @@
         elif kind == "owner":
             decoded = record and (decode_value(record, OwnerRecord), record.created)
             _set(self.owners, name, decoded)
+            if decoded:
+                self.last_owners[name] = decoded[0].name
         elif kind == "node":
             _set(self.nodes, name, record and decode_value(record, NodeRecord))
         elif kind == "pool":
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -19,6 +19,7 @@
 __all__ = ["LedgerRules", "PoolLedger", "StopCommand", "StoredBatch"]
 
 STRIKE_LIFE = 8.0  # seconds after which a suspicion has lost half of its weight
+COPY_SILENCE = 0.5  # seconds of silence, beyond a look's, after which tasks are copied
 STALL_STRIKE = 2.0  # weight of a look that finds stalled runs
 MOST_STRIKES = 6.0
 UNHEALTHY_PAUSE = 1.0  # seconds without starts after a refusal as unhealthy
@@ -243,17 +244,18 @@
         if state is not None:
             state.lease_end = max(state.lease_end, lease_end)
 
-    def note_unreachable(self, executor_id, reason):
+    def note_unreachable(self, executor_id, reason, now):
         """Note that a call to an executor had no answer."""
         state = self.executors.get(executor_id)
         if state is not None and state.reachable:
             state.reachable = False
+            state.silent_since = now
             self._note("executor-unreachable", executor=executor_id, reason=reason)
 
     def copy_unreachable(self, now):
         """Let tasks that may run twice wait again while their executor is silent."""
         for state in self.executors.values():
-            if state.reachable:
+            if state.reachable or now - state.silent_since < COPY_SILENCE:
                 continue
             for run in list(state.runs.values()):
                 if not run.step.speculative or run.task.failures:
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -111,6 +111,8 @@
         Runs that it lists and that this owner did not order.
     blocked_until : float
         No start is sent before this time.
+    silent_since : float
+        When it was found to be unreachable.
     withdrawn : bool
         Whether its instance is to be emptied.
     """
@@ -127,6 +129,7 @@
     foreign: dict[tuple[TaskKey, int], Need] = field(default_factory=dict)
     blocked_until: float = 0.0
     reachable: bool = True
+    silent_since: float = 0.0
     withdrawn: bool = False
     strikes: float = 0.0
     struck_at: float = 0.0
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -105,7 +105,7 @@
     runs = start_all(first, 0.0)
     second = make_ledger(fence=8)
     second.add_job(progress)
-    second.note_unreachable("e1", "no answer")
+    second.note_unreachable("e1", "no answer", 0.0)
     second.expire_leases(12.0)
     assert runs[0].task.status is TaskStatus.ASSIGNED
     second.expire_leases(12.2)
@@ -162,7 +162,7 @@
     batch = ledger.take_batch(15)
     planned = list(ledger.list_runs())
     ledger.stop_run(planned[0], "executor leaves")
-    ledger.note_unreachable(planned[1].executor_id, "no answer")
+    ledger.note_unreachable(planned[1].executor_id, "no answer", 0.0)
     ledger.expire_leases(20.0)
     assert ledger.note_stored(batch) == []
 
@@ -187,7 +187,7 @@
     ledger = make_ledger("e1", "e2")
     add_job(ledger, Step(1, Need(1000, 100), speculative=True))
     (run,) = start_all(ledger, 0.0)
-    ledger.note_unreachable(run.executor_id, "no answer")
+    ledger.note_unreachable(run.executor_id, "no answer", 0.0)
     ledger.copy_unreachable(1.0)
     (again,) = start_all(ledger, 1.0)
     assert again.executor_id != run.executor_id
@@ -199,7 +199,7 @@
     ledger = make_ledger("e1", "e2")
     progress = add_job(ledger, Step(1, Need(1000, 100), speculative=True))
     (run,) = start_all(ledger, 0.0)
-    ledger.note_unreachable(run.executor_id, "no answer")
+    ledger.note_unreachable(run.executor_id, "no answer", 0.0)
     ledger.copy_unreachable(1.0)
     (copy,) = start_all(ledger, 1.0)
     report(ledger, run.executor_id, 1.5, ended=[end(1, run)])
@@ -215,7 +215,7 @@
     (run,) = start_all(ledger, 0.0)
     report(ledger, run.executor_id, 0.5, ended=[end(1, run, EndKind.FAILED)])
     (again,) = start_all(ledger, 0.6)
-    ledger.note_unreachable(again.executor_id, "no answer")
+    ledger.note_unreachable(again.executor_id, "no answer", 0.0)
     ledger.copy_unreachable(1.0)
     assert again.task.status is TaskStatus.ASSIGNED
 
@@ -227,7 +227,7 @@
         step = Step(1, Need(1000, 100), speculative=speculative)
         progress = add_job(ledger, step)
         (run,) = start_all(ledger, 0.0)
-        ledger.note_unreachable(run.executor_id, "no answer")
+        ledger.note_unreachable(run.executor_id, "no answer", 0.0)
         ledger.copy_unreachable(1.0)
         ledger.expire_leases(20.0)
         report(ledger, run.executor_id, 20.5, ended=[end(1, run)])
