Turn away what would be done too late; bound the logs; remove old jobs; reload

Admission: a job is refused with the time at which room is expected where the pool's accepted work already takes longer than the job's worth lasts. Logs: a sink that never blocks, with a rate for ordinary lines and none for those that explain a refusal or a stop. Records of jobs go 30 s after callers may last ask.

--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -12,6 +12,7 @@
 from peridotspoke.nodes.keys import key_cancel, key_job, key_progress
 from peridotspoke.nodes.view import TOMBSTONE, JobView
 from peridotspoke.store import Condition, Put, Transaction
+from peridotspoke.workloads.admission import find_room_wait
 from peridotspoke.workloads.checking import check_job, is_job_id
 from peridotspoke.workloads.progress import decode_job, decode_summary, encode_job
 
@@ -28,6 +29,7 @@
 ]
 
 STORE_RETRY = 1.0  # seconds after which a caller may come back when the store is away
+SPREAD = 1.5  # factor over which the return of refused callers is spread
 WRITE_TRIES = 2
 WRITE_TIMEOUT = 0.5  # seconds of one try, so that callers hear long before they leave
 
@@ -93,14 +95,11 @@
     decode_submission : callable
         From a body, an identity, a queue and a time to a `Job`; raises
         `RequestError`.
-    admit : callable
-        From a `Job` to None, or the `Refused` of a job that can't be served.
     """
 
-    def __init__(self, node, decode_submission, admit):
+    def __init__(self, node, decode_submission):
         self._node = node
         self._decode_submission = decode_submission
-        self._admit = admit
 
     def is_ready(self):
         """Return whether this node serves: it has a configuration and the store."""
@@ -134,8 +133,15 @@
 
     def _refuse(self, job):
         if not self._node.has_store():
-            return Refused("the store is away", STORE_RETRY)
-        return self._admit(job)
+            return Refused("the store is away", self._spread(STORE_RETRY))
+        wait = find_room_wait(job, self._node.view.pools.get(job.pool))
+        if wait is None:
+            return None
+        return Refused("no room in time", self._spread(wait), overloaded=True)
+
+    def _spread(self, seconds):
+        """Return a time at which not all callers come back together."""
+        return seconds * self._node.chance.uniform(1.0, SPREAD)
 
     async def show(self, host, path):
         """Return the state of a job, or the count of a queue."""
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -7,7 +7,14 @@
 from peridotspoke.exceptions import PlatformError, RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.committing import MOST_JOBS, OwnershipLostError, ProgressWriter
-from peridotspoke.nodes.keys import key_owner, key_pool_state, key_withdrawal
+from peridotspoke.nodes.keys import (
+    key_cancel,
+    key_job,
+    key_owner,
+    key_pool_state,
+    key_progress,
+    key_withdrawal,
+)
 from peridotspoke.nodes.messages import (
     CommitDone,
     ExecutorLeft,
@@ -34,6 +41,9 @@
 
 TICK = 0.1  # seconds between rounds without messages
 ROUND_PAUSE = 0.01  # seconds between two rounds
+REMOVAL_INTERVAL = 5.0  # seconds between two removals of old jobs
+REMOVAL_MARGIN = 30.0  # seconds that records outlive what callers may ask for
+MOST_REMOVED = 10  # jobs of three keys each, in 32 entries of a transaction
 MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
 DEMAND_INTERVAL = 0.15  # seconds between two descriptions of the pool's demand
 DEMAND_AGE = 3.0  # seconds after which an unchanged demand is described again
@@ -63,6 +73,7 @@
         self._revisions = {}
         self._marking = set()
         self._under_way = set()
+        self._removed_at = node.clock.read_monotonic()
         self._arrivals = ArrivalRate(SizingRules().window)
         self._described = None
         self._described_at = float("-inf")
@@ -167,6 +178,7 @@
         self._send_stops()
         self._send_looks()
         self._describe_demand(now)
+        self._remove_old(now)
         if self._committing is not None:
             return
         if self._ledger.dirty:
@@ -255,6 +267,44 @@
         except PlatformError as error:
             log_event("demand-not-stored", "WARNING", pool=self.pool, error=error)
 
+    def _remove_old(self, now):
+        """Remove the records of jobs that ended long enough ago."""
+        if now - self._removed_at < REMOVAL_INTERVAL or "removal" in self._under_way:
+            return
+        self._removed_at = now
+        oldest = self._node.clock.read_wall() - self._node.settings.bounds.status
+        view = self._node.view
+        old = [
+            job_id
+            for job_id, known in view.jobs.items()
+            if known.job is not None
+            and known.job.pool == self.pool
+            and known.summary is not None
+            and known.summary.outcome
+            and known.summary.ended_at < oldest - REMOVAL_MARGIN
+        ]
+        if old:
+            self._spawn_once("removal", self._remove_jobs(old[:MOST_REMOVED]))
+
+    async def _remove_jobs(self, job_ids):
+        owner = Condition(key_owner(self.pool), self._holding.fence)
+        keys = [
+            make_key(job_id)
+            for job_id in job_ids
+            for make_key in (key_job, key_progress, key_cancel)
+        ]
+        try:
+            result = await self._node.store.commit(
+                Transaction((owner,), removals=tuple(keys))
+            )
+        except PlatformError as error:
+            log_event("jobs-not-removed", "WARNING", pool=self.pool, error=error)
+            return
+        if result.won:
+            for job_id in job_ids:
+                self._writer.forget(job_id)
+            self._note("jobs-removed", jobs=len(job_ids))
+
     async def _mark_empty(self, machine, withdrawal, revision):
         key = key_withdrawal(machine)
         owner = Condition(key_owner(self.pool), self._holding.fence)
--- /dev/null
+++ b/peridotspoke/nodes/tests/stores.py
@@ -0,0 +1,121 @@
+"""A store in memory, with transactions, leases and faults, for tests of nodes."""
+
+import random
+
+from peridotspoke.clock import ManualClock
+from peridotspoke.exceptions import (
+    AnswerLostError,
+    LeaseExpiredError,
+    PlatformUnavailableError,
+)
+from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.nodes.parts import NodeParts
+from peridotspoke.nodes.settings import NodeSettings
+from peridotspoke.nodes.view import StoreView
+from peridotspoke.store import CommitResult, KeyValueService, Lease, Record, Snapshot
+from peridotspoke.workloads.configuration import Configuration, Queue, WorkPool
+
+JOB = "5c0e7a21d94b36f8"
+
+
+class StoreStandIn(KeyValueService):
+    """Applies transactions at once.
+
+    `faults` holds, for the next commits in turn, "lost" (done, no answer), "late"
+    (not done yet, no answer; `deliver_late` does it), "away" (refused) or None.
+    """
+
+    def __init__(self):
+        self.records = {}
+        self.revision = 1
+        self.leases = {}
+        self.faults = []
+        self.late = []
+
+    async def read(self, key):
+        return self.records.get(key)
+
+    async def read_prefix(self, prefix):
+        found = (self.records[key] for key in self.records if key.startswith(prefix))
+        return Snapshot(tuple(found), self.revision)
+
+    async def swap(self, key, value, expected_revision, lease_id=0):
+        raise NotImplementedError
+
+    async def commit(self, transaction, timeout=None):
+        fault = self.faults.pop(0) if self.faults else None
+        if fault == "away":
+            raise PlatformUnavailableError("away", step="commit")
+        if fault == "late":
+            self.late.append(transaction)
+            raise AnswerLostError("late", step="commit")
+        result = self._apply(transaction)
+        if fault == "lost":
+            raise AnswerLostError("lost", step="commit")
+        return result
+
+    def deliver_late(self):
+        """Carry out the commits that were held up, where their conditions hold."""
+        while self.late:
+            self._apply(self.late.pop(0))
+
+    def _apply(self, transaction):
+        for condition in transaction.conditions:
+            found = self.records.get(condition.key)
+            if (found.revision if found else 0) != condition.revision:
+                named = [item.key for item in transaction.conditions]
+                current = tuple(self.records[k] for k in named if k in self.records)
+                return CommitResult(False, 0, current)
+        self.revision += 1
+        for put in transaction.puts:
+            if put.lease and put.lease not in self.leases:
+                raise LeaseExpiredError("ended", step="commit")
+            known = self.records.get(put.key)
+            created = known.created if known else self.revision
+            self.records[put.key] = Record(
+                put.key, put.value, self.revision, put.lease, created
+            )
+        for key in transaction.removals:
+            self.records.pop(key, None)
+        return CommitResult(True, self.revision)
+
+    async def grant_lease(self, ttl):
+        lease = Lease(len(self.leases) + 1, ttl, 0.0)
+        self.leases[lease.lease_id] = lease
+        return lease
+
+    async def renew_lease(self, lease):
+        return lease if lease.lease_id in self.leases else None
+
+    async def revoke_lease(self, lease):
+        self.end_lease(lease.lease_id)
+
+    def end_lease(self, lease_id):
+        """End a lease with the records that are attached to it."""
+        self.leases.pop(lease_id, None)
+        for key, record in list(self.records.items()):
+            if record.lease == lease_id:
+                del self.records[key]
+        self.revision += 1
+
+    def watch(self, prefix, from_revision):
+        raise NotImplementedError
+
+
+def make_settings(name="n1"):
+    return NodeSettings(name, "zone", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+
+
+def make_parts(name="n1", store=None):
+    parts = NodeParts(
+        make_settings(name),
+        ManualClock(100.0),
+        StoreView(),
+        MetricsRegistry(),
+        random.Random(1),
+    )
+    parts.store = store or StoreStandIn()
+    parts.note_store_call("watch", "200", served=True)
+    queue = Queue("queue", "host", "/q/", "pool")
+    parts.view.note_configuration(Configuration(1, (queue,), (WorkPool("pool"),)))
+    return parts
--- /dev/null
+++ b/peridotspoke/nodes/tests/test_ownership.py
@@ -0,0 +1,93 @@
+"""Tests of the node's lease and of the units under it."""
+
+import asyncio
+
+from peridotspoke.nodes.keys import key_owner
+from peridotspoke.nodes.ownership import Ownership
+from peridotspoke.nodes.tests.stores import StoreStandIn, make_parts
+from peridotspoke.store import FollowedRecords
+
+
+class NodeDouble:
+    """An ownership with a view that is told of the store by hand."""
+
+    def __init__(self, name, store):
+        self.parts = make_parts(name, store)
+        self.gained, self.lost = [], []
+        self.ownership = Ownership(
+            self.parts.settings,
+            store,
+            self.parts.view,
+            self.parts.clock,
+            lambda: ["pool"],
+            self.gained.append,
+            self.lost.append,
+        )
+
+    async def settle(self, seconds=2.0):
+        """Let the view catch up, time pass and the units be checked."""
+        self.look()
+        self.ownership._check_units()
+        self.parts.clock.advance(seconds)
+        self.ownership._check_units()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.look()
+        self.ownership._check_units()
+
+    def look(self):
+        records = self.parts.store.records
+        view = self.parts.view
+        gone = {f"work/owner/{unit}" for unit in view.owners} - records.keys()
+        followed = FollowedRecords(
+            records, frozenset({*records, *gone}), 0.0, self.parts.store.revision
+        )
+        view.note_work(followed)
+
+    async def grant(self):
+        await self.ownership._grant()
+        self.ownership._lease = self.ownership._lease.__class__(
+            self.ownership._lease.lease_id, 1e6, self.parts.clock.read_monotonic()
+        )
+
+
+async def test_one_of_two_nodes_owns_a_unit_and_fences_only_rise():
+    """The other takes over once the first one's lease has ended."""
+    store = StoreStandIn()
+    first, second = NodeDouble("n1", store), NodeDouble("n2", store)
+    await first.grant()
+    await first.settle()
+    await second.grant()
+    await second.settle()
+    assert len(first.gained) == 1
+    assert second.gained == []
+    store.end_lease(first.ownership._lease.lease_id)
+    await second.settle()
+    assert second.gained[0].fence > first.gained[0].fence
+    assert second.gained[0].previous == "n1"
+    await first.settle()
+    assert first.lost == first.gained
+
+
+async def test_a_claim_whose_answer_was_lost_is_found_in_the_view():
+    """The record names this incarnation of the process."""
+    store = StoreStandIn()
+    node = NodeDouble("n1", store)
+    await node.grant()
+    store.faults = ["lost"]
+    await node.settle()
+    assert node.gained[0].fence == store.records[key_owner("pool")].created
+
+
+async def test_a_unit_that_was_given_up_is_never_held_under_the_same_fence():
+    """Orders of the earlier period may still be on their way under it."""
+    store = StoreStandIn()
+    node = NodeDouble("n1", store)
+    await node.grant()
+    await node.settle()
+    node.ownership.give_up(node.gained[0], "fenced by an executor")
+    for _ in range(3):
+        await node.settle()
+    fences = [holding.fence for holding in node.gained]
+    assert len(fences) == 2
+    assert fences[1] > fences[0]
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -68,6 +68,8 @@
     async def _handle_front(self, request):
         try:
             response = await self._answer(request)
+        except web.HTTPException as error:
+            response = _make_response(error.status, {"error": error.reason})
         except Exception as error:
             log_event("request-failed", "ERROR", path=request.path, error=repr(error))
             response = _make_response(504, {"error": "the outcome is unknown"})
--- a/peridotspoke/programs/node.py
+++ b/peridotspoke/programs/node.py
@@ -6,7 +6,10 @@
 
 from peridotspoke.exceptions import SettingsError
 from peridotspoke.logs import configure_logs, log_event
+from peridotspoke.logsink import BoundedSink
 from peridotspoke.nodes.desk import JobDesk
+from peridotspoke.nodes.parts import BoottimeClock
+from peridotspoke.nodes.reloading import SettingsReload
 from peridotspoke.platform import (
     Ingress,
     assemble_node,
@@ -25,15 +28,18 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log_event("settings-signal"))
     parts, node = assemble_node(settings)
-    job_desk = JobDesk(parts, decode_submission, admit=lambda job: None)
+    job_desk = JobDesk(parts, decode_submission)
     ingress = Ingress(settings, job_desk, parts.metrics.render)
     await ingress.open()
     node.start()
+    reloading = SettingsReload(parts, read_settings_file)
+    loop.add_signal_handler(signal.SIGHUP, reloading.ask)
+    following = asyncio.ensure_future(reloading.run())
     log_event("started", front=settings.front, zone=settings.zone)
     await stop.wait()
     log_event("stopping", grace=settings.bounds.grace)
+    following.cancel()
     ingress.leave()
     await node.leave()
     await asyncio.sleep(settings.bounds.grace * LEAVE_SHARE)
@@ -49,7 +55,8 @@
     except SettingsError as error:
         print(f"peridotspoke-node: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    configure_logs("node", settings.name, stream=sys.stdout)
+    sink = BoundedSink(sys.stdout.fileno(), BoottimeClock())
+    configure_logs("node", settings.name, stream=sink)
     asyncio.run(_run(settings))
 
 
--- a/peridotspoke/workloads/sizing.py
+++ b/peridotspoke/workloads/sizing.py
@@ -25,6 +25,7 @@
 ]
 
 
+LEAST_ROOM = 1.0  # processors
 SHORTEST_SPAN = 0.2  # seconds
 
 
@@ -70,12 +71,15 @@
         Executors that could be emptied, the one with the least work first.
     unusable : tuple of str
         Executors that are listed but take no work.
+    wait : float
+        Seconds in which the accepted work would be done by what takes work now.
     """
 
     cores: float = 0.0
     spread: int = 0
     removable: tuple[str, ...] = ()
     unusable: tuple[str, ...] = ()
+    wait: float = 0.0
 
 
 class ArrivalRate:
@@ -144,8 +148,9 @@
         Arriving work, processor-seconds a second.
     rules : SizingRules, optional
     """
-    timely = late = 0.0
+    timely = late = left = 0.0
     for timing in timings:
+        left += timing.work
         if timing.slack >= 0:
             span = timing.remaining + rules.slack_share * timing.slack
             timely += timing.work / max(span, SHORTEST_SPAN)
@@ -163,6 +168,15 @@
                 if state.entry is not None and not state.reachable
             )
         ),
+        wait=left / max(_sum_room(ledger), LEAST_ROOM),
+    )
+
+
+def _sum_room(ledger):
+    return sum(
+        state.entry.capacity.cpu / 1000
+        for state in ledger.executors.values()
+        if state.entry is not None and state.reachable and not state.drains
     )
 
 
--- /dev/null
+++ b/tests/test_logsink.py
@@ -0,0 +1,77 @@
+"""Tests of the sink for logs, against a pipe that nobody reads."""
+
+import os
+
+import pytest
+
+from peridotspoke.clock import ManualClock
+from peridotspoke.logs import configure_logs, log_event
+from peridotspoke.logsink import BoundedSink, SinkRules
+
+INFO, WARNING = 20, 30
+LINE = "x" * 200 + "\n"
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def read_all(reader):
+    parts = []
+    while True:
+        try:
+            parts.append(os.read(reader, 65536))
+        except BlockingIOError:
+            return b"".join(parts).decode()
+
+
+def test_a_reader_that_does_not_read_neither_blocks_nor_fills_the_memory(pipe):
+    """Lines beyond the bound are counted, and the count is written."""
+    reader, writer = pipe
+    rules = SinkRules(burst=100_000, most_waiting=50, reserve=10)
+    sink = BoundedSink(writer, ManualClock(), rules)
+    for _ in range(5_000):
+        sink.put(LINE, INFO, "event=run-start")
+    text = read_all(reader)
+    sink.put("refused\n", WARNING, "event=start-refused")
+    sink.put("next\n", INFO, "event=run-start")
+    text += read_all(reader)
+    assert "event=log-lines-left-out lines=" in text
+    assert text.endswith("refused\nnext\n")
+    kept = text.count(LINE)
+    assert f"lines={5_000 - kept}" in text
+
+
+def test_ordinary_lines_are_limited_and_explaining_ones_are_not(pipe):
+    """A peak of starts doesn't hide why a job was refused."""
+    reader, writer = pipe
+    sink = BoundedSink(writer, ManualClock(), SinkRules(rate=1.0, burst=3.0))
+    for number in range(10):
+        sink.put(f"start {number}\n", INFO, "event=run-start")
+        sink.put(f"refused {number}\n", INFO, "event=job-submit outcome=Refused")
+    text = read_all(reader)
+    assert text.count("refused") == 10
+    assert text.count("start ") == 3
+
+
+def test_the_logs_of_a_program_go_through_the_sink(pipe):
+    """The library hands each message over with its level and event."""
+    reader, writer = pipe
+    sink = BoundedSink(writer, ManualClock(), SinkRules(rate=1.0, burst=1.0))
+    configure_logs("node", "n1", stream=sink)
+    try:
+        log_event("run-start", job="a")
+        log_event("run-start", job="b")
+        log_event("start-refused", job="c")
+    finally:
+        configure_logs("test", "")
+    lines = read_all(reader).splitlines()
+    assert [line.rpartition("job=")[2] for line in lines if "job=" in line] == [
+        "a",
+        "c",
+    ]
