--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -64,8 +64,7 @@
     async def run(self):
         """Keep the fleet until cancelled."""
         view = self._node.view
-        while view.revision < self._holding.fence:
-            await asyncio.sleep(ROUND)
+        await view.wait_until(lambda: view.revision >= self._holding.fence)
         settled = 0.0
         if self._holding.previous != self._node.settings.name:
             settled = self._node.settings.bounds.holder_change + HOLDER_MARGIN
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -46,6 +46,7 @@
 MOST_REMOVED = 10  # jobs of three keys each, in 32 entries of a transaction
 MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
 DEMAND_INTERVAL = 0.15  # seconds between two descriptions of the pool's demand
+LENT_SHARE = 0.5  # of the fleet, that one pool may get
 DEMAND_AGE = 3.0  # seconds after which an unchanged demand is described again
 DEMAND_STEP = 0.1  # share of the demand below which a change is not described
 SLOW_CLOCK = 1.02  # from the platform's protocol
@@ -100,8 +101,9 @@
     async def run(self):
         """Supervise the pool until cancelled or until its ownership is lost."""
         view = self._node.view
-        while view.revision < self._holding.fence or not view.has_entries:
-            await asyncio.sleep(ROUND_PAUSE)
+        await view.wait_until(
+            lambda: view.revision >= self._holding.fence and view.has_entries
+        )
         subscription = view.changes.subscribe(self._note_changes)
         try:
             self._changed_jobs.update(view.jobs)
@@ -251,7 +253,9 @@
         timings = list_timings(self._ledger, wall)
         rate = self._arrivals.read(now)
         ready = sum_ready(self._ledger)
-        demand = describe_demand(self._ledger, timings, ready, rate)
+        demand = describe_demand(
+            self._ledger, timings, ready, rate, self._sum_attainable()
+        )
         fresh = now - self._described_at < DEMAND_AGE
         if fresh and not _differs(self._described, demand):
             return
@@ -259,6 +263,11 @@
             self._described, self._described_at = demand, now
             self._spawn_once("demand", self._store_demand(demand))
 
+    def _sum_attainable(self):
+        """Return the processors that the pool could get from the whole fleet."""
+        entries = self._node.view.entries.values()
+        return LENT_SHARE * sum(entry.capacity.cpu for entry in entries) / 1000
+
     async def _store_demand(self, demand):
         owner = Condition(key_owner(self.pool), self._holding.fence)
         put = Put(key_pool_state(self.pool), encode_value(demand))
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -1,5 +1,6 @@
 """What a node knows of the store, kept up to date by watches."""
 
+import asyncio
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -107,6 +108,17 @@
         self.has_entries = False
         self.changes = Subject()
 
+    async def wait_until(self, is_reached):
+        """Return once `is_reached`, a callable without arguments, returns true."""
+        changed = asyncio.Event()
+        subscription = self.changes.subscribe(lambda _: changed.set())
+        try:
+            while not is_reached():
+                changed.clear()
+                await changed.wait()
+        finally:
+            subscription.dispose()
+
     def note_configuration(self, configuration):
         """Take in a version of the configuration; an older one is ignored."""
         known = self.configuration
@@ -154,8 +166,7 @@
                 self.entries[name] = entry
             changed.add(name)
         self.has_entries = True
-        if changed:
-            self.changes.on_next({"entry": changed})
+        self.changes.on_next({"entry": changed})
 
     def note_job(self, job, revision):
         """Take in a job that this node has just stored."""
--- a/peridotspoke/workloads/sizing.py
+++ b/peridotspoke/workloads/sizing.py
@@ -72,7 +72,8 @@
     unusable : tuple of str
         Executors that are listed but take no work.
     wait : float
-        Seconds in which the accepted work would be done by what takes work now.
+        Seconds in which the accepted work would be done by what takes work now, or
+        by what the pool could get.
     """
 
     cores: float = 0.0
@@ -131,7 +132,7 @@
         return max(kept for _, kept in self._needs)
 
 
-def describe_demand(ledger, timings, ready, rate, rules=SizingRules()):
+def describe_demand(ledger, timings, ready, rate, attainable=0.0, rules=SizingRules()):
     """Return the `PoolDemand` of a pool.
 
     A job needs its work done over the chain that is left and a share of its slack.
@@ -146,6 +147,8 @@
         Processors that would be used if all that may start ran.
     rate : float
         Arriving work, processor-seconds a second.
+    attainable : float, optional
+        Processors that the pool could get from others.
     rules : SizingRules, optional
     """
     timely = late = left = 0.0
@@ -168,7 +171,7 @@
                 if state.entry is not None and not state.reachable
             )
         ),
-        wait=left / max(_sum_room(ledger), LEAST_ROOM),
+        wait=left / max(_sum_room(ledger), attainable, LEAST_ROOM),
     )
 
 
