Split the ledger and the supervisor by their jobs

Runs and storing stand in runledger, what executors say in ledger; the records towards the fleet's owner in poolrecords, tasks in tasksets. No behaviour changes.

--- /dev/null
+++ b/peridotspoke/nodes/poolrecords.py
@@ -0,0 +1,184 @@
+"""The records by which a pool's owner deals with the fleet's owner, and old jobs."""
+
+import asyncio
+
+from msgspec import structs
+
+from peridotspoke.exceptions import PlatformError
+from peridotspoke.logs import log_event
+from peridotspoke.nodes.keys import (
+    key_cancel,
+    key_job,
+    key_owner,
+    key_pool_state,
+    key_progress,
+    key_withdrawal,
+)
+from peridotspoke.nodes.view import encode_value
+from peridotspoke.store import Condition, Put, Transaction
+from peridotspoke.workloads.scheduling import list_timings, sum_ready
+from peridotspoke.workloads.sizing import ArrivalRate, SizingRules, describe_demand
+
+__all__ = ["PoolRecords"]
+
+REMOVAL_INTERVAL = 5.0  # seconds between two removals of old jobs
+REMOVAL_MARGIN = 30.0  # seconds that records outlive what callers may ask for
+MOST_REMOVED = 10  # jobs of three keys each, in 32 entries of a transaction
+MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
+DEMAND_INTERVAL = 0.15  # seconds between two descriptions of the pool's demand
+DEMAND_AGE = 3.0  # seconds after which an unchanged demand is described again
+DEMAND_STEP = 0.1  # share of the demand below which a change is not described
+LENT_SHARE = 0.5  # of the fleet, that one pool may get
+
+
+class PoolRecords:
+    """Describes the pool's demand, marks empty executors, removes old jobs.
+
+    Parameters
+    ----------
+    node : NodeParts
+    holding : Holding
+    ledger : PoolLedger
+    tasks : TaskSet
+    forget : callable
+        Called with the identity of each job whose records are removed.
+    """
+
+    def __init__(self, node, holding, ledger, tasks, forget):
+        self._node = node
+        self._holding = holding
+        self._pool = holding.unit
+        self._ledger = ledger
+        self._tasks = tasks
+        self._forget = forget
+        self._marking = set()
+        self._arrivals = ArrivalRate(SizingRules().window)
+        self._described = None
+        self._described_at = float("-inf")
+        self._removed_at = node.clock.read_monotonic()
+
+    def keep_withdrawals(self):
+        """Empty what the fleet's owner withdraws, and tell it what is empty."""
+        withdrawals = {
+            machine: (withdrawal, revision)
+            for machine, (withdrawal, revision) in self._node.view.withdrawals.items()
+            if withdrawal.pool == self._pool
+        }
+        self._ledger.set_withdrawn(
+            {withdrawal.executor_id for withdrawal, _ in withdrawals.values()}
+        )
+        for machine, (withdrawal, revision) in withdrawals.items():
+            if withdrawal.empty or machine in self._marking:
+                continue
+            if self._ledger.is_empty(withdrawal.executor_id):
+                self._marking.add(machine)
+                self._tasks.spawn(self._mark_empty(machine, withdrawal, revision))
+
+    async def _mark_empty(self, machine, withdrawal, revision):
+        key = key_withdrawal(machine)
+        owner = Condition(key_owner(self._pool), self._holding.fence)
+        put = Put(key, encode_value(structs.replace(withdrawal, empty=True)))
+        transaction = Transaction((owner, Condition(key, revision)), (put,))
+        try:
+            result = await self._node.store.commit(transaction)
+            log_event(
+                "executor-empty", pool=self._pool, machine=machine, stored=result.won
+            )
+            await asyncio.sleep(MARK_PAUSE)
+        except PlatformError as error:
+            log_event("executor-not-marked", "WARNING", machine=machine, error=error)
+        finally:
+            self._marking.discard(machine)
+
+    def note_arrival(self, job):
+        """Note the work of a job that was taken in."""
+        predict = self._ledger.durations.predict
+        work = sum(
+            step.count * step.need.cpu / 1000 * predict(job.queue, step.estimate)
+            for step in job.steps
+            if not step.lasting
+        )
+        self._arrivals.note(work, self._node.clock.read_monotonic())
+
+    def describe_demand(self, now):
+        """Tell the fleet's owner what the pool needs, where that has changed."""
+        if now - self._described_at < DEMAND_INTERVAL:
+            return
+        wall = self._node.clock.read_wall()
+        timings = list_timings(self._ledger, wall)
+        rate = self._arrivals.read(now)
+        ready = sum_ready(self._ledger)
+        demand = describe_demand(
+            self._ledger, timings, ready, rate, self._sum_attainable()
+        )
+        fresh = now - self._described_at < DEMAND_AGE
+        if fresh and not _differs(self._described, demand):
+            return
+        if "demand" not in self._tasks.under_way:
+            self._described, self._described_at = demand, now
+            self._tasks.spawn_once("demand", self._store_demand(demand))
+
+    def _sum_attainable(self):
+        """Return the processors that the pool could get from the whole fleet."""
+        entries = self._node.view.entries.values()
+        return LENT_SHARE * sum(entry.capacity.cpu for entry in entries) / 1000
+
+    async def _store_demand(self, demand):
+        owner = Condition(key_owner(self._pool), self._holding.fence)
+        put = Put(key_pool_state(self._pool), encode_value(demand))
+        try:
+            await self._node.store.commit(Transaction((owner,), (put,)))
+        except PlatformError as error:
+            log_event("demand-not-stored", "WARNING", pool=self._pool, error=error)
+
+    def remove_old(self, now):
+        """Remove the records of jobs that ended long enough ago."""
+        if (
+            now - self._removed_at < REMOVAL_INTERVAL
+            or "removal" in self._tasks.under_way
+        ):
+            return
+        self._removed_at = now
+        oldest = self._node.clock.read_wall() - self._node.settings.bounds.status
+        view = self._node.view
+        old = [
+            job_id
+            for job_id, known in view.jobs.items()
+            if known.job is not None
+            and known.job.pool == self._pool
+            and known.summary is not None
+            and known.summary.outcome
+            and known.summary.ended_at < oldest - REMOVAL_MARGIN
+        ]
+        if old:
+            self._tasks.spawn_once("removal", self._remove_jobs(old[:MOST_REMOVED]))
+
+    async def _remove_jobs(self, job_ids):
+        owner = Condition(key_owner(self._pool), self._holding.fence)
+        keys = [
+            make_key(job_id)
+            for job_id in job_ids
+            for make_key in (key_job, key_progress, key_cancel)
+        ]
+        try:
+            result = await self._node.store.commit(
+                Transaction((owner,), removals=tuple(keys))
+            )
+        except PlatformError as error:
+            log_event("jobs-not-removed", "WARNING", pool=self._pool, error=error)
+            return
+        if result.won:
+            for job_id in job_ids:
+                self._forget(job_id)
+            log_event("jobs-removed", pool=self._pool, jobs=len(job_ids))
+
+
+def _differs(known, demand):
+    """Return whether a demand differs from the known one by what matters."""
+    if known is None or known.spread != demand.spread:
+        return True
+    if known.unusable != demand.unusable or set(known.removable) != set(
+        demand.removable
+    ):
+        return True
+    return abs(known.cores - demand.cores) > DEMAND_STEP * max(known.cores, 1.0)
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -2,19 +2,9 @@
 
 import asyncio
 
-from msgspec import structs
-
-from peridotspoke.exceptions import PlatformError, RecordError
+from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.committing import MOST_JOBS, OwnershipLostError, ProgressWriter
-from peridotspoke.nodes.keys import (
-    key_cancel,
-    key_job,
-    key_owner,
-    key_pool_state,
-    key_progress,
-    key_withdrawal,
-)
 from peridotspoke.nodes.messages import (
     CommitDone,
     ExecutorLeft,
@@ -25,30 +15,22 @@
     StopAnswered,
     Unreachable,
 )
+from peridotspoke.nodes.poolrecords import PoolRecords
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
+from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.tickets import TicketBook
-from peridotspoke.nodes.view import encode_value
-from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.evacuation import plan_evacuation
 from peridotspoke.workloads.executors import PaceOrder, Refusal
-from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
+from peridotspoke.workloads.ledger import PoolLedger
 from peridotspoke.workloads.pacing import plan_paces
 from peridotspoke.workloads.progress import decode_progress
-from peridotspoke.workloads.scheduling import list_timings, plan_runs, sum_ready
-from peridotspoke.workloads.sizing import ArrivalRate, SizingRules, describe_demand
+from peridotspoke.workloads.runledger import LedgerRules
+from peridotspoke.workloads.scheduling import plan_runs
 
 __all__ = ["PoolSupervisor"]
 
 TICK = 0.1  # seconds between rounds without messages
 ROUND_PAUSE = 0.01  # seconds between two rounds
-REMOVAL_INTERVAL = 5.0  # seconds between two removals of old jobs
-REMOVAL_MARGIN = 30.0  # seconds that records outlive what callers may ask for
-MOST_REMOVED = 10  # jobs of three keys each, in 32 entries of a transaction
-MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
-DEMAND_INTERVAL = 0.15  # seconds between two descriptions of the pool's demand
-LENT_SHARE = 0.5  # of the fleet, that one pool may get
-DEMAND_AGE = 3.0  # seconds after which an unchanged demand is described again
-DEMAND_STEP = 0.1  # share of the demand below which a change is not described
 SLOW_CLOCK = 1.02  # from the platform's protocol
 
 
@@ -67,17 +49,11 @@
         self._holding = holding
         self._queue = asyncio.Queue()
         self._sessions = {}
-        self._tasks = set()
+        self._tasks = TaskSet(holding.unit)
         self._committing = None
         self._changed_jobs = set()
         self._changed_entries = set()
         self._revisions = {}
-        self._marking = set()
-        self._under_way = set()
-        self._removed_at = node.clock.read_monotonic()
-        self._arrivals = ArrivalRate(SizingRules().window)
-        self._described = None
-        self._described_at = float("-inf")
         settings = node.settings
         self._rules = SessionRules(hold=settings.hold, look=settings.timing.look)
         life = (settings.hold + settings.timing.hold_alone) * SLOW_CLOCK
@@ -89,9 +65,12 @@
             self._note,
         )
         self._tickets = TicketBook(
-            node.advice, node.clock, self._spawn, self._find_advice
+            node.advice, node.clock, self._tasks.spawn, self._find_advice
         )
         self._writer = ProgressWriter(node.store, holding, self._revisions, node.chance)
+        self._records = PoolRecords(
+            node, holding, self._ledger, self._tasks, self._writer.forget
+        )
 
     @property
     def pool(self):
@@ -114,7 +93,7 @@
                 await asyncio.sleep(ROUND_PAUSE)
         finally:
             subscription.dispose()
-            self._cancel_tasks()
+            self._tasks.cancel()
 
     def _note(self, event, **fields):
         key = fields.pop("task", None)
@@ -123,9 +102,7 @@
         log_event(event, pool=self.pool, **fields)
 
     def _note_changes(self, changed):
-        for kind in ("job", "cancel", "progress"):
-            if kind in changed and kind != "progress":
-                self._changed_jobs |= changed[kind]
+        self._changed_jobs |= changed.get("job", set()) | changed.get("cancel", set())
         self._changed_entries |= changed.get("entry", set())
         if self._changed_jobs or self._changed_entries:
             self._queue.put_nowait(None)
@@ -169,7 +146,7 @@
         now = self._node.clock.read_monotonic()
         self._ledger.expire_leases(now)
         self._ledger.copy_unreachable(now)
-        self._keep_withdrawals()
+        self._records.keep_withdrawals()
         if self._node.ownership.may_order():
             for run in plan_evacuation(self._ledger, now):
                 self._ledger.stop_run(run, "executor leaves")
@@ -179,12 +156,12 @@
         self._keep_sessions()
         self._send_stops()
         self._send_looks()
-        self._describe_demand(now)
-        self._remove_old(now)
+        self._records.describe_demand(now)
+        self._records.remove_old(now)
         if self._committing is not None:
             return
         if self._ledger.dirty:
-            self._committing = self._spawn(self._commit())
+            self._committing = self._tasks.spawn(self._commit())
         else:
             self._ledger.note_cursors()
 
@@ -225,118 +202,10 @@
                 steps=" ".join(_describe_step(step) for step in known.job.steps),
             )
             self._ledger.add_job(progress)
-            self._note_arrival(known.job)
+            self._records.note_arrival(known.job)
         if known.cancelled:
             self._ledger.cancel_job(job_id, self._node.clock.read_wall())
 
-    def _keep_withdrawals(self):
-        withdrawals = {
-            machine: (withdrawal, revision)
-            for machine, (withdrawal, revision) in self._node.view.withdrawals.items()
-            if withdrawal.pool == self.pool
-        }
-        self._ledger.set_withdrawn(
-            {withdrawal.executor_id for withdrawal, _ in withdrawals.values()}
-        )
-        for machine, (withdrawal, revision) in withdrawals.items():
-            if withdrawal.empty or machine in self._marking:
-                continue
-            if self._ledger.is_empty(withdrawal.executor_id):
-                self._marking.add(machine)
-                self._spawn(self._mark_empty(machine, withdrawal, revision))
-
-    def _describe_demand(self, now):
-        """Tell the fleet's owner what the pool needs, where that has changed."""
-        if now - self._described_at < DEMAND_INTERVAL:
-            return
-        wall = self._node.clock.read_wall()
-        timings = list_timings(self._ledger, wall)
-        rate = self._arrivals.read(now)
-        ready = sum_ready(self._ledger)
-        demand = describe_demand(
-            self._ledger, timings, ready, rate, self._sum_attainable()
-        )
-        fresh = now - self._described_at < DEMAND_AGE
-        if fresh and not _differs(self._described, demand):
-            return
-        if "demand" not in self._under_way:
-            self._described, self._described_at = demand, now
-            self._spawn_once("demand", self._store_demand(demand))
-
-    def _sum_attainable(self):
-        """Return the processors that the pool could get from the whole fleet."""
-        entries = self._node.view.entries.values()
-        return LENT_SHARE * sum(entry.capacity.cpu for entry in entries) / 1000
-
-    async def _store_demand(self, demand):
-        owner = Condition(key_owner(self.pool), self._holding.fence)
-        put = Put(key_pool_state(self.pool), encode_value(demand))
-        try:
-            await self._node.store.commit(Transaction((owner,), (put,)))
-        except PlatformError as error:
-            log_event("demand-not-stored", "WARNING", pool=self.pool, error=error)
-
-    def _remove_old(self, now):
-        """Remove the records of jobs that ended long enough ago."""
-        if now - self._removed_at < REMOVAL_INTERVAL or "removal" in self._under_way:
-            return
-        self._removed_at = now
-        oldest = self._node.clock.read_wall() - self._node.settings.bounds.status
-        view = self._node.view
-        old = [
-            job_id
-            for job_id, known in view.jobs.items()
-            if known.job is not None
-            and known.job.pool == self.pool
-            and known.summary is not None
-            and known.summary.outcome
-            and known.summary.ended_at < oldest - REMOVAL_MARGIN
-        ]
-        if old:
-            self._spawn_once("removal", self._remove_jobs(old[:MOST_REMOVED]))
-
-    async def _remove_jobs(self, job_ids):
-        owner = Condition(key_owner(self.pool), self._holding.fence)
-        keys = [
-            make_key(job_id)
-            for job_id in job_ids
-            for make_key in (key_job, key_progress, key_cancel)
-        ]
-        try:
-            result = await self._node.store.commit(
-                Transaction((owner,), removals=tuple(keys))
-            )
-        except PlatformError as error:
-            log_event("jobs-not-removed", "WARNING", pool=self.pool, error=error)
-            return
-        if result.won:
-            for job_id in job_ids:
-                self._writer.forget(job_id)
-            self._note("jobs-removed", jobs=len(job_ids))
-
-    async def _mark_empty(self, machine, withdrawal, revision):
-        key = key_withdrawal(machine)
-        owner = Condition(key_owner(self.pool), self._holding.fence)
-        put = Put(key, encode_value(structs.replace(withdrawal, empty=True)))
-        transaction = Transaction((owner, Condition(key, revision)), (put,))
-        try:
-            result = await self._node.store.commit(transaction)
-            self._note("executor-empty", machine=machine, stored=result.won)
-            await asyncio.sleep(MARK_PAUSE)
-        except PlatformError as error:
-            log_event("executor-not-marked", "WARNING", machine=machine, error=error)
-        finally:
-            self._marking.discard(machine)
-
-    def _note_arrival(self, job):
-        predict = self._ledger.durations.predict
-        work = sum(
-            step.count * step.need.cpu / 1000 * predict(job.queue, step.estimate)
-            for step in job.steps
-            if not step.lasting
-        )
-        self._arrivals.note(work, self._node.clock.read_monotonic())
-
     async def _commit(self):
         """Store all that is dirty; then ends may be forgotten by their executors."""
         cursors = {
@@ -375,15 +244,15 @@
                 executor=run.executor_id,
                 fence=self._holding.fence,
             )
-            self._spawn(session[0].start(run))
+            self._tasks.spawn(session[0].start(run))
 
     def _send_stops(self):
         for command in self._ledger.list_stops():
             name = (command.executor_id, command.order)
             session = self._sessions.get(command.executor_id)
-            if session is not None and name not in self._under_way:
+            if session is not None and name not in self._tasks.under_way:
                 stop = session[0].stop(command.order, self._ledger.is_stop_due)
-                self._spawn_once(name, stop)
+                self._tasks.spawn_once(name, stop)
 
     def _find_advice(self, queue_name):
         queues = self._node.view.configuration.queues
@@ -399,20 +268,15 @@
             run.share, run.paced_at = share, now
             self._note("run-paced", task=run.key, run=run.number, share=share)
             order = PaceOrder(run.key, run.number, share, self._holding.fence)
-            self._spawn(session[0].pace(order))
+            self._tasks.spawn(session[0].pace(order))
 
     def _send_looks(self):
         wanted = self._ledger.wanted_looks
         while wanted:
             executor_id = wanted.pop()
             session = self._sessions.get(executor_id)
-            if session is not None and executor_id not in self._under_way:
-                self._spawn_once(executor_id, session[0].look_now())
-
-    def _spawn_once(self, name, coroutine):
-        self._under_way.add(name)
-        task = self._spawn(coroutine)
-        task.add_done_callback(lambda _: self._under_way.discard(name))
+            if session is not None and executor_id not in self._tasks.under_way:
+                self._tasks.spawn_once(executor_id, session[0].look_now())
 
     def _keep_sessions(self):
         executors = self._ledger.executors
@@ -443,40 +307,14 @@
             self._queue.put_nowait,
             self._ledger.note_extension,
         )
-        task = self._spawn(session.run())
+        task = self._tasks.spawn(session.run())
         self._sessions[state.executor_id] = (session, task, state.entry.address)
 
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish_task)
-        return task
-
-    def _finish_task(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log_event("task-failed", "ERROR", pool=self.pool, error=task.exception())
-
-    def _cancel_tasks(self):
-        for task in list(self._tasks):
-            task.cancel()
-
 
 def _name_task(key):
     return f"{key.occurrence}.{key.step}.{key.index}"
 
 
-def _differs(known, demand):
-    """Return whether a demand differs from the known one by what matters."""
-    if known is None or known.spread != demand.spread:
-        return True
-    if known.unusable != demand.unusable or set(known.removable) != set(
-        demand.removable
-    ):
-        return True
-    return abs(known.cores - demand.cores) > DEMAND_STEP * max(known.cores, 1.0)
-
-
 def _describe_step(step):
     marks = (
         ("gang", step.gang),
--- a/peridotspoke/workloads/tests/ledgers.py
+++ b/peridotspoke/workloads/tests/ledgers.py
@@ -9,8 +9,9 @@
     HoldReport,
 )
 from peridotspoke.workloads.jobs import Job, Need, QueueTerms, Step
-from peridotspoke.workloads.ledger import LedgerRules, PoolLedger
+from peridotspoke.workloads.ledger import PoolLedger
 from peridotspoke.workloads.progress import JobProgress
+from peridotspoke.workloads.runledger import LedgerRules
 from peridotspoke.workloads.scheduling import plan_runs
 
 WALL = 1_700_000_000.0
