--- a/peridotspoke/declarations/tests/test_publishing.py
+++ b/peridotspoke/declarations/tests/test_publishing.py
@@ -105,7 +105,7 @@
 
     async def follow_until(self, version):
         async with asyncio.timeout(PATIENCE):
-            while self.follower.version != version:  # noqa: ASYNC110
+            while self.follower.version != version:
                 await asyncio.sleep(0.01)
 
 
--- a/peridotspoke/peers/tests/test_gossip.py
+++ b/peridotspoke/peers/tests/test_gossip.py
@@ -107,7 +107,7 @@
 
     async def wait_until(self, condition):
         async with asyncio.timeout(LIMIT):
-            while not condition():  # noqa: ASYNC110
+            while not condition():
                 await asyncio.sleep(0.02)
 
     async def close(self):
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -40,6 +40,12 @@
         if self._settings.metrics:
             await self._listen(self._settings.metrics, self._handle_metrics)
 
+    @property
+    def addresses(self):
+        """The addresses on which it listens: for callers, readiness and metrics."""
+        bound = [runner.addresses[0] for runner in self._runners]
+        return tuple(f"{host}:{port}" for host, port, *_ in bound)
+
     def leave(self):
         """Let the balancer and callers look elsewhere, while requests are served."""
         self._leaving = True
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -188,6 +188,10 @@
             changes = tuple(_decode_event(event) for event in found.events)
             yield WatchBatch(changes, revision)
 
+    async def close(self):
+        """Close all connections."""
+        await self._peer.close()
+
     async def _call(self, method, path, kind, body=None, timeout=None):
         try:
             answer = await self._peer.call(
--- /dev/null
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -0,0 +1,199 @@
+"""Tests of whole nodes against stand-ins of the platform on loopback."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import msgspec
+import pytest
+
+from peridotspoke.nodes.desk import JobDesk
+from peridotspoke.nodes.settings import NodeSettings, Timing
+from peridotspoke.platform import Ingress, assemble_node, decode_submission
+from peridotspoke.platform.standins import (
+    ExecutorStandIn,
+    MachinesStandIn,
+    MetadataStandIn,
+    serve_standin,
+)
+
+JOB = "5c0e7a21d94b36f8"
+TIMING = Timing(lease=1.0, hold=2.0, hold_alone=2.0, look=0.3, call=0.4)
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "jobs.example",
+            "prefix": "/q/",
+            "service": "pool",
+            "maxAttempts": 2,
+        }
+    ],
+    "services": [{"name": "pool", "admissionCheck": True, "spare": False}],
+}
+STEPS = [{"count": 3, "cpu": 500}, {"count": 2, "cpu": 500, "after": [0]}]
+
+
+class PlatformDouble:
+    """The stand-ins of one platform, and the nodes that run against it."""
+
+    def __init__(self):
+        self.store = MetadataStandIn()
+        self.executors = [ExecutorStandIn(f"i-{n}", "pool") for n in range(2)]
+        self.runners, self.nodes = [], {}
+
+    async def open(self):
+        self.store.put("op/config", CONFIG)
+        self.store_address = await self._serve(self.store.handle)
+        self.machines_address = await self._serve(MachinesStandIn().handle)
+        for executor in self.executors:
+            executor.address = await self._serve(executor.handle)
+            self.store.put(f"servers/{executor.executor_id}", executor.describe())
+
+    async def _serve(self, handler):
+        runner, address = await serve_standin(handler)
+        self.runners.append(runner)
+        return address
+
+    async def start_node(self, name):
+        settings = NodeSettings(
+            name,
+            "zone",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            self.store_address,
+            machines=self.machines_address,
+            timing=TIMING,
+        )
+        parts, node = assemble_node(settings)
+        ingress = Ingress(settings, JobDesk(parts, decode_submission), bytes)
+        await ingress.open()
+        node.start()
+        self.nodes[name] = (node, ingress, parts)
+        return ingress.addresses[0]
+
+    async def kill_node(self, name):
+        node, ingress, parts = self.nodes.pop(name)
+        await node.stop()
+        await parts.store.close()
+        await ingress.close()
+
+    async def close(self):
+        for name in list(self.nodes):
+            await self.kill_node(name)
+        for runner in self.runners:
+            await runner.cleanup()
+
+
+@pytest.fixture
+async def platform():
+    double = PlatformDouble()
+    await double.open()
+    yield double
+    async with asyncio.timeout(20):
+        await double.close()
+
+
+async def call(address, method, job_id=JOB, steps=None):
+    body = msgspec.json.encode({"spec": "s", "steps": steps}) if steps else None
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(
+            method,
+            f"http://{address}/q/{job_id}",
+            data=body,
+            headers={"Host": "jobs.example"},
+        ) as response,
+    ):
+        content = await response.read()
+        return response.status, msgspec.json.decode(content) if content else None
+
+
+async def submit(address, steps=STEPS):
+    """Hand a job in until a node has a configuration and accepts it."""
+    async with asyncio.timeout(20):
+        while (await call(address, "POST", steps=steps))[0] != 200:
+            await asyncio.sleep(0.05)
+
+
+async def wait_for_state(address, state):
+    async with asyncio.timeout(20):
+        while (await call(address, "GET"))[1] != {"state": state}:
+            await asyncio.sleep(0.02)
+
+
+async def test_a_job_of_two_steps_runs_each_task_once(platform):
+    """The second step starts after the first one."""
+    address = await platform.start_node("n1")
+    await submit(address)
+    await wait_for_state(address, "completed")
+    starts = [start for executor in platform.executors for start in executor.starts]
+    assert sorted(task for task, _ in starts) == sorted(
+        f"{JOB}.0.{step}.{index}"
+        for step, index in ((0, 0), (0, 1), (0, 2), (1, 0), (1, 1))
+    )
+
+
+async def test_lost_answers_of_the_store_and_of_executors_run_nothing_twice(platform):
+    """A start without an answer is looked up or stopped before it is repeated."""
+    platform.store.faults = ["lost", "busy"] * 4
+    platform.executors[0].lost_starts = 2
+    address = await platform.start_node("n1")
+    await submit(address)
+    await wait_for_state(address, "completed")
+    done = [row for executor in platform.executors for row in executor.starts]
+    assert len(done) == len(set(done))
+
+
+async def test_a_task_that_always_fails_ends_its_job_after_its_attempts(platform):
+    """Two attempts are allowed."""
+    task = f"{JOB}.0.0.0"
+    for executor in platform.executors:
+        executor.failing.add(task)
+    address = await platform.start_node("n1")
+    await submit(address)
+    await wait_for_state(address, "failed")
+    starts = [start for executor in platform.executors for start in executor.starts]
+    assert sum(name == task for name, _ in starts) == 2
+
+
+async def test_another_node_takes_over_what_runs(platform):
+    """The first one is killed with a task under way; the task is not run again."""
+    for executor in platform.executors:
+        executor.duration = 1.6
+    first = await platform.start_node("n1")
+    await submit(first, steps=[{"count": 1, "cpu": 500}])
+    async with asyncio.timeout(20):
+        while not any(executor.starts for executor in platform.executors):
+            await asyncio.sleep(0.02)
+    second = await platform.start_node("n2")
+    await platform.kill_node("n1")
+    await wait_for_state(second, "completed")
+    assert sum(len(executor.starts) for executor in platform.executors) == 1
+
+
+async def test_a_cancelled_job_stops_what_runs(platform):
+    """Every task of it ends as stopped."""
+    for executor in platform.executors:
+        executor.duration = 3600.0
+    address = await platform.start_node("n1")
+    await submit(address, steps=[{"count": 2, "cpu": 500, "longRunning": True}])
+    async with asyncio.timeout(20):
+        while sum(len(executor.running) for executor in platform.executors) < 2:
+            await asyncio.sleep(0.02)
+        assert (await call(address, "DELETE"))[0] == 200
+        while any(executor.running for executor in platform.executors):
+            await asyncio.sleep(0.02)
+    assert (await call(address, "GET"))[1] == {"state": "cancelled"}
+
+
+async def test_a_dropped_history_loses_no_job(platform):
+    """The node reads everything again."""
+    address = await platform.start_node("n1")
+    await submit(address)
+    platform.store.compact()
+    await wait_for_state(address, "completed")
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await wait_for_state(address, "failed")
--- a/peridotspoke/store/tests/test_keyvalue.py
+++ b/peridotspoke/store/tests/test_keyvalue.py
@@ -146,7 +146,7 @@
 
 async def _wait_until(condition):
     async with asyncio.timeout(PATIENCE):
-        while not condition():  # noqa: ASYNC110
+        while not condition():
             await asyncio.sleep(0.01)
 
 
