Remove a setting that nothing read; keep the store's prefix in the adapter

Found on reading the change: LedgerRules.slow_clock was passed and never used (the margin of 0.1 s is what covers a clock 2 % slow over a lease of 5 s; a longer lease would need more), an event of the log's rule that nobody writes, and the platform's prefix of executors' entries outside its adapter. Behaviour is unchanged; tests of nodes, platform and workloads pass.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -40,7 +40,6 @@
             "run-stop",
             "run-over",
             "start-refused",
-            "start-unknown",
             "ownership-gained",
             "ownership-lost",
             "store-lost",
--- a/peridotspoke/nodes/keys.py
+++ b/peridotspoke/nodes/keys.py
@@ -1,7 +1,6 @@
 """The keys of the node's records in the store."""
 
 __all__ = [
-    "EXECUTOR_PREFIX",
     "WORK_PREFIX",
     "key_cancel",
     "key_job",
@@ -15,7 +14,6 @@
 ]
 
 WORK_PREFIX = "work/"
-EXECUTOR_PREFIX = "servers/"
 
 
 def key_job(job_id):
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -6,7 +6,7 @@
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.fleet import FLEET, FleetKeeper
-from peridotspoke.nodes.keys import EXECUTOR_PREFIX, WORK_PREFIX
+from peridotspoke.nodes.keys import WORK_PREFIX
 from peridotspoke.nodes.ownership import Ownership
 from peridotspoke.nodes.supervising import PoolSupervisor
 from peridotspoke.store import FollowingRules, follow_prefix
@@ -29,7 +29,7 @@
     configuration_key : str
     decode_configuration, decode_wave, decode_entry : callable
         From a `Record`; each raises `RecordError`.
-    wave_prefix : str
+    wave_prefix, entry_prefix : str
     encode_wave_status, key_wave_status : callable
         How the operator is told whether a wave is completed, and where.
     """
@@ -39,6 +39,7 @@
         prefix,
         configuration_key,
         wave_prefix,
+        entry_prefix,
         decode_configuration,
         decode_wave,
         decode_entry,
@@ -48,6 +49,7 @@
         self.prefix = prefix
         self.configuration_key = configuration_key
         self.wave_prefix = wave_prefix
+        self.entry_prefix = entry_prefix
         self.decode_configuration = decode_configuration
         self.decode_wave = decode_wave
         self.decode_entry = decode_entry
@@ -172,7 +174,7 @@
             await asyncio.sleep(WORK_PAUSE if self._supervisors else IDLE_PAUSE)
 
     async def _follow_entries(self):
-        async for followed in self._follow(EXECUTOR_PREFIX):
+        async for followed in self._follow(self._codec.entry_prefix):
             self._parts.view.note_entries(followed, self._codec.decode_entry)
             await asyncio.sleep(ENTRY_PAUSE)
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -60,7 +60,7 @@
         self._ledger = PoolLedger(
             holding.unit,
             holding.fence,
-            LedgerRules(inherited_life=life, slow_clock=SLOW_CLOCK),
+            LedgerRules(inherited_life=life),
             node.clock.read_monotonic(),
             self._note,
         )
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -16,7 +16,7 @@
     encode_wave_status,
     key_wave_status,
 )
-from peridotspoke.platform.executors import HttpExecutor, decode_entry
+from peridotspoke.platform.executors import ENTRY_PREFIX, HttpExecutor, decode_entry
 from peridotspoke.platform.http import HttpPeer
 from peridotspoke.platform.keyvalue import MetadataStore
 from peridotspoke.platform.machines import HttpMachines
@@ -48,6 +48,7 @@
         OPERATOR_PREFIX,
         CONFIGURATION_KEY,
         WAVE_PREFIX,
+        ENTRY_PREFIX,
         decode_configuration,
         decode_wave,
         decode_entry,
--- a/peridotspoke/platform/executors.py
+++ b/peridotspoke/platform/executors.py
@@ -16,8 +16,9 @@
 )
 from peridotspoke.workloads.jobs import Need, TaskKey
 
-__all__ = ["HttpExecutor", "decode_entry", "format_task", "parse_task"]
+__all__ = ["ENTRY_PREFIX", "HttpExecutor", "decode_entry", "format_task", "parse_task"]
 
+ENTRY_PREFIX = "servers/"
 HTTP_CONFLICT = 409
 REASONS = {
     "fence": Refusal.FENCED,
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -25,14 +25,12 @@
     ----------
     inherited_life : float
         How long runs of an earlier owner may still live where they can't be seen.
-    slow_clock : float
-        How much slower than this process's clock an executor's may be, as a factor.
     margin : float
-        Waited beyond the end of a lease.
+        Waited beyond the end of a lease: 2 % of 5 s, by which executors' clocks may
+        be slow.
     """
 
     inherited_life: float
-    slow_clock: float = 1.02
     margin: float = 0.1
 
 
