Keep the fleet's owner alive when a withdrawal goes during its round

Cause: the round ends several withdrawals one after the other, each with a write, and read the revision of each from the live view. Ruled out: the machine lists, which no await separates from their use. Change: the round works on a copy of the withdrawals.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -154,7 +154,7 @@
         for pool, demand in demands.items():
             history = self._histories.setdefault(pool, DemandHistory(self._rules.hold))
             held[pool] = history.note(demand.cores * self._rules.headroom, now)
-        withdrawn = self._node.view.withdrawals
+        withdrawn = dict(self._node.view.withdrawals)
         resizing = {
             name: empty
             for name, empty in self._list_withdrawn().items()
