Let a new holder of the fleet leave only lately ordered machines alone

The fleet had a new owner 2.9 s later, which then gave no order at all for 3.6 s, the time that two holders of one machine must leave between them; 38 moves came at once after it (28.77 s). Ruled out: admission (11 to 40 jobs were refused or failed, not 163), the store (back at 22.2 s), a lost pool owner (regained at 24.9 s). Change: the machines that are to get an order are stored (work/orders/fleet, one write for all orders of a round) before it is sent, and forgotten 3.3 s after its outcome. A new holder waits only for those, and takes over what it has to expect of them: also which machines may be down for a wave (LIMIT), which a restarted holder did not know. Withdrawals are written together. One path orders moves and maintenance. A wave's record names the revision that it replaces, so that a late write can't undo its completion. Ruled out as a way: waiting by the time of day, as clocks may jump. Seven tests of the fleet's owner; those of waiting, storing before sending and waves failed before.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -1,8 +1,7 @@
 """Keeps the fleet: maintenance waves and moves of machines between pools."""
 
 import asyncio
-
-import msgspec
+from dataclasses import dataclass
 
 from peridotspoke.exceptions import (
     AnswerLostError,
@@ -10,9 +9,12 @@
     PlatformUnavailableError,
 )
 from peridotspoke.logs import log_event
-from peridotspoke.nodes.keys import key_owner, key_wave, key_withdrawal
-from peridotspoke.nodes.view import Withdrawal, encode_value
-from peridotspoke.store import Condition, Put, Transaction
+from peridotspoke.nodes.fleetrecords import (
+    FleetRecords,
+    RecentOrder,
+    WaveRecord,
+)
+from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.workloads.machines import MachineState, Token
 from peridotspoke.workloads.maintenance import plan_wave
 from peridotspoke.workloads.sizing import DemandHistory, SizingRules, plan_moves
@@ -26,14 +28,17 @@
 IDLE_LISTING_AGE = 4.0  # seconds after which they are listed again otherwise
 HOLDER_MARGIN = 0.3  # seconds beyond the least time between two holders
 RETURN_MARGIN = 0.2  # seconds
+LOST_FACTOR = 3  # times of absence after which an order counts as not carried out
+CLEARING = 1.0  # seconds between two writes that only forget old orders
 RESIZE = "resize"
 
 
-class WaveRecord(msgspec.Struct, frozen=True):
-    """What the store keeps of a wave: the machines that have begun."""
+@dataclass(slots=True)
+class _Order:
+    """An order and when its outcome was known, monotonic seconds (inf: not yet)."""
 
-    begun: tuple[str, ...] = ()
-    completed: bool = False
+    order: RecentOrder
+    given_at: float = float("inf")
 
 
 class FleetKeeper:
@@ -43,46 +48,51 @@
     ----------
     node : NodeParts
     holding : Holding
+    encode_status, key_status : callable
+        How the operator is told whether a wave is completed, and where.
+
+    Notes
+    -----
+    The machines that get an order are stored before the order is sent. So a new
+    holder knows which machines had one lately, and leaves only these alone for the
+    least time between two holders.
     """
 
     def __init__(self, node, holding, encode_status, key_status):
         self._node = node
         self._holding = holding
-        self._encode_status = encode_status
-        self._key_status = key_status
+        self._records = FleetRecords(node, holding, encode_status, key_status)
+        self._tasks = TaskSet(holding.unit)
         self._machines = {}
         self._listed_at = float("-inf")
         self._down = {}
+        self._moving = {}
         self._waves = {}
+        self._wave_lock = asyncio.Lock()
         self._ordering = set()
-        self._moving = {}
+        self._orders = {}
+        self._cleared_at = float("-inf")
+        self._settled_at = {}
+        self._has_restored = False
         self._changed = asyncio.Event()
         self._histories = {}
         self._rules = SizingRules()
-        self._tasks = set()
 
     async def run(self):
         """Keep the fleet until cancelled."""
         view = self._node.view
         await view.wait_until(lambda: view.revision >= self._holding.fence)
-        settled = 0.0
-        if self._holding.previous != self._node.settings.name:
-            settled = self._node.settings.bounds.holder_change + HOLDER_MARGIN
         subscription = view.changes.subscribe(self._note_changes)
         try:
             while True:
-                await self._wait()
-                now = self._node.clock.read_monotonic()
-                if now - self._holding.since < settled:
-                    continue
                 try:
                     await self._run_round()
                 except PlatformError as error:
                     log_event("fleet-round-failed", "WARNING", error=error)
+                await self._wait()
         finally:
             subscription.dispose()
-            for task in list(self._tasks):
-                task.cancel()
+            self._tasks.cancel()
 
     def _note_changes(self, changed):
         if "pool" in changed or "withdrawal" in changed:
@@ -99,6 +109,8 @@
         await asyncio.sleep(ROUND_PAUSE)
 
     async def _run_round(self):
+        if not self._has_restored:
+            self._restore(await self._records.read_orders())
         waves = [
             wave
             for wave, _ in self._node.view.waves.values()
@@ -111,6 +123,35 @@
             await self._keep_wave(wave)
         await self._keep_sizes()
         await self._clear_withdrawals()
+        await self._clear_orders()
+
+    def _restore(self, record):
+        """Take in the orders of the latest holder.
+
+        Those of another holder keep their machines from new orders for a while.
+        """
+        now = self._node.clock.read_monotonic()
+        for name, order in record.orders.items():
+            self._expect(name, order)
+            self._orders[name] = _Order(order, now)
+            if record.holder != self._node.settings.name:
+                self._settled_at[name] = now + self._holder_change
+        self._has_restored = True
+        log_event(
+            "fleet-taken",
+            fence=self._holding.fence,
+            before=record.holder or None,
+            orders=len(record.orders),
+            settling=len(self._settled_at),
+        )
+
+    @property
+    def _holder_change(self):
+        return self._node.settings.bounds.holder_change + HOLDER_MARGIN
+
+    def _list_settling(self):
+        now = self._node.clock.read_monotonic()
+        return {name for name, settled in self._settled_at.items() if now < settled}
 
     async def _list_machines(self, age):
         now = self._node.clock.read_monotonic()
@@ -121,29 +162,38 @@
         self._listed_at = now
 
     def _note_returns(self):
-        """Forget maintenance of machines that are back with another executor."""
-        for name, (ordered_at, executor_id) in list(self._down.items()):
-            machine = self._machines.get(name)
-            away = self._node.settings.bounds.maintenance + RETURN_MARGIN
-            if self._listed_at - ordered_at < away:
-                continue
-            if machine is None or (
-                machine.state is MachineState.UP and machine.executor_id != executor_id
-            ):
+        """Forget orders whose machines are back, or that were not carried out."""
+        bounds = self._node.settings.bounds
+        for name, (executor_id, ordered_at) in list(self._down.items()):
+            age = self._listed_at - ordered_at
+            if self._is_back(name, executor_id, age, bounds.maintenance):
                 del self._down[name]
-            elif machine.state is MachineState.UP and not executor_id:
-                del self._down[name]
-
         for name, (pool, ordered_at) in list(self._moving.items()):
-            machine = self._machines.get(name)
-            away = self._node.settings.bounds.move + RETURN_MARGIN
-            arrived = machine is not None and machine.pool == pool
-            if machine is None or (
-                machine.state is MachineState.UP
-                and (arrived or self._listed_at - ordered_at > 2 * away)
-            ):
+            age = self._listed_at - ordered_at
+            if self._has_moved(name, pool, age, bounds.move):
                 del self._moving[name]
 
+    def _is_back(self, name, executor_id, age, away):
+        machine = self._machines.get(name)
+        if age < away + RETURN_MARGIN:
+            return False
+        if machine is None:
+            return True
+        if machine.state is not MachineState.UP:
+            return False
+        changed = not executor_id or machine.executor_id != executor_id
+        return changed or age > LOST_FACTOR * away
+
+    def _has_moved(self, name, pool, age, away):
+        machine = self._machines.get(name)
+        if age < away + RETURN_MARGIN:
+            return False
+        if machine is None:
+            return True
+        arrived = machine.pool == pool
+        up = machine.state is MachineState.UP
+        return up and (arrived or age > LOST_FACTOR * away)
+
     async def _keep_sizes(self):
         """Withdraw, move and restore machines for the sizes of pools."""
         if not self._machines:
@@ -170,15 +220,19 @@
             {name: pool for name, (pool, _) in self._moving.items()},
             others,
             self._rules,
+            self._list_settling(),
         )
-        for name in plan.withdraw:
-            await self._withdraw(name, RESIZE)
-        for name in plan.restore:
-            await self._remove_withdrawal(name, withdrawn[name][1])
-        for name, pool in plan.moves:
-            self._ordering.add(name)
-            self._moving[name] = (pool, now)
-            self._spawn(self._move(name, pool))
+        self._give_orders(
+            {
+                name: RecentOrder(self._machines[name].executor_id, pool=pool)
+                for name, pool in plan.moves
+            }
+        )
+        machines = self._machines
+        await self._records.remove_withdrawals(
+            {name: withdrawn[name][1] for name in plan.restore}
+        )
+        await self._records.withdraw([machines[name] for name in plan.withdraw], RESIZE)
 
     def _read_demands(self):
         spare = self._list_spare()
@@ -189,32 +243,6 @@
             if pool.name in self._node.view.pools and pool.name not in spare
         }
 
-    async def _move(self, name, pool):
-        """Order one machine's move."""
-        machine = self._machines[name]
-        outcome = "unknown"
-        try:
-            outcome = await self._order(
-                name, lambda token: self._node.machines.move(name, pool, token)
-            )
-            if outcome is not None:
-                self._moving.pop(name, None)
-        except PlatformUnavailableError as error:
-            self._moving.pop(name, None)
-            outcome = error
-        except AnswerLostError as error:
-            outcome = error
-        finally:
-            self._ordering.discard(name)
-            log_event(
-                "move-ordered",
-                machine=name,
-                pool=pool,
-                before=machine.pool,
-                fence=self._holding.fence,
-                outcome=outcome or "done",
-            )
-
     def _is_completed(self, number):
         record = self._waves.get(number)
         return record is not None and record.completed
@@ -234,26 +262,34 @@
             now - announced_at,
             self._list_spare(),
         )
-        for name in plan.withdraw:
-            await self._withdraw(name, f"wave {wave.number}")
-        for name in plan.begin:
-            if name not in self._ordering:
-                self._ordering.add(name)
-                self._spawn(self._begin(wave, name))
+        held_back = self._list_settling() | self._ordering
+        self._give_orders(
+            {
+                name: RecentOrder(self._machines[name].executor_id, wave=wave.number)
+                for name in plan.begin
+                if name not in held_back
+            }
+        )
+        machines = [self._machines[name] for name in plan.withdraw]
+        await self._records.withdraw(machines, f"wave {wave.number}")
         if not plan.left and self._machines:
-            await self._complete(wave.number)
+            self._waves[wave.number] = WaveRecord(record.begun, completed=True)
+            await self._store_wave(wave.number)
+            log_event("wave-completed", wave=wave.number, machines=len(record.begun))
 
     async def _read_wave(self, number):
         if number not in self._waves:
-            found = await self._node.store.read(key_wave(number))
-            record = WaveRecord()
-            if found is not None:
-                record = msgspec.json.decode(found.value, type=WaveRecord)
-            else:
-                await self._write_wave(number, record)
-            self._waves[number] = record
+            found = await self._records.read_wave(number)
+            self._waves[number] = found or WaveRecord()
+            if found is None:
+                await self._store_wave(number)
         return self._waves[number]
 
+    async def _store_wave(self, number):
+        """Store the newest record of a wave, after any write that is under way."""
+        async with self._wave_lock:
+            await self._records.write_wave(number, self._waves[number])
+
     def _list_spare(self):
         configuration = self._node.view.configuration
         return frozenset(pool.name for pool in configuration.pools if pool.spare)
@@ -266,107 +302,120 @@
             and self._machines[name].executor_id == withdrawal.executor_id
         }
 
-    async def _withdraw(self, name, reason):
-        machine = self._machines[name]
-        withdrawal = Withdrawal(
-            machine.executor_id, machine.pool, reason, self._holding.fence
-        )
-        known = self._node.view.withdrawals.get(name)
-        revision = known[1] if known is not None else 0
-        await self._commit(
-            (Condition(key_withdrawal(name), revision),),
-            (Put(key_withdrawal(name), encode_value(withdrawal)),),
-        )
-        log_event(
-            "machine-withdrawn",
-            machine=name,
-            executor=machine.executor_id,
-            why=reason,
-        )
+    def _give_orders(self, orders):
+        """Begin to store and then send orders, by machine."""
+        if not orders:
+            return
+        for name, order in orders.items():
+            self._ordering.add(name)
+            self._orders[name] = _Order(order)
+            self._settled_at.pop(name, None)
+            self._expect(name, order)
+        self._tasks.spawn(self._store_and_send(orders))
 
-    async def _begin(self, wave, name):
-        """Order one machine's maintenance and store that it has begun."""
-        machine = self._machines[name]
-        self._down[name] = (self._node.clock.read_monotonic(), machine.executor_id)
+    def _expect(self, name, order):
+        """Note what the machine will do once the order is carried out."""
+        now = self._node.clock.read_monotonic()
+        if order.wave:
+            self._down[name] = (order.executor_id, now)
+        else:
+            self._moving[name] = (order.pool, now)
+
+    async def _store_and_send(self, orders):
+        stored, reason = False, "not stored"
         try:
-            refusal = await self._order(
-                name,
-                lambda token: self._node.machines.maintain(name, wave.number, token),
-            )
-            log_event(
-                "maintenance-ordered",
-                machine=name,
-                wave=wave.number,
-                fence=self._holding.fence,
-                refusal=refusal,
-            )
-            if refusal is None:
-                self._down[name] = (
-                    self._node.clock.read_monotonic(),
-                    machine.executor_id,
-                )
-                record = self._waves[wave.number]
-                begun = (*record.begun, name)
-                self._waves[wave.number] = WaveRecord(begun)
-                await self._write_wave(wave.number, self._waves[wave.number])
-            else:
-                self._down.pop(name, None)
+            stored = await self._write_orders()
+        except PlatformError as error:
+            reason = error
+        if stored:
+            sent = (self._send(name, order) for name, order in orders.items())
+            await asyncio.gather(*sent)
+            return
+        for name, order in orders.items():
+            self._finish_order(name, order, reason, took_effect=False)
+
+    async def _write_orders(self):
+        known = {name: item.order for name, item in self._orders.items()}
+        return await self._records.write_orders(known)
+
+    async def _send(self, name, order):
+        """Send one order and take in its outcome."""
+        try:
+            refusal = await self._call(name, order)
         except PlatformUnavailableError as error:
-            self._down.pop(name, None)
-            log_event("maintenance-not-ordered", "WARNING", machine=name, error=error)
+            self._finish_order(name, order, error, took_effect=False)
         except AnswerLostError as error:
-            log_event("maintenance-unknown", "WARNING", machine=name, error=error)
-        finally:
-            self._ordering.discard(name)
-            self._listed_at = float("-inf")
+            self._finish_order(name, order, error, took_effect=None)
+        else:
+            self._finish_order(name, order, refusal or "done", refusal is None)
+            if refusal is None and order.wave:
+                await self._note_begun(name, order.wave)
 
-    async def _order(self, name, call):
+    async def _call(self, name, order):
         if not self._node.ownership.may_order():
             raise PlatformUnavailableError(
                 "the right to order may have ended", step="order", peer=name
             )
         token = Token(self._node.settings.name, self._holding.fence)
-        return await call(token)
-
-    async def _write_wave(self, number, record):
-        puts = (
-            Put(key_wave(number), msgspec.json.encode(record)),
-            Put(self._key_status(number), self._encode_status(record.completed)),
+        if order.wave:
+            return await self._node.machines.maintain(name, order.wave, token)
+        return await self._node.machines.move(name, order.pool, token)
+
+    def _finish_order(self, name, order, outcome, took_effect):
+        """Take in an order's outcome; `took_effect` is None where it is unknown."""
+        self._ordering.discard(name)
+        self._orders[name] = _Order(order, self._node.clock.read_monotonic())
+        if took_effect:
+            self._expect(name, order)
+        elif took_effect is False:
+            expected = self._down if order.wave else self._moving
+            expected.pop(name, None)
+        if order.wave:
+            self._listed_at = float("-inf")
+        log_event(
+            "maintenance-ordered" if order.wave else "move-ordered",
+            "INFO" if took_effect else "WARNING",
+            machine=name,
+            wave=order.wave or None,
+            pool=order.pool or None,
+            executor=order.executor_id or None,
+            fence=self._holding.fence,
+            outcome=outcome,
         )
-        await self._commit((), puts)
 
-    async def _complete(self, number):
-        record = WaveRecord(self._waves[number].begun, completed=True)
-        await self._write_wave(number, record)
-        self._waves[number] = record
-        log_event("wave-completed", wave=number, machines=len(record.begun))
+    async def _note_begun(self, name, number):
+        begun = self._waves[number].begun
+        if name not in begun:
+            self._waves[number] = WaveRecord((*begun, name))
+        try:
+            await self._store_wave(number)
+        except PlatformError as error:
+            log_event("wave-not-stored", "WARNING", wave=number, error=error)
 
     async def _clear_withdrawals(self):
         """Remove withdrawals of executors that are gone or needed no more."""
-        for name, (withdrawal, revision) in list(self._node.view.withdrawals.items()):
+        gone = {}
+        for name, (withdrawal, revision) in self._node.view.withdrawals.items():
             machine = self._machines.get(name)
-            gone = machine is None or (
+            is_gone = machine is None or (
                 machine.state is MachineState.UP
                 and machine.executor_id != withdrawal.executor_id
             )
-            if gone and name not in self._ordering:
-                await self._remove_withdrawal(name, revision)
-
-    async def _remove_withdrawal(self, name, revision):
-        key = key_withdrawal(name)
-        await self._commit((Condition(key, revision),), removals=(key,))
-
-    async def _commit(self, conditions, puts=(), removals=()):
-        owner = Condition(key_owner(self._holding.unit), self._holding.fence)
-        transaction = Transaction((owner, *conditions), tuple(puts), tuple(removals))
-        result = await self._node.store.commit(transaction)
-        if result.won:
+            if is_gone and name not in self._ordering:
+                gone[name] = revision
+        await self._records.remove_withdrawals(gone)
+
+    async def _clear_orders(self):
+        """Forget orders that no longer keep another holder from the machines."""
+        now = self._node.clock.read_monotonic()
+        old = [
+            name
+            for name, item in self._orders.items()
+            if now - item.given_at > self._holder_change
+        ]
+        if not old or now - self._cleared_at < CLEARING:
             return
-        current = result.find_current(owner.key)
-        if current is None or current.revision != self._holding.fence:
-            self._node.ownership.give_up(self._holding, "the store has another owner")
-
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._cleared_at = now
+        for name in old:
+            del self._orders[name]
+        await self._write_orders()
--- a/peridotspoke/nodes/keys.py
+++ b/peridotspoke/nodes/keys.py
@@ -5,6 +5,7 @@
     "key_cancel",
     "key_job",
     "key_node",
+    "key_orders",
     "key_owner",
     "key_pool_state",
     "key_progress",
@@ -36,6 +37,11 @@
     return f"{WORK_PREFIX}node/{name}"
 
 
+def key_orders():
+    """Return the key of the orders that the fleet's owner gave a moment ago."""
+    return f"{WORK_PREFIX}orders/fleet"
+
+
 def key_owner(unit):
     """Return the key of a unit's owner, under the owner's lease."""
     return f"{WORK_PREFIX}owner/{unit}"
--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -1,15 +1,23 @@
 """Tests of the fleet's owner: moves and maintenance through lost records."""
 
+import asyncio
+
 import msgspec
 import pytest
 
+from peridotspoke.exceptions import AnswerLostError
 from peridotspoke.nodes.fleet import FLEET, RESIZE, FleetKeeper
-from peridotspoke.nodes.keys import key_owner, key_withdrawal
+from peridotspoke.nodes.fleetrecords import OrderRecord, RecentOrder, WaveRecord
+from peridotspoke.nodes.keys import WORK_PREFIX, key_orders, key_owner, key_withdrawal
 from peridotspoke.nodes.ownership import Holding
 from peridotspoke.nodes.tests.stores import make_parts
 from peridotspoke.nodes.view import Withdrawal, encode_value
 from peridotspoke.store import FollowedRecords, Put, Transaction
-from peridotspoke.workloads.configuration import Configuration, WorkPool
+from peridotspoke.workloads.configuration import (
+    Configuration,
+    MaintenanceWave,
+    WorkPool,
+)
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.machines import Machine, MachineState
 from peridotspoke.workloads.sizing import PoolDemand
@@ -82,7 +90,11 @@
 
     def look(self):
         """Let the view catch up with the store."""
-        records = self.store.records
+        records = {
+            key: record
+            for key, record in self.store.records.items()
+            if key.startswith(WORK_PREFIX)
+        }
         gone = {
             key_withdrawal(name) for name in self.parts.view.withdrawals
         } - records.keys()
@@ -125,3 +137,95 @@
     await fleet.keeper._run_round()
     assert key_withdrawal("m1") not in fleet.store.records
     assert key_withdrawal("m2") not in fleet.store.records
+
+
+async def run_round(fleet):
+    """Run one round and let its orders be sent."""
+    await fleet.keeper._run_round()
+    for _ in range(10):
+        await asyncio.sleep(0)
+    fleet.look()
+
+
+async def test_machines_without_a_recent_order_are_moved_at_once_by_a_new_holder():
+    """The machine that another holder ordered about a moment ago has to wait."""
+    fleet = FleetDouble({"m1": "pool", "m2": "spare", "m3": "spare"})
+    record = OrderRecord("other", {"m2": RecentOrder("", pool="spare")})
+    await fleet.put(key_orders(), encode_value(record))
+    await fleet.open()
+    fleet.demand(64.0)
+    await run_round(fleet)
+    assert [order[:2] for order in fleet.machines.orders] == [("m3", "pool")]
+    fleet.demand(96.0)
+    fleet.parts.clock.advance(4.0)
+    await run_round(fleet)
+    assert fleet.machines.orders[1][:2] == ("m2", "pool")
+
+
+async def test_the_same_holder_waits_only_for_the_move_after_its_restart():
+    """There is no second holder that it would have to wait for."""
+    fleet = FleetDouble({"m1": "pool", "m2": "spare"})
+    record = OrderRecord("n1", {"m2": RecentOrder("", pool="spare")})
+    await fleet.put(key_orders(), encode_value(record))
+    await fleet.open()
+    await run_round(fleet)
+    fleet.demand(64.0)
+    fleet.parts.clock.advance(2.0)
+    await run_round(fleet)
+    assert fleet.machines.orders[0][:2] == ("m2", "pool")
+
+
+async def test_an_order_is_not_sent_before_its_machine_is_stored():
+    """Else another holder would not know of it."""
+    fleet = FleetDouble({"m1": "pool", "m2": "spare"})
+    await fleet.open()
+    fleet.demand(64.0)
+    fleet.store.faults = ["lost"]
+    await run_round(fleet)
+    assert fleet.machines.orders == []
+    await run_round(fleet)
+    stored = msgspec.json.decode(
+        fleet.store.records[key_orders()].value, type=OrderRecord
+    )
+    assert [order[0] for order in fleet.machines.orders] == ["m2"]
+    assert (stored.holder, list(stored.orders)) == ("n1", ["m2"])
+
+
+async def test_an_old_order_is_forgotten():
+    """A later holder then need not wait for its machine."""
+    fleet = FleetDouble({"m1": "pool", "m2": "spare"})
+    await fleet.open()
+    fleet.demand(64.0)
+    await run_round(fleet)
+    fleet.parts.clock.advance(4.0)
+    await run_round(fleet)
+    stored = msgspec.json.decode(
+        fleet.store.records[key_orders()].value, type=OrderRecord
+    )
+    assert stored.orders == {}
+
+
+async def test_a_new_holder_counts_the_machines_that_are_down_for_a_wave():
+    """Its predecessor's order may have been carried out a moment ago."""
+    fleet = FleetDouble({"m1": "spare", "m2": "spare"})
+    record = OrderRecord("other", {"m1": RecentOrder("", wave=1)})
+    await fleet.put(key_orders(), encode_value(record))
+    await fleet.open()
+    wave = MaintenanceWave(1, ("m1", "m2"), 20.0, 1)
+    fleet.parts.view.waves[1] = (wave, fleet.parts.clock.read_monotonic())
+    await run_round(fleet)
+    assert fleet.machines.orders == []
+
+
+async def test_a_late_write_of_a_wave_does_not_undo_its_completion():
+    """It names the revision that it was to replace."""
+    fleet = FleetDouble({"m1": "spare"})
+    await fleet.open()
+    records = fleet.keeper._records
+    await records.write_wave(1, WaveRecord())
+    fleet.store.faults = ["late"]
+    with pytest.raises(AnswerLostError):
+        await records.write_wave(1, WaveRecord(("m1",)))
+    await records.write_wave(1, WaveRecord(("m1",), completed=True))
+    fleet.store.deliver_late()
+    assert (await records.read_wave(1)).completed
--- a/peridotspoke/workloads/sizing.py
+++ b/peridotspoke/workloads/sizing.py
@@ -252,7 +252,9 @@
         return sum(machine.capacity.cpu for machine in self.machines) / 1000
 
 
-def plan_moves(machines, demands, held, spare, resizing, moving, busy, rules):
+def plan_moves(
+    machines, demands, held, spare, resizing, moving, busy, rules, held_back=frozenset()
+):
     """Return the `MovePlan` that brings pools to their needs.
 
     Parameters
@@ -272,6 +274,8 @@
     busy : set of str
         Machines with other business.
     rules : SizingRules
+    held_back : set of str, optional
+        Machines that must not get an order yet.
 
     Notes
     -----
@@ -280,18 +284,18 @@
     spare pool.
     """
     sizes = _measure_pools(machines, demands, held, resizing, moving, busy, rules)
+    unorderable = busy | held_back | moving.keys()
     free = sorted(
         machine.name
         for machine in machines.values()
         if machine.pool == spare
         and machine.state is MachineState.UP
-        and machine.name not in moving
-        and machine.name not in busy
+        and machine.name not in unorderable
     )
     empty = [
         name
         for name, is_empty in resizing.items()
-        if is_empty and name in machines and name not in moving and name not in busy
+        if is_empty and name in machines and name not in unorderable
     ]
     moves, restore = [], []
     for size in sorted(sizes.values(), key=lambda item: item.supply - item.needed):
