Notice a silent watch early where records have just changed

Cause: while the store drops its history, watches hear nothing; a poll that had been sent just before waited 2 s for its answer and 1 s more for its time-out. Change: a poll after one with changes may be held back 0.4 s (1.5 s otherwise) and counts as lost 0.6 s later, so that the records are read again after 1.0 s. Ruled out: short waits on all prefixes (13 calls a second of nodes whose prefix rests).

--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -63,12 +63,15 @@
 class WatchRules(msgspec.Struct, frozen=True):
     """Times of a watch, in seconds.
 
-    `wait` is how long the store may hold a poll back, `margin` how much later it
-    counts as lost.
+    `wait` is how long the store may hold a poll back, `busy_wait` the same after a
+    poll that had changes, and `margin` how much later a poll counts as lost. A
+    prefix that has just changed soon changes again, so that silence is noticed
+    early there.
     """
 
-    wait: float = 2.0
-    margin: float = 1.0
+    wait: float = 1.5
+    busy_wait: float = 0.4
+    margin: float = 0.6
 
 
 class MetadataStore(KeyValueService):
@@ -174,17 +177,18 @@
     async def watch(self, prefix, from_revision):
         """Yield a `WatchBatch` for each answered poll, empty ones included."""
         rules = self._watch_rules
-        revision = from_revision
+        revision, wait = from_revision, rules.busy_wait
         while True:
             query = (
                 f"kv-watch?prefix={quote(prefix)}&after={revision}"
-                f"&waitMs={round(rules.wait * 1000)}"
+                f"&waitMs={round(wait * 1000)}"
             )
             answer = await self._call(
-                "GET", query, "watch", timeout=rules.wait + rules.margin
+                "GET", query, "watch", timeout=wait + rules.margin
             )
             found = self._decode(answer, _Items, "kv-watch")
             revision = max(revision, found.as_of)
+            wait = rules.busy_wait if found.events else rules.wait
             changes = tuple(_decode_event(event) for event in found.events)
             yield WatchBatch(changes, revision)
 
