Give up hanging calls once the store serves again

Cause: after a silent outage, calls that had been sent before its end hung until their own time-out (0.8 s for a renewal, 1.0 s for a watch) although the store answered new ones, and each of them that failed replaced the healthy connections of the others. Change: the first answer after an outage ends the calls on replaced connections; a failed call replaces the connections only of its own time; the longest wait between two tries of a watch is 0.3 s (0.6). Both tests failed before.

--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -13,7 +13,7 @@
 
 __all__ = ["DocumentCodec", "Node"]
 
-FOLLOWING = FollowingRules(backoff=BackoffRules(first=0.1, most=0.6))
+FOLLOWING = FollowingRules(backoff=BackoffRules(first=0.1, most=0.3))
 WORK_PAUSE = 0.06  # seconds between two polls for work where pools are owned
 IDLE_PAUSE = 0.15  # seconds between two polls for work elsewhere
 ENTRY_PAUSE = 0.2  # seconds between two polls for executors' entries
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -30,7 +30,8 @@
     """The parts that a node's tasks share.
 
     `contact_at` is the monotonic time at which the store last served a call, and
-    `store_failures` the number of calls that have failed since.
+    `store_failures` the number of calls that have failed since. `drop_stale_calls` is
+    called once the store serves again, to end the calls that hang since before.
     """
 
     settings: NodeSettings
@@ -39,6 +40,7 @@
     metrics: MetricsRegistry
     chance: random.Random
     store: object = None
+    drop_stale_calls: Callable | None = None
     ownership: object = None
     open_executor: Callable | None = None
     machines: object = None
@@ -61,6 +63,8 @@
         else:
             self.store_failures += 1
         if had_store != self.has_store():
+            if served and self.drop_stale_calls is not None:
+                self.drop_stale_calls()
             log_event(
                 "store-regained" if served else "store-lost",
                 "INFO" if served else "WARNING",
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -37,6 +37,7 @@
         settings.timing.store_call,
         note_call=parts.note_store_call,
     )
+    parts.drop_stale_calls = parts.store.drop_stale_calls
     parts.open_executor = lambda entry: HttpExecutor(
         HttpPeer(entry.address), entry.executor_id, settings.timing.call
     )
--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -84,7 +84,7 @@
                 f"no connection: {error!r}", step=f"{method} {path}", peer=self.address
             ) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            self._replace_session()
+            self._replace_session(session)
             raise AnswerLostError(
                 f"no answer: {error!r}", step=f"{method} {path}", peer=self.address
             ) from error
@@ -108,8 +108,16 @@
             )
         return self._session
 
-    def _replace_session(self):
-        if self._session is None:
+    def drop_stale_calls(self):
+        """Give up the calls on connections that were replaced.
+
+        They may hang although the peer answers on new ones.
+        """
+        for task in list(self._closing):
+            task.cancel()
+
+    def _replace_session(self, failed):
+        if self._session is not failed:
             return
         task = asyncio.ensure_future(_close_later(self._session))
         self._session = None
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -192,6 +192,10 @@
             changes = tuple(_decode_event(event) for event in found.events)
             yield WatchBatch(changes, revision)
 
+    def drop_stale_calls(self):
+        """Give up calls that hang since before the store was back."""
+        self._peer.drop_stale_calls()
+
     async def close(self):
         """Close all connections."""
         await self._peer.close()
--- a/peridotspoke/platform/tests/test_http.py
+++ b/peridotspoke/platform/tests/test_http.py
@@ -50,3 +50,56 @@
     with pytest.raises(PlatformUnavailableError):
         await peer.call("GET", "/", timeout=1.0)
     await peer.close()
+
+
+async def test_calls_that_hang_are_given_up_once_the_peer_answers_again():
+    """They were sent while it was silent, and would wait for their own time-out."""
+    silent = asyncio.Event()
+
+    async def serve(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            if silent.is_set():
+                continue
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    peer = HttpPeer(f"{host}:{port}")
+    silent.set()
+    hanging = asyncio.ensure_future(peer.call("GET", "/a", timeout=60.0))
+    with pytest.raises(AnswerLostError):
+        await peer.call("GET", "/b", timeout=0.2)
+    silent.clear()
+    assert (await peer.call("GET", "/c", timeout=60.0)).status == 200
+    peer.drop_stale_calls()
+    async with asyncio.timeout(20):
+        with pytest.raises(AnswerLostError):
+            await hanging
+    await peer.close()
+    server.close()
+
+
+async def test_a_failed_call_on_old_connections_leaves_the_new_ones_alone():
+    """Only the connections of its own time are suspect."""
+
+    async def serve(reader, writer):
+        path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+        while path == b"/ok":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            connections.add(writer)
+            path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+
+    connections = set()
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    peer = HttpPeer(f"{host}:{port}")
+    late = asyncio.ensure_future(peer.call("GET", "/silent", timeout=0.4))
+    with pytest.raises(AnswerLostError):
+        await peer.call("GET", "/silent", timeout=0.1)
+    await peer.call("GET", "/ok", timeout=60.0)
+    with pytest.raises(AnswerLostError):
+        await late
+    await peer.call("GET", "/ok", timeout=60.0)
+    assert len(connections) == 1
+    await peer.close()
+    server.close()
