Don't take the old jobs of a new owner for a rush

Cause: a pool's owner measures the rate of arriving work from the jobs that it takes in. A new owner takes in all open jobs at once; their whole work, over a window of 1 s, looked like a demand of 2,500 to 2,750 processors, kept for 2 s. The fleet's owner gave that pool all machines. It happens at each change of owner. Ruled out: want of machines (24 were off), the takeover itself (0.4 s). Change: only jobs accepted within the window count; what a pool asks for is logged. The test failed before.

--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -91,7 +91,13 @@
             self._marking.discard(machine)
 
     def note_arrival(self, job):
-        """Note the work of a job that was taken in."""
+        """Note the work of a job that was taken in, unless it came long ago.
+
+        A new owner takes in all open jobs at once, which tells nothing of the rate.
+        """
+        age = self._node.clock.read_wall() - job.accepted_at
+        if age > SizingRules().window:
+            return
         predict = self._ledger.durations.predict
         work = sum(
             step.count * step.need.cpu / 1000 * predict(job.queue, step.estimate)
@@ -116,6 +122,16 @@
             return
         if "demand" not in self._tasks.under_way:
             self._described, self._described_at = demand, now
+            log_event(
+                "demand-described",
+                pool=self._pool,
+                cores=demand.cores,
+                ready=ready,
+                rate=rate,
+                spread=demand.spread,
+                wait=demand.wait,
+                executors=len(self._node.view.entries),
+            )
             self._tasks.spawn_once("demand", self._store_demand(demand))
 
     def _sum_attainable(self):
--- /dev/null
+++ b/peridotspoke/nodes/tests/test_poolrecords.py
@@ -0,0 +1,36 @@
+"""Tests of what a pool's owner tells the fleet's owner."""
+
+import pytest
+
+from peridotspoke.nodes.ownership import Holding
+from peridotspoke.nodes.poolrecords import PoolRecords
+from peridotspoke.nodes.tasksets import TaskSet
+from peridotspoke.nodes.tests.stores import JOB, make_parts
+from peridotspoke.workloads.jobs import Job, Need, Step
+from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.runledger import LedgerRules
+
+
+@pytest.fixture
+def records():
+    parts = make_parts()
+    now = parts.clock.read_monotonic()
+    ledger = PoolLedger("pool", 1, LedgerRules(inherited_life=12.0), now)
+    holding = Holding("pool", 1, now)
+    return PoolRecords(parts, holding, ledger, TaskSet("pool"), lambda job_id: None)
+
+
+def make_job(records, age):
+    wall = records._node.clock.read_wall()
+    step = Step(10, Need(cpu=4000), estimate=2.0)
+    return Job(JOB, "queue", "pool", "", (step,), accepted_at=wall - age)
+
+
+def test_old_jobs_that_a_new_owner_takes_in_do_not_look_like_a_rush(records):
+    """Only what came within the window tells of the rate; 80 processor-seconds."""
+    now = records._node.clock.read_monotonic()
+    for _ in range(30):
+        records.note_arrival(make_job(records, age=5.0))
+    assert records._arrivals.read(now) == 0.0
+    records.note_arrival(make_job(records, age=0.1))
+    assert records._arrivals.read(now) == pytest.approx(80.0)
