Give late work only the machines that work in time leaves

Change: late work is a figure of its own. Machines go to what all pools need for work in time first, then to late work; while the first lacks room, late work keeps no machines beyond it. Late jobs still run, also on whatever the pool has free. The description of demand is a module of its own now. Ruled out: dropping late jobs (they were accepted, and callers wait for them).

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -15,9 +15,10 @@
     WaveRecord,
 )
 from peridotspoke.nodes.tasksets import TaskSet
+from peridotspoke.workloads.demand import DemandHistory
 from peridotspoke.workloads.machines import MachineState, Token
 from peridotspoke.workloads.maintenance import plan_wave
-from peridotspoke.workloads.sizing import DemandHistory, SizingRules, plan_moves
+from peridotspoke.workloads.sizing import SizingRules, plan_moves
 
 __all__ = ["FLEET", "FleetKeeper"]
 
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -16,8 +16,9 @@
 )
 from peridotspoke.nodes.view import encode_value
 from peridotspoke.store import Condition, Put, Transaction
+from peridotspoke.workloads.demand import ArrivalRate, describe_demand
 from peridotspoke.workloads.scheduling import list_timings, sum_ready
-from peridotspoke.workloads.sizing import ArrivalRate, SizingRules, describe_demand
+from peridotspoke.workloads.sizing import SizingRules
 
 __all__ = ["PoolRecords"]
 
@@ -126,6 +127,7 @@
                 "demand-described",
                 pool=self._pool,
                 cores=demand.cores,
+                late_cores=demand.late_cores,
                 ready=ready,
                 rate=rate,
                 spread=demand.spread,
@@ -197,4 +199,8 @@
         demand.removable
     ):
         return True
-    return abs(known.cores - demand.cores) > DEMAND_STEP * max(known.cores, 1.0)
+    changes = (
+        abs(known.cores - demand.cores),
+        abs(known.late_cores - demand.late_cores),
+    )
+    return max(changes) > DEMAND_STEP * max(known.cores, known.late_cores, 1.0)
--- a/peridotspoke/nodes/tests/test_desk.py
+++ b/peridotspoke/nodes/tests/test_desk.py
@@ -8,8 +8,8 @@
 from peridotspoke.nodes.keys import key_job
 from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.nodes.view import TOMBSTONE
+from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.jobs import Job, Step
-from peridotspoke.workloads.sizing import PoolDemand
 
 
 def decode(body, job_id, queue, wall):
--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -18,9 +18,9 @@
     MaintenanceWave,
     WorkPool,
 )
+from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.machines import Machine, MachineState
-from peridotspoke.workloads.sizing import PoolDemand
 
 
 class MachinesDouble:
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -10,6 +10,7 @@
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import split_key
 from peridotspoke.workloads.configuration import Configuration
+from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.jobs import Job
 from peridotspoke.workloads.progress import (
     JobOutcome,
@@ -17,7 +18,6 @@
     decode_job,
     decode_summary,
 )
-from peridotspoke.workloads.sizing import PoolDemand
 
 __all__ = [
     "JobView",
--- a/peridotspoke/workloads/sizing.py
+++ b/peridotspoke/workloads/sizing.py
@@ -1,32 +1,14 @@
-"""Sizes pools to their near future and plans the moves between them.
+"""Plans the moves of machines between pools that bring each to its need.
 
-It answers demand that rises within a second to several times a pool's room, stays for
-some seconds and falls to nearly nothing: machines come from the spare pool as soon as
-accepted work exceeds the room, and go back once it has stayed below for a while.
+It answers peaks that come to the pools in turn: machines come from the spare pool as
+soon as a pool lacks room, and go back once its need has stayed below for a while.
 """
 
-import math
-from collections import deque
 from dataclasses import dataclass, field
 
-from peridotspoke.workloads.executors import Condition
 from peridotspoke.workloads.machines import MachineState
-from peridotspoke.workloads.progress import JobOutcome, TaskStatus
-from peridotspoke.workloads.runs import RunPhase, compute_need
 
-__all__ = [
-    "ArrivalRate",
-    "DemandHistory",
-    "MovePlan",
-    "PoolDemand",
-    "SizingRules",
-    "describe_demand",
-    "plan_moves",
-]
-
-
-LEAST_ROOM = 1.0  # processors
-SHORTEST_SPAN = 0.2  # seconds
+__all__ = ["MovePlan", "SizingRules", "plan_moves"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,176 +39,6 @@
     least: int = 2
 
 
-@dataclass(frozen=True, slots=True)
-class PoolDemand:
-    """What a pool needs, as its owner describes it.
-
-    Parameters
-    ----------
-    cores : float
-        Processors that its work needs in the near future.
-    spread : int
-        Executors that its lasting tasks need for their limits on one executor.
-    removable : tuple of str
-        Executors that could be emptied, the one with the least work first.
-    unusable : tuple of str
-        Executors that are listed but take no work.
-    wait : float
-        Seconds in which the accepted work would be done by what takes work now, or
-        by what the pool could get.
-    """
-
-    cores: float = 0.0
-    spread: int = 0
-    removable: tuple[str, ...] = ()
-    unusable: tuple[str, ...] = ()
-    wait: float = 0.0
-
-
-class ArrivalRate:
-    """Measures the rate of arriving work in processor-seconds a second.
-
-    Examples
-    --------
-    >>> arrivals = ArrivalRate(window=2.0)
-    >>> arrivals.note(10.0, now=0.0)
-    >>> arrivals.note(30.0, now=1.0)
-    >>> arrivals.read(now=1.5), arrivals.read(now=2.5)
-    (20.0, 15.0)
-    """
-
-    def __init__(self, window):
-        self._window = window
-        self._arrivals = deque()
-
-    def note(self, work, now):
-        """Note `work` processor-seconds that were accepted."""
-        self._arrivals.append((now, work))
-
-    def read(self, now):
-        """Return the mean rate over the window that ends now."""
-        while self._arrivals and self._arrivals[0][0] < now - self._window:
-            self._arrivals.popleft()
-        return sum(work for _, work in self._arrivals) / self._window
-
-
-class DemandHistory:
-    """Keeps the highest need of the last seconds.
-
-    Examples
-    --------
-    >>> history = DemandHistory(hold=2.0)
-    >>> [history.note(need, now) for need, now in ((5, 0), (9, 1), (2, 2), (2, 4))]
-    [5, 9, 9, 2]
-    """
-
-    def __init__(self, hold):
-        self._hold = hold
-        self._needs = deque()
-
-    def note(self, need, now):
-        """Take in the present need and return the highest that is kept."""
-        self._needs.append((now, need))
-        while self._needs[0][0] <= now - self._hold:
-            self._needs.popleft()
-        return max(kept for _, kept in self._needs)
-
-
-def describe_demand(ledger, timings, ready, rate, attainable=0.0, rules=SizingRules()):
-    """Return the `PoolDemand` of a pool.
-
-    A job needs its work done over the chain that is left and a share of its slack.
-    All jobs together need at most what could run at once, and at least what runs.
-
-    Parameters
-    ----------
-    ledger : PoolLedger
-    timings : iterable of JobTiming
-        Of each open finite job.
-    ready : float
-        Processors that would be used if all that may start ran.
-    rate : float
-        Arriving work, processor-seconds a second.
-    attainable : float, optional
-        Processors that the pool could get from others.
-    rules : SizingRules, optional
-    """
-    timely = late = left = 0.0
-    for timing in timings:
-        left += timing.work
-        if timing.slack >= 0:
-            span = timing.remaining + rules.slack_share * timing.slack
-            timely += timing.work / max(span, SHORTEST_SPAN)
-        else:
-            late += timing.work / rules.late_horizon
-    finite = max(_sum_running(ledger), min(ready, timely + late), rate)
-    return PoolDemand(
-        cores=_sum_lasting(ledger) + finite,
-        spread=_compute_spread(ledger),
-        removable=_rank_removable(ledger),
-        unusable=tuple(
-            sorted(
-                state.executor_id
-                for state in ledger.executors.values()
-                if state.entry is not None and not state.reachable
-            )
-        ),
-        wait=left / max(_sum_room(ledger), attainable, LEAST_ROOM),
-    )
-
-
-def _sum_room(ledger):
-    return sum(
-        state.entry.capacity.cpu / 1000
-        for state in ledger.executors.values()
-        if state.entry is not None and state.reachable and not state.drains
-    )
-
-
-def _sum_running(ledger):
-    return sum(
-        compute_need(run.step).cpu / 1000
-        for run in ledger.list_runs()
-        if not run.step.lasting
-    )
-
-
-def _sum_lasting(ledger):
-    cores = 0.0
-    for progress in ledger.jobs.values():
-        if progress.outcome is JobOutcome.OPEN and progress.job.lasts:
-            for task in progress.list_tasks():
-                step = progress.job.steps[task.key.step]
-                if step.lasting and task.status is not TaskStatus.DONE:
-                    cores += compute_need(step).cpu / 1000
-    return cores
-
-
-def _compute_spread(ledger):
-    spread = 0
-    for progress in ledger.jobs.values():
-        if progress.outcome is not JobOutcome.OPEN:
-            continue
-        for step in progress.job.steps:
-            if step.lasting and step.most_per_executor:
-                spread = max(spread, math.ceil(step.count / step.most_per_executor))
-    return spread
-
-
-def _rank_removable(ledger):
-    ranked = []
-    for state in ledger.executors.values():
-        if state.entry is None or state.entry.condition is Condition.DRAINING:
-            continue
-        runs = [
-            run for run in state.runs.values() if run.phase is not RunPhase.STOPPING
-        ]
-        lasting = sum(run.step.lasting for run in runs)
-        load = sum(compute_need(run.step).cpu for run in runs)
-        ranked.append((lasting, load, state.executor_id))
-    return tuple(executor_id for _, _, executor_id in sorted(ranked))
-
-
 @dataclass(frozen=True, slots=True)
 class MovePlan:
     """What to do next for the sizes of pools.
@@ -242,8 +54,14 @@
 
 @dataclass(slots=True)
 class _PoolSize:
+    """A pool's need, with `late` processors more for late work, and its machines.
+
+    `held` is the highest need of the last seconds. All in processors.
+    """
+
     name: str
     needed: float
+    late: float
     held: float
     machines: list = field(default_factory=list)
 
@@ -280,8 +98,9 @@
     Notes
     -----
     A pool that lacks room first gets back what it was giving away, then machines that
-    are off, then machines that others have given away. What nobody needs goes to the
-    spare pool.
+    are off, then machines that others have given away. Late work gets what is left
+    once all that is in time has room; while that lacks room, late work keeps no
+    machines. What nobody needs goes to the spare pool.
     """
     sizes = _measure_pools(machines, demands, held, resizing, moving, busy, rules)
     unorderable = busy | held_back | moving.keys()
@@ -297,25 +116,61 @@
         for name, is_empty in resizing.items()
         if is_empty and name in machines and name not in unorderable
     ]
-    moves, restore = [], []
-    for size in sorted(sizes.values(), key=lambda item: item.supply - item.needed):
-        lacking = size.needed - size.supply
-        for name in [*_list_own(machines, resizing, size.name, moving), *free, *empty]:
+    gains = _PoolGains(machines, resizing, moving, [*free, *empty])
+    ranked = sorted(sizes.values(), key=lambda item: item.supply - item.needed)
+    unmet = [gains.fill(size, size.needed - size.supply) for size in ranked]
+    for size in ranked:
+        gains.fill(size, size.needed + size.late - size.supply - gains.sum_for(size))
+    moves = list(gains.moves)
+    if spare:
+        moves += [(name, spare) for name in empty if name not in gains.taken]
+    withdraw = _list_surplus(sizes, demands, spare, any(unmet)) if spare else ()
+    return MovePlan(tuple(moves), tuple(withdraw), tuple(gains.restored))
+
+
+class _PoolGains:
+    """The machines that pools get in one plan.
+
+    Parameters
+    ----------
+    machines : dict of str to Machine
+    resizing, moving : dict
+    available : list of str
+        Machines that any pool may get, the best first.
+    """
+
+    def __init__(self, machines, resizing, moving, available):
+        self.moves = []
+        self.restored = []
+        self.taken = set()
+        self._machines = machines
+        self._resizing = resizing
+        self._moving = moving
+        self._available = available
+        self._sums = {}
+
+    def sum_for(self, size):
+        """Return the processors that a pool has got."""
+        return self._sums.get(size.name, 0.0)
+
+    def fill(self, size, lacking):
+        """Give a pool what it lacks, in processors; return what is still lacking."""
+        own = _list_own(self._machines, self._resizing, size.name, self._moving)
+        for name in [*own, *self._available]:
             if lacking <= 0:
                 break
-            machine = machines[name]
-            if name in restore or any(name == moved for moved, _ in moves):
+            if name in self.taken:
                 continue
+            machine = self._machines[name]
+            self.taken.add(name)
             if machine.pool == size.name:
-                restore.append(name)
+                self.restored.append(name)
             else:
-                moves.append((name, size.name))
-            lacking -= machine.capacity.cpu / 1000
-    taken = {name for name, _ in moves} | set(restore)
-    if spare:
-        moves += [(name, spare) for name in empty if name not in taken]
-    withdraw = _list_surplus(sizes, demands, spare) if spare else ()
-    return MovePlan(tuple(moves), tuple(withdraw), tuple(restore))
+                self.moves.append((name, size.name))
+            cores = machine.capacity.cpu / 1000
+            self._sums[size.name] = self.sum_for(size) + cores
+            lacking -= cores
+        return max(0.0, lacking)
 
 
 def _measure_pools(machines, demands, held, resizing, moving, busy, rules):
@@ -333,7 +188,8 @@
         typical = max((item.capacity.cpu for item in machines.values()), default=0)
         floor = max(rules.least, demand.spread) * typical / 1000
         needed = max(demand.cores * rules.headroom, floor)
-        size = _PoolSize(pool, needed, max(needed, held.get(pool, 0.0)))
+        late = demand.late_cores * rules.headroom
+        size = _PoolSize(pool, needed, late, max(needed, held.get(pool, 0.0)))
         size.machines = own
         sizes[pool] = size
     return sizes
@@ -347,11 +203,12 @@
     ]
 
 
-def _list_surplus(sizes, demands, spare):
+def _list_surplus(sizes, demands, spare, is_scarce):
     for size in sizes.values():
         if size.name == spare:
             continue
-        surplus = size.supply - size.held
+        kept = size.held if is_scarce else max(size.held, size.needed + size.late)
+        surplus = size.supply - kept
         by_executor = {
             machine.executor_id: machine
             for machine in size.machines
--- a/peridotspoke/workloads/tests/test_sizing.py
+++ b/peridotspoke/workloads/tests/test_sizing.py
@@ -1,8 +1,9 @@
 """Tests of the sizes of pools under the load that they answer."""
 
+from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.machines import Machine, MachineState
-from peridotspoke.workloads.sizing import PoolDemand, SizingRules, plan_moves
+from peridotspoke.workloads.sizing import SizingRules, plan_moves
 
 RULES = SizingRules(headroom=1.0)
 
@@ -21,10 +22,13 @@
     return machines
 
 
-def run_plan(machines, needs, held=None, resizing=None, moving=None, busy=()):
+def run_plan(
+    machines, needs, held=None, resizing=None, moving=None, busy=(), late=None
+):
     demands = {
         pool: PoolDemand(
             cores=need,
+            late_cores=(late or {}).get(pool, 0.0),
             removable=tuple(
                 item.executor_id for item in machines.values() if item.pool == pool
             ),
@@ -85,3 +89,19 @@
     demands = {"a": PoolDemand(cores=10.0, spread=4, removable=("i-a0", "i-a1"))}
     plan = plan_moves(machines, demands, {}, "spare", {}, {}, set(), RULES)
     assert len(plan.withdraw) == 1
+
+
+def test_late_work_gets_only_what_work_in_time_leaves():
+    """A pool with a backlog that is late anyway must not starve another's peak."""
+    machines = make_fleet(a=2, b=2, spare=6)
+    plan = run_plan(machines, {"a": 64.0, "b": 192.0}, late={"a": 900.0})
+    pools = [pool for _, pool in plan.moves]
+    assert (pools.count("b"), pools.count("a")) == (4, 2)
+
+
+def test_late_work_keeps_its_machines_only_while_nobody_lacks_room():
+    """They are emptied for what can still be in time."""
+    machines = make_fleet(a=8, b=2, spare=0)
+    calm = run_plan(machines, {"a": 64.0, "b": 64.0}, late={"a": 900.0})
+    scarce = run_plan(machines, {"a": 64.0, "b": 192.0}, late={"a": 900.0})
+    assert (len(calm.withdraw), len(scarce.withdraw)) == (0, 6)
