Hold a node's lease for 1.6 s

Change: a lease of 1.6 s, renewed each 0.4 s; a renewal is given up after 0.4 s, later ones after 0.6 and 0.8 s, so that a lost answer leaves time for another try. Ruled out: handing units over by a message to a peer (a second protocol), 1.0 s (a lost renewal would end it).

--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -27,6 +27,7 @@
 TICK = 0.1  # seconds
 RETRY = 0.1  # seconds after a renewal that failed
 RENEWALS = 4  # tries of a renewal within a lease
+RENEWAL_LIMITS = (0.4, 0.6, 0.8)  # seconds, by the renewals that failed before
 SETTLING = 0.4  # seconds after a lease's grant that leave units to former owners
 RANK_WAIT = 0.25  # seconds that each rank leaves to the one before
 ORDER_MARGIN = 0.1  # seconds before the lease's end at which orders cease
@@ -128,18 +129,21 @@
 
     async def _keep_lease(self):
         interval = self._settings.lease / RENEWALS
+        failures = 0
         while not self._leaving:
             try:
                 if not self._has_succeeded:
                     await self._succeed()
                 if self._lease is not None:
-                    await self._renew()
+                    await self._renew(failures)
                 if self._lease is None:
                     await self._grant()
             except PlatformError as error:
                 log_event("lease-not-renewed", "WARNING", error=error)
+                failures += 1
                 await asyncio.sleep(RETRY)
                 continue
+            failures = 0
             await asyncio.sleep(interval)
 
     async def _succeed(self):
@@ -182,9 +186,13 @@
         self._granted_at = self._contact_at = lease.asked_at
         log_event("lease-granted", lease=lease.lease_id, ttl=lease.ttl)
 
-    async def _renew(self):
+    async def _renew(self, failures):
         lease = self._lease
-        renewed = await self._store.renew_lease(lease)
+        try:
+            async with asyncio.timeout(RENEWAL_LIMITS[min(failures, 2)]):
+                renewed = await self._store.renew_lease(lease)
+        except TimeoutError as error:
+            raise AnswerLostError("no answer in time", step="renew lease") from error
         if self._lease is not lease:
             return
         self._lease = renewed
--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -59,7 +59,7 @@
         Limit of a call to the store.
     """
 
-    lease: float = 2.5
+    lease: float = 1.6
     hold: float = 5.0
     hold_alone: float = 7.5
     look: float = 1.0
--- a/peridotspoke/nodes/tests/test_ownership.py
+++ b/peridotspoke/nodes/tests/test_ownership.py
@@ -3,9 +3,18 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
+from peridotspoke.exceptions import AnswerLostError
 from peridotspoke.nodes.keys import key_owner
-from peridotspoke.nodes.ownership import Ownership
-from peridotspoke.nodes.tests.stores import StoreStandIn, make_parts
+from peridotspoke.nodes.ownership import (
+    ORDER_MARGIN,
+    RENEWAL_LIMITS,
+    RENEWALS,
+    RETRY,
+    Ownership,
+)
+from peridotspoke.nodes.tests.stores import StoreStandIn, make_parts, make_settings
 from peridotspoke.store import FollowedRecords
 
 
@@ -118,3 +127,21 @@
     await first.settle()
     await second.grant()
     assert first.ownership._lease.lease_id in store.leases
+
+
+async def test_a_renewal_without_an_answer_leaves_time_for_another():
+    """The lease would end before the next one is sent if it waited any longer."""
+    store = StoreStandIn()
+    node = NodeDouble("n1", store)
+    await node.grant()
+    never = asyncio.Event()
+
+    async def hang(lease):
+        await never.wait()
+
+    store.renew_lease = hang
+    with pytest.raises(AnswerLostError):
+        await node.ownership._renew(failures=0)
+    lease = make_settings().lease
+    spent = lease / RENEWALS + RENEWAL_LIMITS[0] + RETRY
+    assert spent + RENEWAL_LIMITS[0] < lease - ORDER_MARGIN
