Don't take the orders of a former holder for moves under way

Cause: a fleet's owner that took over after the store's outage found 14 to 21 recorded orders, and counted each as a move under way for 1.7 to 4.5 s, whether or not it had been carried out. Ruled out: a slow list of machines and slow writes (a trial with times of each stage: rounds of 0.3 to 30 ms). Change: what was moved is read from the list; recorded orders only keep their machines from new ones, 3.3 s after another holder, 0.5 s after the own one, whose calls end with it. What may be down for a wave still counts as down. An order that had no effect after twice its time (three times before) counts as not carried out. The test of the same holder failed before; one test's double now moves its machine.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -29,7 +29,8 @@
 IDLE_LISTING_AGE = 4.0  # seconds after which they are listed again otherwise
 HOLDER_MARGIN = 0.3  # seconds beyond the least time between two holders
 RETURN_MARGIN = 0.2  # seconds
-LOST_FACTOR = 3  # times of absence after which an order counts as not carried out
+OWN_SETTLING = 0.5  # seconds after which no earlier order of this node is on its way
+LOST_FACTOR = 2  # times of absence after which an order counts as not carried out
 CLEARING = 1.0  # seconds between two writes that only forget old orders
 RESIZE = "resize"
 
@@ -129,14 +130,18 @@
     def _restore(self, record):
         """Take in the orders of the latest holder.
 
-        Those of another holder keep their machines from new orders for a while.
+        They keep their machines from new orders for a while: if they were this
+        node's, until none can be on its way any more. What was moved is listed;
+        what may be down for a wave is counted as down.
         """
         now = self._node.clock.read_monotonic()
+        is_own = record.holder == self._node.settings.name
+        settling = OWN_SETTLING if is_own else self._holder_change
         for name, order in record.orders.items():
-            self._expect(name, order)
             self._orders[name] = _Order(order, now)
-            if record.holder != self._node.settings.name:
-                self._settled_at[name] = now + self._holder_change
+            self._settled_at[name] = now + settling
+            if order.wave:
+                self._expect(name, order)
         self._has_restored = True
         log_event(
             "fleet-taken",
