Store several batches at once, and again as soon as an answer is overdue

Cause: a pool's progress was stored by one write after the other. Change: up to four commits of different jobs, a further one only where the oldest has been under way for 50 ms or a full batch waits; a first try is given up after the mean of the answer times and four deviations (0.12 to 0.4 s, after RFC 6298), since a write that names the revisions it replaces can be sent again. Ends are forgotten by executors once all jobs that had changed are stored, whatever the order. Acceptance has three tries (two). Ruled out: a task for each job's write (more calls; the store has a price for each).

--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -30,8 +30,7 @@
 
 STORE_RETRY = 1.0  # seconds after which a caller may come back when the store is away
 SPREAD = 1.5  # factor over which the return of refused callers is spread
-WRITE_TRIES = 2
-WRITE_TIMEOUT = 0.5  # seconds of one try, so that callers hear long before they leave
+WRITE_TRIES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,9 +211,9 @@
         value = encode_job(job)
         transaction = Transaction((Condition(key, revision),), (Put(key, value),))
         lost = None
-        for _ in range(WRITE_TRIES):
+        for failures in range(WRITE_TRIES):
             try:
-                result = await self._node.store.commit(transaction, WRITE_TIMEOUT)
+                result = await self._node.commits.commit(transaction, failures)
             except AnswerLostError as error:
                 lost = error
                 continue
@@ -242,7 +241,7 @@
         key = key_job(job_id)
         burial = Transaction((Condition(key, revision),), (Put(key, TOMBSTONE),))
         try:
-            result = await self._node.store.commit(burial, WRITE_TIMEOUT)
+            result = await self._node.commits.commit(burial, failures=1)
         except PlatformError as error:
             return Unknown(f"{lost}; {error}")
         if result.won:
@@ -259,9 +258,9 @@
         if not self._node.has_store():
             return Refused("the store is away", STORE_RETRY)
         reason = ""
-        for _ in range(WRITE_TRIES):
+        for failures in range(WRITE_TRIES):
             try:
-                result = await self._node.store.commit(transaction, WRITE_TIMEOUT)
+                result = await self._node.commits.commit(transaction, failures)
             except PlatformError as error:
                 reason = str(error)
                 continue
--- a/peridotspoke/nodes/messages.py
+++ b/peridotspoke/nodes/messages.py
@@ -73,6 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CommitDone:
-    """The runs of a stored batch may start."""
+    """The runs of a stored batch may start; `number` names its commit."""
 
     batch: object
+    number: int
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -8,6 +8,7 @@
 from peridotspoke.clock import SystemClock
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.nodes.commits import TimedCommits
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
 
@@ -40,6 +41,7 @@
     metrics: MetricsRegistry
     chance: random.Random
     store: object = None
+    commits: TimedCommits | None = None
     drop_stale_calls: Callable | None = None
     ownership: object = None
     open_executor: Callable | None = None
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -4,7 +4,12 @@
 
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
-from peridotspoke.nodes.committing import MOST_JOBS, OwnershipLostError, ProgressWriter
+from peridotspoke.nodes.committing import (
+    MOST_JOBS,
+    CommitBook,
+    OwnershipLostError,
+    ProgressWriter,
+)
 from peridotspoke.nodes.messages import (
     CommitDone,
     ExecutorLeft,
@@ -50,7 +55,7 @@
         self._queue = asyncio.Queue()
         self._sessions = {}
         self._tasks = TaskSet(holding.unit)
-        self._committing = None
+        self._book = CommitBook()
         self._changed_jobs = set()
         self._changed_entries = set()
         self._revisions = {}
@@ -67,7 +72,9 @@
         self._tickets = TicketBook(
             node.advice, node.clock, self._tasks.spawn, self._find_advice
         )
-        self._writer = ProgressWriter(node.store, holding, self._revisions, node.chance)
+        self._writer = ProgressWriter(
+            node.commits, holding, self._revisions, node.chance
+        )
         self._records = PoolRecords(
             node, holding, self._ledger, self._tasks, self._writer.forget
         )
@@ -138,7 +145,8 @@
             case Fenced(executor_id):
                 log_event("fenced", "WARNING", pool=self.pool, executor=executor_id)
                 self._node.ownership.give_up(self._holding, "fenced by an executor")
-            case CommitDone(batch):
+            case CommitDone(batch, number):
+                self._book.end(number)
                 self._start_runs(batch)
 
     def _run_round(self):
@@ -158,12 +166,7 @@
         self._send_looks()
         self._records.describe_demand(now)
         self._records.remove_old(now)
-        if self._committing is not None:
-            return
-        if self._ledger.dirty:
-            self._committing = self._tasks.spawn(self._commit())
-        else:
-            self._ledger.note_cursors()
+        self._store_progress(now)
 
     def _take_changes(self):
         view = self._node.view
@@ -206,29 +209,27 @@
         if known.cancelled:
             self._ledger.cancel_job(job_id, self._node.clock.read_wall())
 
-    async def _commit(self):
-        """Store all that is dirty; then ends may be forgotten by their executors."""
-        cursors = {
-            state.executor_id: (state.born, state.cursor)
-            for state in self._ledger.executors.values()
-        }
+    def _store_progress(self, now):
+        """Begin to store what has changed; let ends be forgotten that are stored."""
+        ledger, book = self._ledger, self._book
+        stored = book.list_jobs()
+        while book.may_begin(len(ledger.dirty - stored), now):
+            batch = ledger.take_batch(MOST_JOBS, stored)
+            number = book.begin(batch.values, now)
+            self._tasks.spawn(self._commit(batch, number))
+            stored = book.list_jobs()
+        cursors = book.note_cursors(ledger.list_cursors, ledger.dirty)
+        if cursors is not None:
+            ledger.note_cursors(cursors)
+
+    async def _commit(self, batch, number):
         try:
-            while True:
-                batch = self._ledger.take_batch(MOST_JOBS)
-                if batch is None:
-                    break
-                if batch.values:
-                    await self._writer.write(batch.values)
-                self._queue.put_nowait(CommitDone(batch))
+            if batch.values:
+                await self._writer.write(batch.values)
         except OwnershipLostError:
             self._node.ownership.give_up(self._holding, "the store has another owner")
             return
-        finally:
-            self._committing = None
-        for executor_id, (born, cursor) in cursors.items():
-            state = self._ledger.executors.get(executor_id)
-            if state is not None and state.born == born:
-                state.noted = max(state.noted, cursor)
+        self._queue.put_nowait(CommitDone(batch, number))
 
     def _start_runs(self, batch):
         for run in self._ledger.note_stored(batch):
--- a/peridotspoke/nodes/tests/stores.py
+++ b/peridotspoke/nodes/tests/stores.py
@@ -9,6 +9,7 @@
     PlatformUnavailableError,
 )
 from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.nodes.commits import TimedCommits
 from peridotspoke.nodes.parts import NodeParts
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
@@ -115,6 +116,7 @@
         random.Random(1),
     )
     parts.store = store or StoreStandIn()
+    parts.commits = TimedCommits(parts.store, parts.clock)
     parts.note_store_call("watch", "200", served=True)
     queue = Queue("queue", "host", "/q/", "pool")
     parts.view.note_configuration(Configuration(1, (queue,), (WorkPool("pool"),)))
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -3,6 +3,7 @@
 import random
 
 from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.nodes.commits import TimedCommits
 from peridotspoke.nodes.node import DocumentCodec, Node
 from peridotspoke.nodes.parts import BoottimeClock, NodeParts
 from peridotspoke.nodes.view import StoreView
@@ -37,6 +38,7 @@
         settings.timing.store_call,
         note_call=parts.note_store_call,
     )
+    parts.commits = TimedCommits(parts.store, parts.clock)
     parts.drop_stale_calls = parts.store.drop_stale_calls
     parts.open_executor = lambda entry: HttpExecutor(
         HttpPeer(entry.address), entry.executor_id, settings.timing.call
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -278,10 +278,19 @@
             self.durations.observe(run.progress.job.queue, run.step.estimate, spent)
         state.strikes *= 0.5
 
-    def note_cursors(self):
-        """Let ends be forgotten by their executors while nothing is to be stored."""
-        for state in self.executors.values():
-            state.noted = state.cursor
+    def list_cursors(self):
+        """Return each executor's life and the last end taken into account."""
+        return {
+            state.executor_id: (state.born, state.cursor)
+            for state in self.executors.values()
+        }
+
+    def note_cursors(self, cursors):
+        """Let executors forget the ends up to `cursors`, whose effect is stored."""
+        for executor_id, (born, cursor) in cursors.items():
+            state = self.executors.get(executor_id)
+            if state is not None and state.born == born:
+                state.noted = max(state.noted, cursor)
 
     def take_start_answer(self, run, refusal, now):
         """Take in that a start was carried out (None) or certainly was not."""
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -229,11 +229,14 @@
             if run.phase is RunPhase.PLANNED and run.key.job_id in job_ids
         )
 
-    def take_batch(self, most):
-        """Return a `StoredBatch` of at most `most` jobs that have changed, or None."""
-        if not self.dirty:
+    def take_batch(self, most, but=frozenset()):
+        """Return a `StoredBatch` of at most `most` jobs that have changed, or None.
+
+        The jobs in `but`, which are being stored, wait for another batch.
+        """
+        job_ids = sorted(self.dirty - but)[:most]
+        if not job_ids:
             return None
-        job_ids = sorted(self.dirty)[:most]
         self.dirty.difference_update(job_ids)
         values = {
             job_id: encode_progress(self.jobs[job_id])
