Keep executors in use whose entries lapsed while the store was away

Cause: with the store's outage the executors' entries lapse as well; they are back about 2 s after its return. Change: an entry that vanishes within 2.3 s after the store's return is kept until then, unless its executor was leaving; one that is still missing is dropped, and logged. An executor that does not answer gets no starts anyway.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -87,15 +87,19 @@
         subscription = view.changes.subscribe(self._note_changes)
         try:
             while True:
-                try:
-                    await self._run_round()
-                except PlatformError as error:
-                    log_event("fleet-round-failed", "WARNING", error=error)
+                if self._node.has_store():
+                    await self._try_round()
                 await self._wait()
         finally:
             subscription.dispose()
             self._tasks.cancel()
 
+    async def _try_round(self):
+        try:
+            await self._run_round()
+        except PlatformError as error:
+            log_event("fleet-round-failed", "WARNING", error=error)
+
     def _note_changes(self, changed):
         if "pool" in changed or "withdrawal" in changed:
             self._changed.set()
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -175,7 +175,11 @@
 
     async def _follow_entries(self):
         async for followed in self._follow(self._codec.entry_prefix):
-            self._parts.view.note_entries(followed, self._codec.decode_entry)
+            view, parts = self._parts.view, self._parts
+            view.note_entries(
+                followed, self._codec.decode_entry, parts.find_lapse_end()
+            )
+            view.drop_lapsed(parts.clock.read_monotonic())
             await asyncio.sleep(ENTRY_PAUSE)
 
     def _spawn(self, coroutine):
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -15,6 +15,7 @@
 __all__ = ["BoottimeClock", "NodeParts"]
 
 STALE_CONTACT = 2.0  # seconds without an answer after which the store counts as away
+LAPSE_GRACE = 2.3  # seconds after the store's return in which entries come back
 MOST_FAILURES = 3  # calls in a row after which the store counts as away
 
 
@@ -32,7 +33,8 @@
 
     `contact_at` is the monotonic time at which the store last served a call, and
     `store_failures` the number of calls that have failed since. `drop_stale_calls` is
-    called once the store serves again, to end the calls that hang since before.
+    called once the store serves again, which was last at `regained_at`, to end the
+    calls that hang since before.
     """
 
     settings: NodeSettings
@@ -49,12 +51,18 @@
     advice: object = None
     contact_at: float = field(default=float("-inf"))
     store_failures: int = 0
+    regained_at: float = field(default=float("-inf"))
 
     def has_store(self):
         """Return whether the store has served this node lately."""
         age = self.clock.read_monotonic() - self.contact_at
         return age < STALE_CONTACT and self.store_failures < MOST_FAILURES
 
+    def find_lapse_end(self):
+        """Return until when entries that vanish now may come back, or None."""
+        end = self.regained_at + LAPSE_GRACE
+        return end if self.clock.read_monotonic() < end else None
+
     def note_store_call(self, kind, result, served):
         """Count a call to the store, and note whether the store served it."""
         self.metrics.count("store_calls", kind=kind, result=result)
@@ -65,8 +73,10 @@
         else:
             self.store_failures += 1
         if had_store != self.has_store():
-            if served and self.drop_stale_calls is not None:
-                self.drop_stale_calls()
+            if served:
+                self.regained_at = self.contact_at
+                if self.drop_stale_calls is not None:
+                    self.drop_stale_calls()
             log_event(
                 "store-regained" if served else "store-lost",
                 "INFO" if served else "WARNING",
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -71,6 +71,8 @@
         for machine, (withdrawal, revision) in withdrawals.items():
             if withdrawal.empty or machine in self._marking:
                 continue
+            if not self._node.has_store():
+                continue
             if self._ledger.is_empty(withdrawal.executor_id):
                 self._marking.add(machine)
                 self._tasks.spawn(self._mark_empty(machine, withdrawal, revision))
@@ -88,6 +90,7 @@
             await asyncio.sleep(MARK_PAUSE)
         except PlatformError as error:
             log_event("executor-not-marked", "WARNING", machine=machine, error=error)
+            await asyncio.sleep(MARK_PAUSE)
         finally:
             self._marking.discard(machine)
 
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -11,6 +11,7 @@
 from peridotspoke.nodes.keys import split_key
 from peridotspoke.workloads.configuration import Configuration
 from peridotspoke.workloads.demand import PoolDemand
+from peridotspoke.workloads.executors import Condition
 from peridotspoke.workloads.jobs import Job
 from peridotspoke.workloads.progress import (
     JobOutcome,
@@ -107,6 +108,7 @@
         self.pools = {}
         self.withdrawals = {}
         self.entries = {}
+        self._lapsed = {}
         self.revision = 0
         self.has_work = False
         self.has_entries = False
@@ -152,8 +154,19 @@
         self.has_work = True
         self.changes.on_next(changed)
 
-    def note_entries(self, followed, decode):
-        """Take in changed entries of executors; `decode` raises `RecordError`."""
+    def note_entries(self, followed, decode, kept_until=None):
+        """Take in changed entries of executors.
+
+        Parameters
+        ----------
+        followed : FollowedRecords
+        decode : callable
+            Raises `RecordError`.
+        kept_until : float, optional
+            Monotonic time until which entries that vanish now are kept: they may
+            have lapsed while the store was away, and come back if their executors
+            live. Those of executors that were leaving are never kept.
+        """
         changed = set()
         for key in followed.changed:
             name = key.partition("/")[2]
@@ -164,14 +177,31 @@
                     entry = decode(record)
                 except RecordError as error:
                     log_event("entry-unreadable", "WARNING", key=key, error=error)
-            if entry is None:
-                self.entries.pop(name, None)
-            else:
-                self.entries[name] = entry
+            if record is None and self._may_have_lapsed(name, kept_until):
+                self._lapsed[name] = kept_until
+                continue
+            self._lapsed.pop(name, None)
+            _set(self.entries, name, entry)
             changed.add(name)
         self.has_entries = True
         self.changes.on_next({"entry": changed})
 
+    def drop_lapsed(self, now):
+        """Drop entries that have not come back until their time; `now` is monotonic."""
+        gone = {name for name, until in self._lapsed.items() if now >= until}
+        for name in gone:
+            del self._lapsed[name]
+            self.entries.pop(name, None)
+            log_event("entry-lapsed", executor=name)
+        if gone:
+            self.changes.on_next({"entry": gone})
+
+    def _may_have_lapsed(self, name, kept_until):
+        known = self.entries.get(name)
+        if kept_until is None or known is None:
+            return False
+        return known.condition is not Condition.DRAINING
+
     def note_job(self, job, revision):
         """Take in a job that this node has just stored."""
         if job.job_id not in self.jobs or self.jobs[job.job_id].job is None:
