Let the margin beyond a lease grow with it; measure acceptances and commits

Cause: the margin that covers executors' clocks (2 % slow) was a constant that fits a lease of exactly 5 s; a shorter or longer one, as a site's bound may ask for, needs another. Change: the margin is worked out from the lease. The time of each acceptance by its outcome and of each answered first commit are histograms on the metrics address. A test of the histogram.

--- a/peridotspoke/nodes/commits.py
+++ b/peridotspoke/nodes/commits.py
@@ -66,11 +66,14 @@
     ----------
     store : KeyValueService
     clock : Clock
+    observe : callable, optional
+        Called with the seconds that each answer to a first try took.
     """
 
-    def __init__(self, store, clock):
+    def __init__(self, store, clock, observe=None):
         self._store = store
         self._clock = clock
+        self._observe = observe
         self._answer_time = AnswerTime()
 
     async def commit(self, transaction, failures=0):
@@ -90,5 +93,8 @@
         except AnswerLostError:
             self._answer_time.note_late()
             raise
-        self._answer_time.observe(self._clock.read_monotonic() - asked_at)
+        seconds = self._clock.read_monotonic() - asked_at
+        self._answer_time.observe(seconds)
+        if self._observe is not None:
+            self._observe(seconds)
         return result
--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -106,6 +106,16 @@
 
     async def submit(self, host, path, body):
         """Take in a job; return one of this module's answers."""
+        asked_at = self._node.clock.read_monotonic()
+        answer = await self._submit(host, path, body)
+        self._node.metrics.observe(
+            "job_acceptance_seconds",
+            self._node.clock.read_monotonic() - asked_at,
+            outcome=type(answer).__name__,
+        )
+        return answer
+
+    async def _submit(self, host, path, body):
         found = self._find_queue(host, path)
         if not isinstance(found, tuple):
             return found
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -65,7 +65,7 @@
         self._ledger = PoolLedger(
             holding.unit,
             holding.fence,
-            LedgerRules(inherited_life=life),
+            LedgerRules(life, margin=(SLOW_CLOCK - 1.0) * settings.hold),
             node.clock.read_monotonic(),
             self._note,
         )
--- a/peridotspoke/nodes/tests/test_desk.py
+++ b/peridotspoke/nodes/tests/test_desk.py
@@ -135,3 +135,11 @@
     assert parts.store.records == {}
     parts.view.pools["pool"] = PoolDemand(wait=1.0)
     assert isinstance(await submit(desk), answers.Accepted)
+
+
+async def test_the_time_of_each_acceptance_is_measured_by_its_outcome():
+    """The metrics tell how long callers waited for which answer."""
+    parts, desk = make_desk()
+    await submit(desk)
+    shown = parts.metrics.render().decode()
+    assert 'job_acceptance_seconds_count{outcome="Accepted"} 1.0' in shown
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -1,6 +1,7 @@
 """Puts a node together for the platform."""
 
 import random
+from functools import partial
 
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.commits import TimedCommits
@@ -38,7 +39,8 @@
         settings.timing.store_call,
         note_call=parts.note_store_call,
     )
-    parts.commits = TimedCommits(parts.store, parts.clock)
+    observe_commit = partial(parts.metrics.observe, "store_commit_seconds")
+    parts.commits = TimedCommits(parts.store, parts.clock, observe_commit)
     parts.drop_stale_calls = parts.store.drop_stale_calls
     parts.open_executor = lambda entry: HttpExecutor(
         HttpPeer(entry.address), entry.executor_id, settings.timing.call
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -26,12 +26,11 @@
     inherited_life : float
         How long runs of an earlier owner may still live where they can't be seen.
     margin : float
-        Waited beyond the end of a lease: 2 % of 5 s, by which executors' clocks may
-        be slow.
+        Waited beyond the end of a lease, as executors' clocks may be slow.
     """
 
     inherited_life: float
-    margin: float = 0.1
+    margin: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/workloads/tests/ledgers.py
+++ b/peridotspoke/workloads/tests/ledgers.py
@@ -39,7 +39,9 @@
 
 
 def make_ledger(*names, now=0.0, fence=7):
-    ledger = PoolLedger("pool", fence, LedgerRules(inherited_life=12.0), now)
+    ledger = PoolLedger(
+        "pool", fence, LedgerRules(inherited_life=12.0, margin=0.1), now
+    )
     for name in names:
         ledger.see_entry(make_entry(name), now)
         report(ledger, name, now)
