Search random histories of a pool's owners for broken rules

A model of owners, executors and the store runs the real ledger, the real book of commits and the real planning through random histories: orders, answers, reports and writes late, lost, overtaken; owners replaced while writes and orders are under way; former owners that go on holding; silence, lapses, failures. Checked: at most one run of a task at a time, no start after an end that was taken note of, then or later. Seen: 2,500 histories of 25 steps break nothing. With one guard taken out the search finds a broken rule: waiting after a lost start, waiting for leases, inheriting runs, storing an end before it may be forgotten. Two directed histories break a rule where writes don't name the owner, or the fence is not raised, and none otherwise. Not in the model: executors that start again, gangs, copies, several jobs.

--- /dev/null
+++ b/peridotspoke/workloads/tests/test_ownership_machine.py
@@ -0,0 +1,237 @@
+"""Random histories of a pool's owners: at most one run at a time, none after an end.
+
+The same search finds a broken rule once any one of the guards is taken out.
+"""
+
+import pytest
+from hypothesis import (
+    HealthCheck,
+    Phase,
+    Verbosity,
+    settings,
+    strategies as st,
+)
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from peridotspoke.workloads.executors import EndKind
+from peridotspoke.workloads.jobs import Need, Step
+from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.tests.ledgers import make_job
+from peridotspoke.workloads.tests.ownershipmodel import (
+    HOLD_ALONE,
+    ViolationError,
+    World,
+)
+
+STEPS = (Step(2, Need(1000, 100)), Step(1, Need(1000, 100), after=(0,)))
+INDEX = st.integers(min_value=0, max_value=30)
+SEARCH = settings(
+    max_examples=2500,
+    stateful_step_count=25,
+    phases=(Phase.generate,),
+    report_multiple_bugs=False,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    print_blob=False,
+    verbosity=Verbosity.quiet,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Everything that may happen, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(make_job(*STEPS))
+
+    @rule()
+    def work_with_all(self):
+        self.world.work(self.world.executors)
+
+    @rule(index=INDEX)
+    def work_with_one(self, index):
+        executors = self.world.executors
+        self.world.work([executors[index % len(executors)]])
+
+    @rule()
+    def plan(self):
+        self.world.owner.plan()
+
+    @rule()
+    def send_stops(self):
+        self.world.owner.send_stops()
+
+    @rule(index=INDEX, extend=st.booleans())
+    def look(self, index, extend):
+        executors = self.world.executors
+        self.world.owner.look(executors[index % len(executors)], extend)
+
+    @precondition(lambda self: self.world.retired is not None)
+    @rule(index=INDEX)
+    def extend_as_former_owner(self, index):
+        world = self.world
+        if world.now < world.owner.contact_at + HOLD_ALONE:
+            executors = world.executors
+            world.retired.look(executors[index % len(executors)], extend=True)
+
+    @precondition(lambda self: self.world.commits)
+    @rule(index=INDEX)
+    def deliver_commit(self, index):
+        self.world.deliver_commit(index % len(self.world.commits))
+
+    @precondition(lambda self: self.world.orders)
+    @rule(index=INDEX)
+    def deliver_order(self, index):
+        self.world.deliver_order(index % len(self.world.orders))
+
+    @precondition(lambda self: self.world.orders)
+    @rule(index=INDEX)
+    def give_up_order(self, index):
+        self.world.give_up_order(index % len(self.world.orders))
+
+    @precondition(lambda self: self.world.reports)
+    @rule(index=INDEX)
+    def deliver_report(self, index):
+        self.world.deliver_report(index % len(self.world.reports))
+
+    @rule(index=INDEX, kind=st.sampled_from([EndKind.DONE, EndKind.FAILED]))
+    def finish_a_run(self, index, kind):
+        held = [
+            (executor, key)
+            for executor in self.world.executors
+            for key in executor.running
+        ]
+        if held:
+            executor, key = held[index % len(held)]
+            executor.finish(key, kind)
+
+    @rule(index=INDEX)
+    def lose_contact(self, index):
+        executors = self.world.executors
+        name = executors[index % len(executors)].name
+        self.world.owner.ledger.note_unreachable(name, "cut", self.world.now)
+
+    @precondition(lambda self: self.world.orders)
+    @rule(index=INDEX)
+    def lose_an_order_with_its_executor(self, index):
+        order = self.world.orders[index % len(self.world.orders)]
+        self.world.give_up_order(self.world.orders.index(order))
+        order.owner.ledger.note_unreachable(order.executor, "cut", self.world.now)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 4.0, 13.0]))
+    def pass_time(self, seconds):
+        world = self.world
+        world.now += seconds
+        for executor in world.executors:
+            executor.lapse()
+        world.owner.ledger.expire_leases(world.now)
+
+    @rule()
+    def take_over(self):
+        self.world.take_over()
+
+
+def search(machine):
+    run_state_machine_as_test(machine, settings=SEARCH)
+
+
+def test_no_history_of_owners_breaks_a_rule():
+    """Whatever is late, lost or repeated, and whoever owns the pool."""
+    search(OwnershipMachine)
+
+
+class ForgetfulLedger(PoolLedger):
+    """Starts a task again although its lost start may still be carried out."""
+
+    def take_start_lost(self, run):
+        if self.is_current(run):
+            self.requeue(run, 0.0, "no answer")
+
+
+class HastyLedger(PoolLedger):
+    """Does not wait for the end of leases where executors are silent."""
+
+    def note_extension(self, executor_id, lease_end):
+        return None
+
+
+class TrustingLedger(PoolLedger):
+    """Takes the runs of an earlier owner for ended at once."""
+
+    def _inherit(self, progress, task):
+        super()._inherit(progress, task)
+        run = self.find_run(task)
+        self.requeue(run, 0.0, "taken over")
+
+
+class CarelessLedger(PoolLedger):
+    """Lets executors forget ends before their effect is stored."""
+
+    def take_report(self, executor_id, report, asked_at, now, wall):
+        super().take_report(executor_id, report, asked_at, now, wall)
+        self.note_cursors(self.list_cursors())
+
+
+@pytest.mark.parametrize(
+    "ledger", [ForgetfulLedger, HastyLedger, TrustingLedger, CarelessLedger]
+)
+def test_the_search_finds_what_goes_wrong_without_a_guard(ledger):
+    """Each of these ledgers lacks one."""
+
+    class Machine(OwnershipMachine):
+        def __init__(self):
+            super().__init__()
+            self.world.make_ledger = ledger
+            self.world.take_over()
+
+    with pytest.raises(ViolationError):
+        search(Machine)
+
+
+def report_to_owner(world, executor):
+    world.owner.look(executor, extend=True)
+    world.deliver_report(0)
+
+
+def write_late(world):
+    """Let a former owner's write arrive after its successor has started runs."""
+    first, second = world.executors
+    report_to_owner(world, first)
+    world.owner.plan()
+    world.take_over()
+    world.work([second])
+    world.deliver_commit(0)
+    world.take_over()
+    world.work([first])
+
+
+def order_late(world):
+    """Let a former owner's start arrive after its successor has started the task."""
+    first, second = world.executors
+    report_to_owner(world, first)
+    world.owner.plan()
+    world.deliver_commit(0)
+    world.take_over()
+    report_to_owner(world, first)
+    world.owner.ledger.note_unreachable(first.name, "cut", world.now)
+    world.work([second])
+    world.deliver_order(0)
+
+
+@pytest.mark.parametrize(
+    ("play", "guard"), [(write_late, "checks_fence"), (order_late, "raises_fence")]
+)
+def test_a_former_owner_does_no_harm_only_because_of_the_fence(play, guard):
+    """Writes name the owner's record, and executors keep the highest fence."""
+    play(World(make_job(*STEPS)))
+    world = World(make_job(*STEPS))
+    setattr(world, guard, False)
+    with pytest.raises(ViolationError):
+        play(world)
