Let executors start again in the searched histories; describe the search

The model has one clock, so that a start which is carried out late in an executor's second life, whose clock begins anew, stays listed as not proved.

--- a/peridotspoke/workloads/tests/test_ownership_machine.py
+++ b/peridotspoke/workloads/tests/test_ownership_machine.py
@@ -138,13 +138,29 @@
         self.world.take_over()
 
 
+class RestartingMachine(OwnershipMachine):
+    """Executors also start again under their identity, and forget everything."""
+
+    @rule(index=INDEX)
+    def restart_an_executor(self, index):
+        executors = self.world.executors
+        executors[index % len(executors)].restart()
+
+    @rule()
+    def see_entries(self):
+        world = self.world
+        for executor in world.executors:
+            world.owner.ledger.see_entry(world.describe(executor), world.now)
+
+
 def search(machine):
     run_state_machine_as_test(machine, settings=SEARCH)
 
 
-def test_no_history_of_owners_breaks_a_rule():
+@pytest.mark.parametrize("machine", [OwnershipMachine, RestartingMachine])
+def test_no_history_of_owners_breaks_a_rule(machine):
     """Whatever is late, lost or repeated, and whoever owns the pool."""
-    search(OwnershipMachine)
+    search(machine)
 
 
 class ForgetfulLedger(PoolLedger):
