--- a/peridotspoke/nodes/fleetrecords.py
+++ b/peridotspoke/nodes/fleetrecords.py
@@ -9,7 +9,7 @@
 
 __all__ = ["FleetRecords", "OrderRecord", "RecentOrder", "WaveRecord"]
 
-WAVE_TRIES = 2  # the second one with the revision that the first one found
+REPLACE_TRIES = 2  # the second one with the revision that the first one found
 MOST_RECORDS = 15  # a condition and a put each, and the owner's, in 32 entries
 
 
@@ -54,11 +54,11 @@
         self._holding = holding
         self._encode_status = encode_status
         self._key_status = key_status
-        self._wave_revisions = {}
+        self._revisions = {}
 
     async def read_orders(self):
         """Return the `OrderRecord` of the latest holder that wrote one."""
-        found = await self._node.store.read(key_orders())
+        found = await self._read(key_orders())
         if found is None:
             return OrderRecord()
         return msgspec.json.decode(found.value, type=OrderRecord)
@@ -66,36 +66,40 @@
     async def write_orders(self, orders):
         """Store which machines get, or lately got, an order; return whether."""
         record = OrderRecord(self._node.settings.name, orders)
-        result = await self._commit((), (Put(key_orders(), encode_value(record)),))
-        return result.won
+        return await self._replace(Put(key_orders(), encode_value(record)))
 
     async def read_wave(self, number):
         """Return the `WaveRecord` of a wave, or None."""
-        found = await self._node.store.read(key_wave(number))
+        found = await self._read(key_wave(number))
         if found is None:
             return None
-        self._wave_revisions[number] = found.revision
         return msgspec.json.decode(found.value, type=WaveRecord)
 
     async def write_wave(self, number, record):
-        """Store a `WaveRecord` and tell the operator how the wave stands.
+        """Store a `WaveRecord` and tell the operator how the wave stands."""
+        status = Put(self._key_status(number), self._encode_status(record.completed))
+        await self._replace(Put(key_wave(number), encode_value(record)), status)
+
+    async def _read(self, key):
+        found = await self._node.store.read(key)
+        self._revisions[key] = found.revision if found is not None else 0
+        return found
+
+    async def _replace(self, put, *others):
+        """Replace a record that only the fleet's owner writes; return whether.
 
         The write names the revision that it replaces, so that one that is carried
         out late can't undo a later one.
         """
-        key = key_wave(number)
-        puts = (
-            Put(key, msgspec.json.encode(record)),
-            Put(self._key_status(number), self._encode_status(record.completed)),
-        )
-        for _ in range(WAVE_TRIES):
-            condition = Condition(key, self._wave_revisions.get(number, 0))
-            result = await self._commit((condition,), puts)
+        for _ in range(REPLACE_TRIES):
+            condition = Condition(put.key, self._revisions.get(put.key, 0))
+            result = await self._commit((condition,), (put, *others))
             if result.won:
-                self._wave_revisions[number] = result.revision
-                return
-            current = result.find_current(key)
-            self._wave_revisions[number] = current.revision if current else 0
+                self._revisions[put.key] = result.revision
+                return True
+            current = result.find_current(put.key)
+            self._revisions[put.key] = current.revision if current else 0
+        return False
 
     async def withdraw(self, machines, reason):
         """Ask the owners of the machines' pools to empty them."""
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -229,6 +229,10 @@
         except OwnershipLostError:
             self._node.ownership.give_up(self._holding, "the store has another owner")
             return
+        except Exception as error:
+            log_event("commit-failed", "ERROR", pool=self.pool, error=repr(error))
+            self._node.ownership.give_up(self._holding, "a commit failed")
+            return
         self._queue.put_nowait(CommitDone(batch, number))
 
     def _start_runs(self, batch):
--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -231,3 +231,17 @@
     await records.write_wave(1, WaveRecord(("m1",), completed=True))
     fleet.store.deliver_late()
     assert (await records.read_wave(1)).completed
+
+
+async def test_a_late_write_of_orders_does_not_hide_later_ones():
+    """Another holder must find the machines that were ordered since."""
+    fleet = FleetDouble({"m1": "spare"})
+    await fleet.open()
+    records = fleet.keeper._records
+    await records.write_orders({})
+    fleet.store.faults = ["late"]
+    with pytest.raises(AnswerLostError):
+        await records.write_orders({"m1": RecentOrder("", pool="pool")})
+    await records.write_orders({"m2": RecentOrder("", pool="pool")})
+    fleet.store.deliver_late()
+    assert list((await records.read_orders()).orders) == ["m2"]
