--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -37,7 +37,7 @@
         {
             "job-cancel",
             "job-ended",
-            "run-stop",
+            "run-stopping",
             "run-over",
             "start-refused",
             "ownership-gained",
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -243,7 +243,7 @@
                 self._ledger.take_start_answer(run, Refusal.LATE, now)
                 continue
             self._note(
-                "run-start",
+                "run-ordered",
                 task=run.key,
                 run=run.number,
                 executor=run.executor_id,
--- a/peridotspoke/programs/story.py
+++ b/peridotspoke/programs/story.py
@@ -31,8 +31,8 @@
 
     Examples
     --------
-    >>> parse_line('time=1 event=run-stop reason="job ended"')
-    {'time': '1', 'event': 'run-stop', 'reason': 'job ended'}
+    >>> parse_line('time=1 event=run-stopping reason="job ended"')
+    {'time': '1', 'event': 'run-stopping', 'reason': 'job ended'}
     """
     return {key: value.strip('"') for key, value in PAIR.findall(line)}
 
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -271,7 +271,7 @@
         if run.phase is RunPhase.PLANNED:
             self._requeue_planned(run)
             return
-        self.note("run-stop", task=run.key, run=run.number, reason=reason)
+        self.note("run-stopping", task=run.key, run=run.number, reason=reason)
         run.phase = RunPhase.STOPPING
 
     def _requeue_planned(self, run):
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -36,10 +36,10 @@
     rules = SinkRules(burst=100_000, most_waiting=50, reserve=10)
     sink = BoundedSink(writer, ManualClock(), rules)
     for _ in range(5_000):
-        sink.put(LINE, INFO, "event=run-start")
+        sink.put(LINE, INFO, "event=run-ordered")
     text = read_all(reader)
     sink.put("refused\n", WARNING, "event=start-refused")
-    sink.put("next\n", INFO, "event=run-start")
+    sink.put("next\n", INFO, "event=run-ordered")
     text += read_all(reader)
     assert "event=log-lines-left-out lines=" in text
     assert text.endswith("refused\nnext\n")
@@ -52,7 +52,7 @@
     reader, writer = pipe
     sink = BoundedSink(writer, ManualClock(), SinkRules(rate=1.0, burst=3.0))
     for number in range(10):
-        sink.put(f"start {number}\n", INFO, "event=run-start")
+        sink.put(f"start {number}\n", INFO, "event=run-ordered")
         sink.put(f"refused {number}\n", INFO, "event=job-submit outcome=Refused")
     text = read_all(reader)
     assert text.count("refused") == 10
@@ -65,8 +65,8 @@
     sink = BoundedSink(writer, ManualClock(), SinkRules(rate=1.0, burst=1.0))
     configure_logs("node", "n1", stream=sink)
     try:
-        log_event("run-start", job="a")
-        log_event("run-start", job="b")
+        log_event("run-ordered", job="a")
+        log_event("run-ordered", job="b")
         log_event("start-refused", job="c")
     finally:
         configure_logs("test", "")
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -9,7 +9,7 @@
 time=09 event=store-lost kind=watch
 """
 SECOND = f"""\
-time=04 event=run-start pool=p job={JOB} task=0.0.0 run=1 executor=i-1
+time=04 event=run-ordered pool=p job={JOB} task=0.0.0 run=1 executor=i-1
 time=05 event=executor-unreachable pool=p executor=i-1 reason="no answer"
 time=06 event=executor-unreachable pool=p executor=i-2 reason="no answer"
 time=07 event=run-over pool=p job={JOB} task=0.0.0 run=1 reason="lease expired"
