--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -159,7 +159,7 @@
             return found
         queue, job_id = found
         if not job_id:
-            return Counted(self._count_waiting(queue))
+            return self._log_count(queue, self._count_waiting(queue))
         known = self._node.view.jobs.get(job_id)
         if known is None or known.job is None:
             known = await self._read_job(job_id)
@@ -198,6 +198,20 @@
                 waiting += known.state == "queued"
         return waiting
 
+    def _log_count(self, queue, waiting):
+        view = self._node.view
+        age = view.find_age(self._node.clock.read_monotonic())
+        log_event(
+            "jobs-counted",
+            queue=queue.name,
+            waiting=waiting,
+            revision=view.revision,
+            age=age,
+        )
+        if age is not None:
+            self._node.metrics.observe("count_age_seconds", age)
+        return Counted(waiting)
+
     async def _read_job(self, job_id):
         """Return the `JobView` as the store has it now, or the answer without one."""
         if not is_job_id(job_id):
--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -1,6 +1,7 @@
 """Keeps the fleet: maintenance waves and moves of machines between pools."""
 
 import asyncio
+from collections import Counter
 
 from peridotspoke.exceptions import PlatformError
 from peridotspoke.logs import log_event
@@ -141,6 +142,7 @@
             self._rules,
             self._orders.list_settling(),
         )
+        self._log_sizes(plan, demands, held)
         self._orders.give(
             {
                 name: RecentOrder(self._machines[name].executor_id, pool=pool)
@@ -153,6 +155,32 @@
         )
         await self._records.withdraw([machines[name] for name in plan.withdraw], RESIZE)
 
+    def _log_sizes(self, plan, demands, held):
+        """Log what each pool has and gets, where a plan changes anything."""
+        if not (plan.moves or plan.withdraw or plan.restore):
+            return
+        now = self._node.clock.read_monotonic()
+        gained = Counter(pool for _, pool in plan.moves)
+        coming = Counter(pool for pool, _ in self._orders.moving.values())
+        present = Counter(
+            machine.pool
+            for machine in self._machines.values()
+            if machine.state is MachineState.UP
+            and machine.name not in self._orders.moving
+        )
+        for pool, demand in demands.items():
+            log_event(
+                "pool-sized",
+                pool=pool,
+                needed=demand.cores,
+                late=demand.late_cores,
+                held=held[pool],
+                present=present[pool],
+                coming=coming[pool],
+                gained=gained[pool],
+                list_age=now - self._listed_at,
+            )
+
     def _read_demands(self):
         spare = self._list_spare()
         configuration = self._node.view.configuration
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -63,9 +63,21 @@
         end = self.regained_at + LAPSE_GRACE
         return end if self.clock.read_monotonic() < end else None
 
-    def note_store_call(self, kind, result, served):
-        """Count a call to the store, and note whether the store served it."""
+    def note_store_call(self, kind, result, served, size=0, seconds=0.0):
+        """Count a call to the store, and note whether the store served it.
+
+        Parameters
+        ----------
+        kind, result : str
+        served : bool
+        size : int, optional
+            Bytes of the answer.
+        seconds : float, optional
+            How long the call took.
+        """
         self.metrics.count("store_calls", kind=kind, result=result)
+        self.metrics.count("store_bytes", size, kind=kind)
+        self.metrics.observe("store_call_seconds", seconds, kind=kind)
         had_store = self.has_store()
         if served:
             self.contact_at = self.clock.read_monotonic()
--- /dev/null
+++ b/peridotspoke/nodes/tests/test_observing.py
@@ -0,0 +1,87 @@
+"""Tests of what logs and metrics tell of a node's view of the store."""
+
+import asyncio
+from contextlib import aclosing
+
+import pytest
+from loguru import logger
+
+from peridotspoke.exceptions import AnswerLostError
+from peridotspoke.nodes.desk import JobDesk
+from peridotspoke.nodes.tests.stores import make_parts
+from peridotspoke.store import FollowedRecords, Record, Snapshot, follow_prefix
+
+
+@pytest.fixture
+def lines():
+    """Collect the lines that are logged."""
+    collected = []
+    sink = logger.add(
+        lambda message: collected.append(str(message)), format="{message}"
+    )
+    yield collected
+    logger.remove(sink)
+
+
+class FailingStore:
+    """Its whole reads fail once, after the first one."""
+
+    watch_confirms = True
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._reads = 0
+
+    async def read_prefix(self, prefix):
+        self._reads += 1
+        if self._reads == 2:
+            raise AnswerLostError("no answer", step="range")
+        self._clock.advance(0.5)
+        return Snapshot((Record(f"{prefix}a", b"four", 1),), 7)
+
+    async def watch(self, prefix, from_revision):
+        self._clock.advance(2.0)
+        raise AnswerLostError("no answer", step="watch")
+        yield
+
+
+async def test_lines_tell_how_old_a_view_was_and_what_a_whole_read_took(lines):
+    clock = make_parts().clock
+
+    async def pause(seconds):
+        await asyncio.sleep(0)
+
+    follow = follow_prefix(FailingStore(clock), "work/", sleep=pause, clock=clock)
+    async with aclosing(follow) as steps:
+        await anext(steps)
+        await anext(steps)
+    reads = [line for line in lines if "event=prefix-read" in line]
+    lost = [line for line in lines if "event=watch-lost" in line]
+    assert "records=1 bytes=4 revision=7 seconds=0.5" in reads[0]
+    assert "age=" not in reads[0]
+    assert "age=3" in reads[1]
+    assert ["age=2.5 records=1 failures=1", "age=2.5 records=1 failures=2"] == [
+        line[line.index("age=") : line.index(" error=")] for line in lost
+    ]
+
+
+async def test_a_count_is_logged_with_the_age_of_what_it_was_taken_from(lines):
+    parts = make_parts()
+    now = parts.clock.read_monotonic()
+    parts.view.note_work(FollowedRecords({}, frozenset(), now - 1.5, 40))
+    await JobDesk(parts, None).show("host", "/q/")
+    counted = [line for line in lines if "event=jobs-counted" in line]
+    assert "queue=queue waiting=0 revision=40 age=1.5" in counted[0]
+    assert parts.metrics.get_quantile("count_age_seconds", 1.0) == pytest.approx(
+        1.5, rel=0.02
+    )
+
+
+def test_the_bytes_and_the_time_of_calls_to_the_store_are_counted_by_kind():
+    parts = make_parts()
+    parts.note_store_call("range", "200", served=True, size=700, seconds=0.25)
+    parts.note_store_call("range", "200", served=True, size=300, seconds=0.25)
+    assert parts.metrics.get_count("store_bytes", kind="range") == 1000
+    assert parts.metrics.get_quantile(
+        "store_call_seconds", 1.0, kind="range"
+    ) == pytest.approx(0.25, rel=0.02)
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -95,7 +95,8 @@
     """The records of the store by kind, as far as this node has read them.
 
     `changes` is an observable of the set of changed names by kind. `revision` is
-    the revision up to which the records of the work prefix are complete.
+    the revision up to which the records of the work prefix are complete, and
+    `confirmed_at` the monotonic time, seconds, as of which they were, or None.
     """
 
     def __init__(self):
@@ -110,6 +111,7 @@
         self.entries = {}
         self._lapsed = {}
         self.revision = 0
+        self.confirmed_at = None
         self.has_work = False
         self.has_entries = False
         self.changes = Subject()
@@ -125,6 +127,10 @@
         finally:
             subscription.dispose()
 
+    def find_age(self, now):
+        """Return the seconds since the work records were complete, or None."""
+        return None if self.confirmed_at is None else now - self.confirmed_at
+
     def note_configuration(self, configuration):
         """Take in a version of the configuration; an older one is ignored."""
         known = self.configuration
@@ -151,6 +157,7 @@
                 continue
             changed.setdefault(kind, set()).add(name)
         self.revision = max(self.revision, followed.revision)
+        self.confirmed_at = followed.confirmed_at
         self.has_work = True
         self.changes.on_next(changed)
 
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -85,7 +85,8 @@
         Limit of one call, seconds.
     watch_rules : WatchRules, optional
     note_call : callable, optional
-        Called with the kind of each call, its result and whether it was served.
+        Called with the kind of each call, its result, whether it was served, the
+        bytes of its answer and the seconds that it took.
     """
 
     watch_confirms = True
@@ -201,15 +202,17 @@
         await self._peer.close()
 
     async def _call(self, method, path, kind, body=None, timeout=None):
+        asked_at = self._clock.read_monotonic()
         try:
             answer = await self._peer.call(
                 method, f"/peridotspoke/{path}", timeout or self._timeout, body
             )
         except (AnswerLostError, PlatformUnavailableError) as error:
-            self._note(kind, type(error).__name__, served=False)
+            self._note(kind, type(error).__name__, False, 0, asked_at)
             raise
         served = answer.status in (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONDITION_FAILED)
-        self._note(kind, answer.status, served or answer.status == HTTP_GONE)
+        is_answer = served or answer.status == HTTP_GONE
+        self._note(kind, answer.status, is_answer, len(answer.body), asked_at)
         if answer.status in HTTP_REFUSALS:
             raise PlatformUnavailableError(
                 f"refused with {answer.status}: {answer.body[:200]!r}",
@@ -224,9 +227,10 @@
             )
         return answer
 
-    def _note(self, kind, result, served):
+    def _note(self, kind, result, served, size, asked_at):
         if self._note_call is not None:
-            self._note_call(kind, str(result), served)
+            seconds = self._clock.read_monotonic() - asked_at
+            self._note_call(kind, str(result), served, size, seconds)
 
     def _decode(self, answer, body_class, step):
         if answer.status == HTTP_NOT_FOUND:
--- a/peridotspoke/store/following.py
+++ b/peridotspoke/store/following.py
@@ -75,25 +75,54 @@
     """
     records = {}
     failures = 0
+    confirmed_at = None
     while True:
         try:
             asked_at = clock.read_monotonic()
             snapshot = await service.read_prefix(prefix)
+            _log_read(prefix, snapshot, asked_at, confirmed_at, clock)
             changed = _replace_records(records, snapshot.records)
-            failures = 0
+            failures, confirmed_at = 0, asked_at
             yield FollowedRecords(records, changed, asked_at, snapshot.revision)
             follower = _WatchFollower(
                 service, prefix, rules, clock, chance, records, asked_at
             )
             async with aclosing(follower.follow(snapshot.revision)) as steps:
                 async for followed in steps:
+                    confirmed_at = followed.confirmed_at
                     yield followed
         except PlatformError as error:
             failures += 1
-            log_event("watch-lost", "WARNING", prefix=prefix, error=error)
+            age = _find_age(confirmed_at, clock)
+            log_event(
+                "watch-lost",
+                "WARNING",
+                prefix=prefix,
+                age=age,
+                records=len(records),
+                failures=failures,
+                error=error,
+            )
             await sleep(compute_backoff(rules.backoff, failures, chance))
 
 
+def _find_age(confirmed_at, clock):
+    """Return the seconds since the records were known to be complete, or None."""
+    return None if confirmed_at is None else clock.read_monotonic() - confirmed_at
+
+
+def _log_read(prefix, snapshot, asked_at, confirmed_at, clock):
+    log_event(
+        "prefix-read",
+        prefix=prefix,
+        records=len(snapshot.records),
+        bytes=sum(len(record.value or b"") for record in snapshot.records),
+        revision=snapshot.revision,
+        seconds=clock.read_monotonic() - asked_at,
+        age=_find_age(confirmed_at, clock),
+    )
+
+
 class _CheckResult(enum.Enum):
     CONFIRMED = enum.auto()
     STALE = enum.auto()
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -136,7 +136,9 @@
         progress.outcome = outcome
         progress.ended_at = wall
         self.dirty.add(progress.job.job_id)
-        self.note("job-ended", job=progress.job.job_id, outcome=str(outcome))
+        job = progress.job
+        age = wall - job.accepted_at
+        self.note("job-ended", job=job.job_id, outcome=str(outcome), age=age)
         for task in progress.list_tasks():
             run = self.find_run(task)
             if run is not None:
