Count a queue only from a view of at most 2 s

What callers saw: "6 jobs are said to wait; 53 have waited" (MIXED).

Cause: a count was taken from the node's view of the jobs whatever its age; class: an answer from a cache without a bound on its age.

Change: a node whose view is older than 2 s, or was never read, refuses with a time to come back. Why it works: what is told is as old as the protocol allows, or isn't told. The test that expected 0 from a node that had read nothing now lets it see the store and expects the job.

Tests, failing before: test_a_queue_is_not_counted_from_an_old_view, test_a_queue_is_not_counted_before_its_jobs_were_read.

--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -31,6 +31,7 @@
 STORE_RETRY = 1.0  # seconds after which a caller may come back when the store is away
 SPREAD = 1.5  # factor over which the return of refused callers is spread
 WRITE_TRIES = 3
+MOST_COUNT_AGE = 2.0  # seconds, from the platform's protocol
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,7 +160,7 @@
             return found
         queue, job_id = found
         if not job_id:
-            return self._log_count(queue, self._count_waiting(queue))
+            return self._count(queue)
         known = self._node.view.jobs.get(job_id)
         if known is None or known.job is None:
             known = await self._read_job(job_id)
@@ -198,19 +199,25 @@
                 waiting += known.state == "queued"
         return waiting
 
-    def _log_count(self, queue, waiting):
+    def _count(self, queue):
+        """Return the count of a queue, or refuse where the view is too old."""
         view = self._node.view
         age = view.find_age(self._node.clock.read_monotonic())
+        if age is not None:
+            self._node.metrics.observe("count_age_seconds", age)
+        if age is None or age > MOST_COUNT_AGE:
+            answer = Refused("the view of the store is too old", STORE_RETRY)
+        else:
+            answer = Counted(self._count_waiting(queue))
         log_event(
             "jobs-counted",
             queue=queue.name,
-            waiting=waiting,
+            outcome=type(answer).__name__,
+            waiting=getattr(answer, "waiting", None),
             revision=view.revision,
             age=age,
         )
-        if age is not None:
-            self._node.metrics.observe("count_age_seconds", age)
-        return Counted(waiting)
+        return answer
 
     async def _read_job(self, job_id):
         """Return the `JobView` as the store has it now, or the answer without one."""
--- a/peridotspoke/nodes/tests/test_desk.py
+++ b/peridotspoke/nodes/tests/test_desk.py
@@ -8,6 +8,7 @@
 from peridotspoke.nodes.keys import key_job
 from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.nodes.view import TOMBSTONE
+from peridotspoke.store import FollowedRecords
 from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.jobs import Job, Step
 
@@ -24,6 +25,14 @@
     return parts, JobDesk(parts, decode)
 
 
+def see_store(parts):
+    """Let the view see the records of the store as they are now."""
+    records = parts.store.records
+    now = parts.clock.read_monotonic()
+    followed = FollowedRecords(records, frozenset(records), now, parts.store.revision)
+    parts.view.note_work(followed)
+
+
 async def submit(desk, body=b"good", path=f"/q/{JOB}"):
     return await desk.submit("host", path, body)
 
@@ -112,7 +121,26 @@
     other = JobDesk(make_parts("n2", parts.store), decode)
     await submit(other)
     assert await desk.show("host", f"/q/{JOB}") == answers.Shown("queued")
-    assert await desk.show("host", "/q/") == answers.Counted(0)
+    see_store(parts)
+    assert await desk.show("host", "/q/") == answers.Counted(1)
+
+
+@pytest.mark.parametrize(
+    ("age", "outcome"), [(1.9, answers.Counted), (2.1, answers.Refused)]
+)
+async def test_a_queue_is_not_counted_from_an_old_view(age, outcome):
+    # The watch of the jobs is lost, while other nodes accept more of them.
+    parts, desk = make_desk()
+    await submit(desk)
+    see_store(parts)
+    parts.clock.advance(age)
+    assert isinstance(await desk.show("host", "/q/"), outcome)
+
+
+async def test_a_queue_is_not_counted_before_its_jobs_were_read():
+    # A node that has just started knows of no job.
+    _, desk = make_desk()
+    assert isinstance(await desk.show("host", "/q/"), answers.Refused)
 
 
 async def test_a_cancelled_job_is_shown_as_cancelled():
--- a/peridotspoke/nodes/tests/test_observing.py
+++ b/peridotspoke/nodes/tests/test_observing.py
@@ -71,7 +71,7 @@
     parts.view.note_work(FollowedRecords({}, frozenset(), now - 1.5, 40))
     await JobDesk(parts, None).show("host", "/q/")
     counted = [line for line in lines if "event=jobs-counted" in line]
-    assert "queue=queue waiting=0 revision=40 age=1.5" in counted[0]
+    assert "queue=queue outcome=Counted waiting=0 revision=40 age=1.5" in counted[0]
     assert parts.metrics.get_quantile("count_age_seconds", 1.0) == pytest.approx(
         1.5, rel=0.02
     )
