Let a node follow only the jobs of the pools it owns

Cause: every node followed all records of all pools' jobs; class: each node carries what grows with the whole fleet. Links differ by twenty.

Change: jobs/POOL/ID/{job,progress,cancel} are followed by the pool's owner alone; ids/ID makes a job single in all pools and holds the tombstones; orders and waves are read by their holder alone. Others read one job's records, and count a queue from what the present owner told in the last 2 s (its own age included), else from the store, else refuse. Removal of old jobs goes on while there are any.

--- a/peridotspoke/nodes/committing.py
+++ b/peridotspoke/nodes/committing.py
@@ -150,10 +150,16 @@
     def _make_transaction(self, values):
         conditions = [Condition(key_owner(self._holding.unit), self._holding.fence)]
         conditions += [
-            Condition(key_progress(job_id), self._revisions.get(job_id, 0))
+            Condition(
+                key_progress(self._holding.unit, job_id),
+                self._revisions.get(job_id, 0),
+            )
             for job_id in values
         ]
-        puts = [Put(key_progress(job_id), value) for job_id, value in values.items()]
+        puts = [
+            Put(key_progress(self._holding.unit, job_id), value)
+            for job_id, value in values.items()
+        ]
         return Transaction(tuple(conditions), tuple(puts))
 
     def _settle(self, values, result):
@@ -163,7 +169,8 @@
             raise OwnershipLostError(self._holding.unit)
         applied = True
         for job_id, value in values.items():
-            record = result.find_current(key_progress(job_id))
+            key = key_progress(self._holding.unit, job_id)
+            record = result.find_current(key)
             self._revisions[job_id] = record.revision if record else 0
             applied = applied and record is not None and record.value == value
         log_event("progress-read-back", "WARNING", applied=applied, jobs=len(values))
--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -9,12 +9,13 @@
     RequestError,
 )
 from peridotspoke.logs import log_event
-from peridotspoke.nodes.keys import key_cancel, key_job, key_progress
-from peridotspoke.nodes.view import TOMBSTONE, JobView
+from peridotspoke.nodes.jobviews import JobView
+from peridotspoke.nodes.keys import key_cancel, key_identity, key_job
+from peridotspoke.nodes.lookups import TOMBSTONE, JobLookup
 from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.admission import find_room_wait
 from peridotspoke.workloads.checking import check_job, is_job_id
-from peridotspoke.workloads.progress import decode_job, decode_summary, encode_job
+from peridotspoke.workloads.progress import encode_job
 
 __all__ = [
     "Accepted",
@@ -31,7 +32,6 @@
 STORE_RETRY = 1.0  # seconds after which a caller may come back when the store is away
 SPREAD = 1.5  # factor over which the return of refused callers is spread
 WRITE_TRIES = 3
-MOST_COUNT_AGE = 2.0  # seconds, from the platform's protocol
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +100,7 @@
     def __init__(self, node, decode_submission):
         self._node = node
         self._decode_submission = decode_submission
+        self._lookup = JobLookup(node)
 
     def is_ready(self):
         """Return whether this node serves: it has a configuration and the store."""
@@ -123,8 +124,7 @@
         queue, job_id = found
         if not is_job_id(job_id):
             return Invalid("expected an ID of 16 hexadecimal digits")
-        known = self._node.view.jobs.get(job_id)
-        if known is not None and known.job is not None:
+        if self._lookup.find(queue.pool, job_id) is not None:
             return self._log("submit", job_id, Accepted(), source="view")
         if len(body) > self._node.view.configuration.most_body:
             return Invalid("the body is too large")
@@ -135,12 +135,23 @@
         except RequestError as error:
             return self._log("submit", job_id, Invalid(str(error)))
         refused = self._refuse(job)
+        if refused is not None and await self._has_job(job_id):
+            return self._log("submit", job_id, Accepted(), source="store")
         if refused is not None:
             return self._log("submit", job_id, refused, reason=refused.reason)
-        revision = known.revision if known is not None else 0
-        answer = await self._store_job(job, revision)
+        answer = await self._store_job(job, 0)
         return self._log("submit", job_id, answer, reason=_find_reason(answer))
 
+    async def _has_job(self, job_id):
+        """Return whether a job is stored already, as far as the store can tell."""
+        if not self._node.has_store():
+            return False
+        try:
+            return await self._lookup.has_job(job_id)
+        except PlatformError as error:
+            log_event("job-not-found", "WARNING", job=job_id, error=error)
+            return False
+
     def _refuse(self, job):
         if not self._node.has_store():
             return Refused("the store is away", self._spread(STORE_RETRY))
@@ -160,10 +171,8 @@
             return found
         queue, job_id = found
         if not job_id:
-            return self._count(queue)
-        known = self._node.view.jobs.get(job_id)
-        if known is None or known.job is None:
-            known = await self._read_job(job_id)
+            return await self._count(queue)
+        known = await self._look_up(queue.pool, job_id)
         if not isinstance(known, JobView):
             return self._log("show", job_id, known)
         return Shown(known.state)
@@ -173,15 +182,13 @@
         found = self._find_queue(host, path)
         if not isinstance(found, tuple):
             return found
-        _, job_id = found
-        known = self._node.view.jobs.get(job_id)
-        if known is None or known.job is None:
-            known = await self._read_job(job_id)
+        queue, job_id = found
+        known = await self._look_up(queue.pool, job_id)
         if not isinstance(known, JobView):
             return self._log("cancel", job_id, known)
         if not known.is_open:
             return self._log("cancel", job_id, Accepted(), state=known.state)
-        return self._log("cancel", job_id, await self._store_cancel(job_id, known))
+        return self._log("cancel", job_id, await self._store_cancel(known))
 
     def _find_queue(self, host, path):
         configuration = self._node.view.configuration
@@ -192,55 +199,40 @@
             return UnknownQueue()
         return queue, path[len(queue.prefix) :]
 
-    def _count_waiting(self, queue):
-        waiting = 0
-        for known in self._node.view.jobs.values():
-            if known.job is not None and known.job.queue == queue.name:
-                waiting += known.state == "queued"
-        return waiting
-
-    def _count(self, queue):
-        """Return the count of a queue, or refuse where the view is too old."""
-        view = self._node.view
-        age = view.find_age(self._node.clock.read_monotonic())
-        if age is not None:
-            self._node.metrics.observe("count_age_seconds", age)
-        if age is None or age > MOST_COUNT_AGE:
-            answer = Refused("the view of the store is too old", STORE_RETRY)
-        else:
-            answer = Counted(self._count_waiting(queue))
+    async def _count(self, queue):
+        """Return the count of a queue, or refuse where it can't be told."""
+        try:
+            found = await self._lookup.count(queue)
+        except PlatformError as error:
+            log_event("jobs-not-counted", "WARNING", queue=queue.name, error=error)
+            return Refused("the jobs can't be counted", STORE_RETRY)
+        self._node.metrics.observe("count_age_seconds", found.age, source=found.source)
         log_event(
             "jobs-counted",
             queue=queue.name,
-            outcome=type(answer).__name__,
-            waiting=getattr(answer, "waiting", None),
-            revision=view.revision,
-            age=age,
+            waiting=found.waiting,
+            source=found.source,
+            age=found.age,
         )
-        return answer
+        return Counted(found.waiting)
 
-    async def _read_job(self, job_id):
-        """Return the `JobView` as the store has it now, or the answer without one."""
+    async def _look_up(self, pool, job_id):
+        """Return the `JobView` of a job, or the answer without one."""
         if not is_job_id(job_id):
             return UnknownJob()
-        store = self._node.store
         try:
-            record = await store.read(key_job(job_id))
-            if record is None or record.value == TOMBSTONE:
-                return UnknownJob()
-            job = decode_job(record)
-            progress = await store.read(key_progress(job_id))
-            cancel = await store.read(key_cancel(job_id))
+            return await self._lookup.read(pool, job_id) or UnknownJob()
         except PlatformError as error:
             return Refused(str(error), STORE_RETRY)
-        summary = decode_summary(progress) if progress is not None else None
-        return JobView(job, record.revision, summary, progress, cancel is not None)
 
     async def _store_job(self, job, revision):
         """Store a job once; refuse only where it certainly will never run."""
-        key = key_job(job.job_id)
-        value = encode_job(job)
-        transaction = Transaction((Condition(key, revision),), (Put(key, value),))
+        identity = key_identity(job.job_id)
+        puts = (
+            Put(identity, job.pool.encode()),
+            Put(key_job(job.pool, job.job_id), encode_job(job)),
+        )
+        transaction = Transaction((Condition(identity, revision),), puts)
         lost = None
         for failures in range(WRITE_TRIES):
             try:
@@ -253,14 +245,19 @@
                     return Refused(str(error), STORE_RETRY)
                 continue
             if result.won:
-                self._node.view.note_job(job, result.revision)
+                self._note_job(job, result.revision)
                 return Accepted()
-            current = result.find_current(key)
+            current = result.find_current(identity)
             if current is not None and current.value != TOMBSTONE:
                 return Accepted()
             return await self._store_job_again(job, current, revision)
         return await self._bury(job.job_id, revision, lost)
 
+    def _note_job(self, job, revision):
+        jobs = self._node.view.jobs.get(job.pool)
+        if jobs is not None:
+            jobs.note_job(job, revision)
+
     async def _store_job_again(self, job, current, revision):
         found = current.revision if current is not None else 0
         if found == revision:
@@ -269,7 +266,7 @@
 
     async def _bury(self, job_id, revision, lost):
         """Make sure by a tombstone that a write without an answer has no effect."""
-        key = key_job(job_id)
+        key = key_identity(job_id)
         burial = Transaction((Condition(key, revision),), (Put(key, TOMBSTONE),))
         try:
             result = await self._node.commits.commit(burial, failures=1)
@@ -282,9 +279,11 @@
             return Accepted()
         return Refused(str(lost), STORE_RETRY)
 
-    async def _store_cancel(self, job_id, known):
-        key = key_cancel(job_id)
-        conditions = (Condition(key_job(job_id), known.revision), Condition(key, 0))
+    async def _store_cancel(self, known):
+        pool, job_id = known.job.pool, known.job.job_id
+        key = key_cancel(pool, job_id)
+        job = Condition(key_job(pool, job_id), known.revision)
+        conditions = (job, Condition(key, 0))
         transaction = Transaction(conditions, (Put(key, b"1"),))
         if not self._node.has_store():
             return Refused("the store is away", STORE_RETRY)
@@ -296,11 +295,16 @@
                 reason = str(error)
                 continue
             if result.won or result.find_current(key) is not None:
-                self._node.view.note_cancel(job_id)
+                self._note_cancel(pool, job_id)
                 return Accepted()
             return UnknownJob()
         return Refused(reason, STORE_RETRY)
 
+    def _note_cancel(self, pool, job_id):
+        jobs = self._node.view.jobs.get(pool)
+        if jobs is not None:
+            jobs.note_cancel(job_id)
+
     def _log(self, step, job_id, answer, **fields):
         log_event(
             f"job-{step}",
--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -12,6 +12,7 @@
     WaveRecord,
 )
 from peridotspoke.nodes.tasksets import TaskSet
+from peridotspoke.nodes.view import wait_until
 from peridotspoke.workloads.demand import DemandHistory
 from peridotspoke.workloads.machines import MachineState
 from peridotspoke.workloads.maintenance import plan_wave
@@ -57,7 +58,7 @@
     async def run(self):
         """Keep the fleet until cancelled."""
         view = self._node.view
-        await view.wait_until(lambda: view.revision >= self._holding.fence)
+        await wait_until(view.changes, lambda: view.revision >= self._holding.fence)
         subscription = view.changes.subscribe(self._note_changes)
         try:
             while True:
--- a/peridotspoke/nodes/keys.py
+++ b/peridotspoke/nodes/keys.py
@@ -1,37 +1,89 @@
-"""The keys of the node's records in the store."""
+"""The keys of the node's records in the store.
+
+Each node follows the records under `WORK_PREFIX`, which are few and small. The jobs of
+a pool are followed by the pool's owner alone: their number and size grow with the
+traffic, and not every node's link carries those of all pools. Nobody follows the
+identities of jobs and what the fleet's owner keeps for its successor.
+"""
+
+from typing import NamedTuple
 
 __all__ = [
     "OWNER_PREFIX",
     "WORK_PREFIX",
+    "JobKey",
     "key_cancel",
+    "key_identity",
     "key_job",
     "key_node",
     "key_orders",
     "key_owner",
     "key_pool_state",
+    "key_waiting",
     "key_progress",
     "key_wave",
     "key_withdrawal",
+    "prefix_job",
+    "prefix_jobs",
+    "split_job_key",
     "split_key",
 ]
 
 WORK_PREFIX = "work/"
 OWNER_PREFIX = f"{WORK_PREFIX}owner/"
+JOBS_PREFIX = "jobs/"
+IDENTITY_PREFIX = "ids/"
+FLEET_PREFIX = "fleet/"
+
+
+class JobKey(NamedTuple):
+    """What a key of a job's records names; `kind` is job, progress or cancel."""
+
+    pool: str
+    job_id: str
+    kind: str
+
+
+def prefix_jobs(pool):
+    """Return the prefix of all records of a pool's jobs."""
+    return f"{JOBS_PREFIX}{pool}/"
+
+
+def prefix_job(pool, job_id):
+    """Return the prefix of all records of one job."""
+    return f"{prefix_jobs(pool)}{job_id}/"
+
 
+def key_identity(job_id):
+    """Return the key that makes a job single; it holds the name of the job's pool."""
+    return f"{IDENTITY_PREFIX}{job_id}"
 
-def key_job(job_id):
+
+def key_job(pool, job_id):
     """Return the key of a job as it was accepted."""
-    return f"{WORK_PREFIX}job/{job_id}"
+    return f"{prefix_job(pool, job_id)}job"
 
 
-def key_progress(job_id):
+def key_progress(pool, job_id):
     """Return the key of a job's progress."""
-    return f"{WORK_PREFIX}progress/{job_id}"
+    return f"{prefix_job(pool, job_id)}progress"
 
 
-def key_cancel(job_id):
+def key_cancel(pool, job_id):
     """Return the key whose presence cancels a job."""
-    return f"{WORK_PREFIX}cancel/{job_id}"
+    return f"{prefix_job(pool, job_id)}cancel"
+
+
+def split_job_key(key):
+    """Return the `JobKey` of a key of a job's records.
+
+    Examples
+    --------
+    >>> split_job_key("jobs/glyphs/5c0e7a21d94b36f8/cancel")
+    JobKey(pool='glyphs', job_id='5c0e7a21d94b36f8', kind='cancel')
+    """
+    prefix, job_id, kind = key.rsplit("/", 2)
+    return JobKey(prefix.removeprefix(JOBS_PREFIX), job_id, kind)
 
 
 def key_node(name):
@@ -41,7 +93,7 @@
 
 def key_orders():
     """Return the key of the orders that the fleet's owner gave a moment ago."""
-    return f"{WORK_PREFIX}orders/fleet"
+    return f"{FLEET_PREFIX}orders"
 
 
 def key_owner(unit):
@@ -54,9 +106,14 @@
     return f"{WORK_PREFIX}pool/{pool}"
 
 
+def key_waiting(pool):
+    """Return the key at which a pool's owner counts the waiting jobs of its queues."""
+    return f"{WORK_PREFIX}waiting/{pool}"
+
+
 def key_wave(number):
     """Return the key of what is known of a maintenance wave."""
-    return f"{WORK_PREFIX}wave/{number}"
+    return f"{FLEET_PREFIX}wave/{number}"
 
 
 def key_withdrawal(machine):
@@ -69,8 +126,8 @@
 
     Examples
     --------
-    >>> split_key("work/job/5c0e7a21d94b36f8")
-    ('job', '5c0e7a21d94b36f8')
+    >>> split_key("work/withdrawal/m-1")
+    ('withdrawal', 'm-1')
     """
     _, kind, name = key.split("/", 2)
     return kind, name
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -6,7 +6,8 @@
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.fleet import FLEET, FleetKeeper
-from peridotspoke.nodes.keys import WORK_PREFIX
+from peridotspoke.nodes.jobviews import PoolJobs
+from peridotspoke.nodes.keys import WORK_PREFIX, prefix_jobs
 from peridotspoke.nodes.ownership import Ownership
 from peridotspoke.nodes.supervising import PoolSupervisor
 from peridotspoke.store import FollowingRules, follow_prefix
@@ -70,6 +71,7 @@
         self._parts = parts
         self._codec = codec
         self._supervisors = {}
+        self._followers = {}
         self._tasks = set()
         self._following_entries = False
         parts.ownership = Ownership(
@@ -118,7 +120,12 @@
                 self._codec.key_wave_status,
             )
         else:
-            supervisor = PoolSupervisor(self._parts, holding)
+            jobs = PoolJobs(holding.unit)
+            self._parts.view.jobs[holding.unit] = jobs
+            self._followers[holding.unit] = self._spawn(
+                self._follow_jobs(holding, jobs)
+            )
+            supervisor = PoolSupervisor(self._parts, holding, jobs)
         self._supervisors[holding.unit] = self._spawn(
             self._supervise(holding, supervisor)
         )
@@ -134,9 +141,11 @@
             self._parts.ownership.give_up(holding, "its supervisor failed")
 
     def _lose(self, holding):
-        task = self._supervisors.pop(holding.unit, None)
-        if task is not None:
-            task.cancel()
+        self._parts.view.jobs.pop(holding.unit, None)
+        for tasks in (self._supervisors, self._followers):
+            task = tasks.pop(holding.unit, None)
+            if task is not None:
+                task.cancel()
 
     def _follow(self, prefix):
         parts = self._parts
@@ -173,6 +182,16 @@
             self._parts.view.note_work(followed)
             await asyncio.sleep(WORK_PAUSE if self._supervisors else IDLE_PAUSE)
 
+    async def _follow_jobs(self, holding, jobs):
+        """Follow a pool's jobs; a failure gives the pool to another node."""
+        try:
+            async for followed in self._follow(prefix_jobs(jobs.pool)):
+                jobs.note_records(followed)
+                await asyncio.sleep(WORK_PAUSE)
+        except Exception as error:
+            log_event("follower-failed", "ERROR", unit=holding.unit, error=repr(error))
+            self._parts.ownership.give_up(holding, "its jobs can't be followed")
+
     async def _follow_entries(self):
         async for followed in self._follow(self._codec.entry_prefix):
             view, parts = self._parts.view, self._parts
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -8,13 +8,15 @@
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import (
     key_cancel,
+    key_identity,
     key_job,
     key_owner,
     key_pool_state,
     key_progress,
+    key_waiting,
     key_withdrawal,
 )
-from peridotspoke.nodes.view import encode_value
+from peridotspoke.nodes.view import QueueCounts, encode_value
 from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.demand import ArrivalRate, describe_demand
 from peridotspoke.workloads.scheduling import list_timings, sum_ready
@@ -24,10 +26,10 @@
 
 REMOVAL_INTERVAL = 5.0  # seconds between two removals of old jobs
 REMOVAL_MARGIN = 30.0  # seconds that records outlive what callers may ask for
-MOST_REMOVED = 10  # jobs of three keys each, in 32 entries of a transaction
+MOST_REMOVED = 7  # jobs of four keys each, and the owner's, in 32 entries
 MARK_PAUSE = 0.3  # seconds in which a stored mark comes back by the watch
 DEMAND_INTERVAL = 0.15  # seconds between two descriptions of the pool's demand
-DEMAND_AGE = 3.0  # seconds after which an unchanged demand is described again
+DEMAND_AGE = 1.0  # seconds after which an unchanged demand is described again
 DEMAND_STEP = 0.1  # share of the demand below which a change is not described
 LENT_SHARE = 0.5  # of the fleet, that one pool may get
 
@@ -39,16 +41,18 @@
     ----------
     node : NodeParts
     holding : Holding
+    jobs : PoolJobs
     ledger : PoolLedger
     tasks : TaskSet
     forget : callable
         Called with the identity of each job whose records are removed.
     """
 
-    def __init__(self, node, holding, ledger, tasks, forget):
+    def __init__(self, node, holding, jobs, ledger, tasks, forget):
         self._node = node
         self._holding = holding
         self._pool = holding.unit
+        self._jobs = jobs
         self._ledger = ledger
         self._tasks = tasks
         self._forget = forget
@@ -146,10 +150,17 @@
 
     async def _store_demand(self, demand):
         owner = Condition(key_owner(self._pool), self._holding.fence)
-        put = Put(key_pool_state(self._pool), encode_value(demand))
+        age = self._jobs.find_age(self._node.clock.read_monotonic())
+        waiting = dict(self._jobs.count_waiting())
+        counts = QueueCounts(self._holding.fence, waiting, age)
+        puts = (
+            Put(key_pool_state(self._pool), encode_value(demand)),
+            Put(key_waiting(self._pool), encode_value(counts)),
+        )
         try:
-            await self._node.store.commit(Transaction((owner,), (put,)))
+            await self._node.store.commit(Transaction((owner,), puts))
         except PlatformError as error:
+            self._described = None
             log_event("demand-not-stored", "WARNING", pool=self._pool, error=error)
 
     def remove_old(self, now):
@@ -161,23 +172,25 @@
             return
         self._removed_at = now
         oldest = self._node.clock.read_wall() - self._node.settings.bounds.status
-        view = self._node.view
         old = [
             job_id
-            for job_id, known in view.jobs.items()
-            if known.job is not None
-            and known.job.pool == self._pool
-            and known.summary is not None
+            for job_id, known in self._jobs.views.items()
+            if known.summary is not None
             and known.summary.outcome
             and known.summary.ended_at < oldest - REMOVAL_MARGIN
         ]
         if old:
-            self._tasks.spawn_once("removal", self._remove_jobs(old[:MOST_REMOVED]))
+            self._tasks.spawn_once("removal", self._remove_all(old))
+
+    async def _remove_all(self, job_ids):
+        for start in range(0, len(job_ids), MOST_REMOVED):
+            await self._remove_jobs(job_ids[start : start + MOST_REMOVED])
 
     async def _remove_jobs(self, job_ids):
         owner = Condition(key_owner(self._pool), self._holding.fence)
-        keys = [
-            make_key(job_id)
+        keys = [key_identity(job_id) for job_id in job_ids]
+        keys += [
+            make_key(self._pool, job_id)
             for job_id in job_ids
             for make_key in (key_job, key_progress, key_cancel)
         ]
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -24,6 +24,7 @@
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
 from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.tickets import TicketBook
+from peridotspoke.nodes.view import wait_until
 from peridotspoke.workloads.evacuation import plan_evacuation
 from peridotspoke.workloads.executors import PaceOrder, Refusal
 from peridotspoke.workloads.ledger import PoolLedger
@@ -47,11 +48,14 @@
     node : NodeParts
         What the node's tasks share.
     holding : Holding
+    jobs : PoolJobs
+        Kept up to date while this node owns the pool.
     """
 
-    def __init__(self, node, holding):
+    def __init__(self, node, holding, jobs):
         self._node = node
         self._holding = holding
+        self._jobs = jobs
         self._queue = asyncio.Queue()
         self._sessions = {}
         self._tasks = TaskSet(holding.unit)
@@ -76,7 +80,7 @@
             node.commits, holding, self._revisions, node.chance
         )
         self._records = PoolRecords(
-            node, holding, self._ledger, self._tasks, self._writer.forget
+            node, holding, jobs, self._ledger, self._tasks, self._writer.forget
         )
 
     @property
@@ -86,20 +90,26 @@
 
     async def run(self):
         """Supervise the pool until cancelled or until its ownership is lost."""
-        view = self._node.view
-        await view.wait_until(
-            lambda: view.revision >= self._holding.fence and view.has_entries
+        view, jobs = self._node.view, self._jobs
+        fence = self._holding.fence
+        await wait_until(
+            view.changes, lambda: view.revision >= fence and view.has_entries
+        )
+        await wait_until(jobs.changes, lambda: jobs.revision >= fence)
+        subscriptions = (
+            view.changes.subscribe(self._note_changes),
+            jobs.changes.subscribe(self._note_changed_jobs),
         )
-        subscription = view.changes.subscribe(self._note_changes)
         try:
-            self._changed_jobs.update(view.jobs)
+            self._changed_jobs.update(jobs.views)
             self._changed_entries.update(view.entries)
             while True:
                 await self._take_messages()
                 self._run_round()
                 await asyncio.sleep(ROUND_PAUSE)
         finally:
-            subscription.dispose()
+            for subscription in subscriptions:
+                subscription.dispose()
             self._tasks.cancel()
 
     def _note(self, event, **fields):
@@ -109,9 +119,13 @@
         log_event(event, pool=self.pool, **fields)
 
     def _note_changes(self, changed):
-        self._changed_jobs |= changed.get("job", set()) | changed.get("cancel", set())
         self._changed_entries |= changed.get("entry", set())
-        if self._changed_jobs or self._changed_entries:
+        if self._changed_entries:
+            self._queue.put_nowait(None)
+
+    def _note_changed_jobs(self, job_ids):
+        self._changed_jobs |= job_ids
+        if self._changed_jobs:
             self._queue.put_nowait(None)
 
     async def _take_messages(self):
@@ -180,10 +194,10 @@
                 self._ledger.lose_entry(executor_id)
         jobs, self._changed_jobs = self._changed_jobs, set()
         for job_id in jobs:
-            self._take_job(view.jobs.get(job_id))
+            self._take_job(self._jobs.find(job_id))
 
     def _take_job(self, known):
-        if known is None or known.job is None or known.job.pool != self.pool:
+        if known is None:
             return
         job_id = known.job.job_id
         if job_id not in self._ledger.jobs:
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -1,7 +1,6 @@
 """What a node knows of the store, kept up to date by watches."""
 
 import asyncio
-from dataclasses import dataclass, replace
 
 import msgspec
 from reactivex.subject import Subject
@@ -12,26 +11,18 @@
 from peridotspoke.workloads.configuration import Configuration
 from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.executors import Condition
-from peridotspoke.workloads.jobs import Job
-from peridotspoke.workloads.progress import (
-    JobOutcome,
-    ProgressSummary,
-    decode_job,
-    decode_summary,
-)
 
 __all__ = [
-    "JobView",
     "NodeRecord",
     "OwnerRecord",
+    "QueueCounts",
     "StoreView",
     "Withdrawal",
     "decode_value",
     "encode_value",
+    "wait_until",
 ]
 
-TOMBSTONE = b""
-
 
 class NodeRecord(msgspec.Struct, frozen=True):
     """A live node; `incarnation` differs for each start of its process.
@@ -62,41 +53,24 @@
     empty: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class JobView:
-    """A job as the store has it; `job` is None for a tombstone."""
-
-    job: Job | None
-    revision: int = 0
-    summary: ProgressSummary | None = None
-    progress: object = None
-    cancelled: bool = False
-
-    @property
-    def state(self):
-        """The state that callers are told."""
-        if self.summary is not None and self.summary.outcome:
-            return self.summary.outcome
-        if self.cancelled:
-            return str(JobOutcome.CANCELLED)
-        begun = self.summary is not None and self.summary.begun
-        return "running" if begun else "queued"
-
-    @property
-    def is_open(self):
-        """Whether the job has not ended."""
-        return self.state in ("running", "queued")
+class QueueCounts(msgspec.Struct, frozen=True):
+    """The jobs without a start by queue, as the owner with the `fence` tells them.
 
+    `age` is the seconds since the owner knew that its records were complete.
+    """
 
-ABSENT = JobView(None)
+    fence: int
+    waiting: dict[str, int]
+    age: float = 0.0
 
 
 class StoreView:
     """The records of the store by kind, as far as this node has read them.
 
+    `jobs` holds the `PoolJobs` of the pools whose jobs this node follows, `counts` the
+    `QueueCounts` of all pools with the monotonic time at which each was seen.
     `changes` is an observable of the set of changed names by kind. `revision` is
-    the revision up to which the records of the work prefix are complete, and
-    `confirmed_at` the monotonic time, seconds, as of which they were, or None.
+    the revision up to which the records of the work prefix are complete.
     """
 
     def __init__(self):
@@ -107,30 +81,15 @@
         self.last_owners = {}
         self.nodes = {}
         self.pools = {}
+        self.counts = {}
         self.withdrawals = {}
         self.entries = {}
         self._lapsed = {}
         self.revision = 0
-        self.confirmed_at = None
         self.has_work = False
         self.has_entries = False
         self.changes = Subject()
 
-    async def wait_until(self, is_reached):
-        """Return once `is_reached`, a callable without arguments, returns true."""
-        changed = asyncio.Event()
-        subscription = self.changes.subscribe(lambda _: changed.set())
-        try:
-            while not is_reached():
-                changed.clear()
-                await changed.wait()
-        finally:
-            subscription.dispose()
-
-    def find_age(self, now):
-        """Return the seconds since the work records were complete, or None."""
-        return None if self.confirmed_at is None else now - self.confirmed_at
-
     def note_configuration(self, configuration):
         """Take in a version of the configuration; an older one is ignored."""
         known = self.configuration
@@ -151,13 +110,14 @@
         for key in followed.changed:
             kind, name = split_key(key)
             try:
-                self._apply(kind, name, followed.records.get(key))
+                self._apply(
+                    kind, name, followed.records.get(key), followed.confirmed_at
+                )
             except RecordError as error:
                 log_event("record-unreadable", "ERROR", key=key, error=error)
                 continue
             changed.setdefault(kind, set()).add(name)
         self.revision = max(self.revision, followed.revision)
-        self.confirmed_at = followed.confirmed_at
         self.has_work = True
         self.changes.on_next(changed)
 
@@ -209,25 +169,8 @@
             return False
         return known.condition is not Condition.DRAINING
 
-    def note_job(self, job, revision):
-        """Take in a job that this node has just stored."""
-        if job.job_id not in self.jobs or self.jobs[job.job_id].job is None:
-            self.jobs[job.job_id] = JobView(job, revision)
-            self.changes.on_next({"job": {job.job_id}})
-
-    def note_cancel(self, job_id):
-        """Take in that a job's cancelling is stored."""
-        self._update_job(job_id, cancelled=True)
-        self.changes.on_next({"cancel": {job_id}})
-
-    def _apply(self, kind, name, record):
-        if kind == "job":
-            self._apply_job(name, record)
-        elif kind == "progress":
-            self._apply_progress(name, record)
-        elif kind == "cancel":
-            self._update_job(name, cancelled=record is not None)
-        elif kind == "owner":
+    def _apply(self, kind, name, record, confirmed_at):
+        if kind == "owner":
             decoded = record and (decode_value(record, OwnerRecord), record.created)
             _set(self.owners, name, decoded)
             if decoded:
@@ -236,27 +179,49 @@
             _set(self.nodes, name, record and decode_value(record, NodeRecord))
         elif kind == "pool":
             _set(self.pools, name, record and decode_value(record, PoolDemand))
+        elif kind == "waiting":
+            decoded = record and (decode_value(record, QueueCounts), confirmed_at)
+            _set(self.counts, name, decoded)
         elif kind == "withdrawal":
             decoded = record and (decode_value(record, Withdrawal), record.revision)
             _set(self.withdrawals, name, decoded)
 
-    def _apply_job(self, job_id, record):
-        if record is None:
-            self.jobs.pop(job_id, None)
-            return
-        job = None if record.value == TOMBSTONE else decode_job(record)
-        self._update_job(job_id, job=job, revision=record.revision)
+    def find_waiting(self, pool, now):
+        """Return the counts that a pool's present owner told, or None, and their age.
 
-    def _apply_progress(self, job_id, record):
-        if record is None:
-            return
-        self._update_job(job_id, summary=decode_summary(record), progress=record)
+        Parameters
+        ----------
+        pool : str
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        waiting : dict of str to int, or None
+            By queue. None where nothing was told by who owns the pool now.
+        age : float
+            Seconds since they were seen, and the owner's own age of them.
+        """
+        counts, seen_at = self.counts.get(pool, (None, 0.0))
+        _, fence = self.owners.get(pool, (None, 0))
+        if counts is None or counts.fence != fence:
+            return None, 0.0
+        return counts.waiting, now - seen_at + counts.age
 
-    def _update_job(self, job_id, **fields):
-        known = self.jobs.get(job_id, ABSENT)
-        if known is ABSENT and fields.get("cancelled") is False:
-            return
-        self.jobs[job_id] = replace(known, **fields)
+
+async def wait_until(changes, is_reached):
+    """Return once `is_reached`, a callable without arguments, returns true.
+
+    It is asked after each item of the observable `changes`.
+    """
+    changed = asyncio.Event()
+    subscription = changes.subscribe(lambda _: changed.set())
+    try:
+        while not is_reached():
+            changed.clear()
+            await changed.wait()
+    finally:
+        subscription.dispose()
 
 
 def _set(records, name, value):
