Tell absent queues and counts only by a configuration that may be newest

Cause: the same class as the old counts: the configuration was taken as the newest whatever its age.

Change: the view notes as of when its configuration was the newest; past the time that a roll-out may take, a queue that isn't known and a count are refused with a time to come back. Submissions to a known queue are not refused: without the store none is accepted anyway. That a node still accepts one for a queue removed meanwhile is possible, and was not seen.

Test, failing before: test_an_old_configuration_tells_neither_absent_ queues_nor_counts. Other tests now let time pass in which the configuration stays the newest; their bounds are the same.

--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -196,11 +196,31 @@
             return Refused("no configuration yet", STORE_RETRY)
         queue = configuration.find_queue(host, path)
         if queue is None:
-            return UnknownQueue()
+            return self._refuse_old_configuration() or UnknownQueue()
         return queue, path[len(queue.prefix) :]
 
+    def _refuse_old_configuration(self):
+        """Return a refusal if a newer configuration may be in force by now.
+
+        A queue that is not known may have been added since, a known one removed.
+        """
+        now = self._node.clock.read_monotonic()
+        age = now - self._node.view.configured_at
+        if age <= self._node.settings.bounds.roll_out:
+            return None
+        log_event(
+            "configuration-old",
+            "WARNING",
+            version=self._node.view.configuration.version,
+            age=age,
+        )
+        return Refused("the configuration may be out of date", STORE_RETRY)
+
     async def _count(self, queue):
         """Return the count of a queue, or refuse where it can't be told."""
+        refused = self._refuse_old_configuration()
+        if refused is not None:
+            return refused
         try:
             found = await self._lookup.count(queue)
         except PlatformError as error:
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -165,6 +165,7 @@
                     self._take_document(key, record)
                 except RecordError as error:
                     log_event("record-unreadable", "ERROR", key=key, error=error)
+            self._parts.view.configured_at = followed.confirmed_at
 
     def _take_document(self, key, record):
         view, codec = self._parts.view, self._codec
--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -25,6 +25,8 @@
         How long the state of an ended job is kept.
     holder_change : float
         Least time between two holders' orders for one machine.
+    roll_out : float
+        How long after its acknowledgement a configuration may not be in force.
     """
 
     drain: float = 2.0
@@ -37,6 +39,7 @@
     maintenance: float = 2.0
     status: float = 120.0
     holder_change: float = 3.0
+    roll_out: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/nodes/tests/stores.py
+++ b/peridotspoke/nodes/tests/stores.py
@@ -120,4 +120,5 @@
     parts.note_store_call("watch", "200", served=True)
     queue = Queue("queue", "host", "/q/", "pool")
     parts.view.note_configuration(Configuration(1, (queue,), (WorkPool("pool"),)))
+    parts.view.configured_at = parts.clock.read_monotonic()
     return parts
--- a/peridotspoke/nodes/tests/test_desk.py
+++ b/peridotspoke/nodes/tests/test_desk.py
@@ -54,6 +54,12 @@
     )
 
 
+def advance(parts, seconds):
+    """Let time pass in which the configuration stays the newest."""
+    parts.clock.advance(seconds)
+    parts.view.configured_at = parts.clock.read_monotonic()
+
+
 def hear_owner(parts, fence, told_by, waiting, told_age=0.0, pool="pool"):
     """Let the node see a pool's owner, and counts told by an owner with a fence."""
     owner = encode_value(OwnerRecord("n9", "i9"))
@@ -183,7 +189,7 @@
     await submit(desk)
     follow_jobs(parts)
     await submit(JobDesk(make_parts("n2", parts.store), decode), path=f"/q/{OTHER_JOB}")
-    parts.clock.advance(age)
+    advance(parts, age)
     assert await desk.show("host", "/q/") == answers.Counted(waiting)
 
 
@@ -212,7 +218,7 @@
     parts, desk = make_desk()
     await submit(desk)
     hear_owner(parts, fence, told_by, 5, told_age)
-    parts.clock.advance(age)
+    advance(parts, age)
     assert await desk.show("host", "/q/") == answers.Counted(waiting)
 
 
@@ -231,7 +237,7 @@
 
     async def read_slowly(prefix):
         snapshot = await read_prefix(prefix)
-        parts.clock.advance(2.1)
+        advance(parts, 2.1)
         return snapshot
 
     parts.store.read_prefix = read_slowly
@@ -296,6 +302,24 @@
     assert await desk.show("host", "/q/") == answers.Counted(1)
 
 
+@pytest.mark.parametrize(
+    ("path", "outcome"),
+    [("/other/x", answers.UnknownQueue), ("/q/", answers.Counted)],
+)
+async def test_an_old_configuration_tells_neither_absent_queues_nor_counts(
+    path, outcome
+):
+    # A queue was added or removed, but the node can't read the new configuration.
+    parts, desk = make_desk()
+    bound = parts.settings.bounds.roll_out
+    parts.clock.advance(bound)
+    assert isinstance(await desk.show("host", path), outcome)
+    parts.clock.advance(0.1)
+    answer = await desk.show("host", path)
+    assert isinstance(answer, answers.Refused)
+    assert answer.retry_after > 0
+
+
 async def test_a_cancelled_job_is_shown_as_cancelled():
     """Cancelling twice gives the same answer."""
     _, desk = make_desk()
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -69,12 +69,14 @@
 
     `jobs` holds the `PoolJobs` of the pools whose jobs this node follows, `counts` the
     `QueueCounts` of all pools with the monotonic time at which each was seen.
-    `changes` is an observable of the set of changed names by kind. `revision` is
-    the revision up to which the records of the work prefix are complete.
+    `configured_at` is the monotonic time, seconds, as of which the configuration was
+    the newest. `changes` is an observable of the set of changed names by kind.
+    `revision` is the revision up to which the records of the work prefix are complete.
     """
 
     def __init__(self):
         self.configuration: Configuration | None = None
+        self.configured_at = float("-inf")
         self.waves = {}
         self.jobs = {}
         self.owners = {}
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -24,6 +24,7 @@
     "maintenance": ("bounds.upkeepS", 1.0),
     "status": ("bounds.status_s", 1.0),
     "holder_change": ("bounds.leaseMs", MILLISECOND),
+    "roll_out": ("bounds.configMs", MILLISECOND),
 }
 NUMBERS = {
     "writes": ("platform.writesPerS", 1.0),
