--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -11,8 +11,8 @@
     PlatformUnavailableError,
     RecordError,
 )
-from peridotspoke.hashing import rank_members
 from peridotspoke.logs import log_event
+from peridotspoke.nodes.capacity import rank_claimants
 from peridotspoke.nodes.keys import OWNER_PREFIX, key_node, key_owner, split_key
 from peridotspoke.nodes.view import (
     NodeRecord,
@@ -178,7 +178,12 @@
         lease = await self._store.grant_lease(self._settings.lease)
         settings = self._settings
         record = NodeRecord(
-            settings.name, self.incarnation, settings.zone, settings.front
+            settings.name,
+            self.incarnation,
+            settings.zone,
+            settings.front,
+            settings.processors,
+            settings.link,
         )
         put = Put(key_node(record.name), encode_value(record), lease.lease_id)
         await self._store.commit(Transaction((), (put,)))
@@ -250,7 +255,10 @@
         self._start_claim(unit, self._claim(unit))
 
     def _rank(self, unit):
-        ranks = rank_members(unit, list(self._view.nodes))
+        owners = self._view.owners
+        free = [name for name in self._list_units() if name not in owners]
+        holders = [owner.name for owner, _ in owners.values()]
+        ranks = rank_claimants(unit, free, self._view.nodes, holders)
         name = self._settings.name
         return ranks.index(name) if name in ranks else len(ranks)
 
--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["Bounds", "NodeSettings", "Timing"]
+__all__ = ["LINK", "PROCESSORS", "Bounds", "NodeSettings", "Timing"]
+
+PROCESSORS = 1.0  # of a node that does not know its own
+LINK = 100.0  # Mbit/s, likewise
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,7 @@
 
     `writes` and `reads` are the calls a second that the store takes from all nodes
     together, `duties` and `listings` those that the machines' interface takes.
+    `processors` and `link`, Mbit/s, are the instance's own.
     """
 
     name: str
@@ -93,6 +97,8 @@
     heartbeat: float = 1.5
     shortest_lease: float = 1.0
     most_value: int = 1024 * 1024
+    processors: float = PROCESSORS
+    link: float = LINK
     bounds: Bounds = field(default_factory=Bounds)
     timing: Timing = field(default_factory=Timing)
 
--- a/peridotspoke/nodes/tests/test_ownership.py
+++ b/peridotspoke/nodes/tests/test_ownership.py
@@ -21,15 +21,18 @@
 class NodeDouble:
     """An ownership with a view that is told of the store by hand."""
 
-    def __init__(self, name, store):
+    def __init__(self, name, store, units=("pool",), size=(1.0, 100.0)):
         self.parts = make_parts(name, store)
+        self.parts.settings = replace(
+            self.parts.settings, processors=size[0], link=size[1]
+        )
         self.gained, self.lost = [], []
         self.ownership = Ownership(
             self.parts.settings,
             store,
             self.parts.view,
             self.parts.clock,
-            lambda: ["pool"],
+            lambda: list(units),
             self.gained.append,
             self.lost.append,
         )
@@ -145,3 +148,24 @@
     lease = make_settings().lease
     spent = lease / RENEWALS + RENEWAL_LIMITS[0] + RETRY
     assert spent + RENEWAL_LIMITS[0] < lease - ORDER_MARGIN
+
+
+async def test_units_fall_to_larger_nodes_and_not_all_to_one_of_them():
+    """A node on a thin link that reads late holds up the work of all pools."""
+    store = StoreStandIn()
+    units = ["p1", "p2", "p3"]
+    sizes = {f"large-{number}": (2.15, 100.0) for number in range(3)}
+    sizes |= {f"small-{number}": (0.516, 5.0) for number in range(12)}
+    nodes = [NodeDouble(name, store, units, size) for name, size in sizes.items()]
+    for node in nodes:
+        await node.grant()
+    for _ in range(12):
+        for node in nodes:
+            node.look()
+            node.ownership._check_units()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        for node in nodes:
+            node.parts.clock.advance(0.1)
+    owners = [node.parts.settings.name for node in nodes for _ in node.gained]
+    assert sorted(owners) == ["large-0", "large-1", "large-2"]
--- a/peridotspoke/nodes/tests/test_view.py
+++ b/peridotspoke/nodes/tests/test_view.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from peridotspoke.nodes.settings import LINK, PROCESSORS
 from peridotspoke.nodes.tests.stores import make_parts
+from peridotspoke.nodes.view import NodeRecord, decode_value
 from peridotspoke.store import FollowedRecords, Record
 from peridotspoke.workloads.executors import Condition, ExecutorEntry
 from peridotspoke.workloads.jobs import Need
@@ -68,3 +70,10 @@
         lose_store(parts)
     follow(parts, b"")
     assert parts.view.entries == {}
+
+
+def test_a_record_of_a_node_that_does_not_tell_its_size_is_read():
+    """Older processes write it while a new version is rolled out."""
+    record = Record("work/node/n1", b'{"name":"n1","incarnation":"1"}', 1)
+    node = decode_value(record, NodeRecord)
+    assert (node.processors, node.link) == (PROCESSORS, LINK)
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -8,6 +8,7 @@
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import split_key
+from peridotspoke.nodes.settings import LINK, PROCESSORS
 from peridotspoke.workloads.configuration import Configuration
 from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.executors import Condition
@@ -28,12 +29,15 @@
     """A live node; `incarnation` differs for each start of its process.
 
     `address` is where it serves callers: no two live processes have the same.
+    `processors` and `link`, Mbit/s, are those of its instance.
     """
 
     name: str
     incarnation: str
     zone: str = ""
     address: str = ""
+    processors: float = PROCESSORS
+    link: float = LINK
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -34,7 +34,10 @@
     "heartbeat": ("heartbeatMs", MILLISECOND),
     "shortest_lease": ("platform.ttlMinMs", MILLISECOND),
     "most_value": ("platform.valueBytes", 1.0),
+    "link": ("limits.linkMbps", 1.0),
 }
+# The share of a processor that the process gets, and how many times as fast that is.
+PROCESSORS = {"share": ("limits.cpuShare", 1.0), "factor": ("limits.cores", 1.0)}
 
 
 def read_settings_file(path=None):
@@ -75,6 +78,7 @@
             _check_address(values, key, faults)
     bounds = _read_numbers(values, BOUNDS, faults)
     numbers = _read_numbers(values, NUMBERS, faults)
+    numbers |= _read_processors(values, faults)
     if faults:
         raise SettingsError("; ".join(faults), step="read settings")
     host = values["listen.ready"].rpartition(":")[0]
@@ -109,6 +113,13 @@
         faults.append(f"expected IP:PORT as {key}, found {values[key]!r}")
 
 
+def _read_processors(values, faults):
+    found = _read_numbers(values, PROCESSORS, faults)
+    if "share" not in found:
+        return {}
+    return {"processors": found["share"] * found.get("factor", 1.0)}
+
+
 def _read_numbers(values, fields, faults):
     numbers = {}
     for name, (key, unit) in fields.items():
--- a/peridotspoke/platform/tests/test_settings.py
+++ b/peridotspoke/platform/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from peridotspoke.exceptions import SettingsError
+from peridotspoke.nodes.settings import LINK, PROCESSORS
 from peridotspoke.platform import parse_settings, read_settings_file
 
 TEXT = """
@@ -34,6 +35,16 @@
     assert settings.hold <= settings.bounds.hold_most
 
 
+def test_the_instances_size_is_read_and_neutral_where_it_is_not_told():
+    """The share of a processor counts as often as the processor is faster."""
+    size = "limits.cpuShare=0.5\nlimits.cores=2\nlimits.linkMbps=5.0\n"
+    settings = parse_settings(TEXT + size)
+    assert settings.processors == pytest.approx(1.0)
+    assert settings.link == pytest.approx(5.0)
+    untold = parse_settings(TEXT)
+    assert (untold.processors, untold.link) == (PROCESSORS, LINK)
+
+
 def test_all_faults_are_named_at_once():
     """One look is enough to mend the file."""
     text = TEXT.replace("zone=a", "").replace("10.200.1.7:8621", "nowhere")
