Limit reads of the store by silence, not as a whole

Cause: each call to the store had a limit of the whole call, 0.8 s for a page of a whole read and the wait plus 0.6 s for a watch. A node with 5 Mbit/s carries some 400 KB in 0.8 s, alone. A larger page never arrived: it was given up, asked for again after 0.1 to 0.3 s and given up again, so that the same bytes kept the link busy, renewals and the configuration waited behind them and the view was never repaired.

The fix: reads and watches (GET) are limited until the answer begins, as before, then in the silence between two pieces (0.8 s), and as a whole by 12 s, which is the largest page over the least rate that a link spares for one answer. A slow link brings bytes all the time and a lost one none, so that lost ones are noticed as early as before. Commits, renewals and all other calls keep their limits.

Covered by the change: whole reads and watches of work/, op/ and servers/, and reads of single keys.

--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 import aiohttp
@@ -11,9 +12,12 @@
 from peridotspoke.exceptions import AnswerLostError, PlatformUnavailableError
 from peridotspoke.logs import log_event
 
-__all__ = ["Answer", "HttpPeer", "decode_body"]
+__all__ = ["Answer", "HttpPeer", "ReadLimits", "decode_body"]
 
 OLD_SESSION_GRACE = 5.0  # seconds that calls on replaced connections may still take
+LARGEST_ANSWER = 1_500_000  # bytes: a page of 1 MiB as base64 text, with its keys
+LEAST_LINK_RATE = 125_000  # bytes a second that a node's link spares for one answer
+LONGEST_ARRIVAL = LARGEST_ANSWER / LEAST_LINK_RATE  # seconds
 HTTP_OK = 200
 DISCARD_AT_CLOSE = struct.pack("ii", 1, 0)  # struct linger, socket(7)
 
@@ -26,6 +30,28 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ReadLimits:
+    """How long the answer to a read may take, in seconds.
+
+    A slow link brings a large answer late but steadily, and one that is lost brings
+    nothing. Silence is limited closely, the whole answer by what its link must carry.
+
+    Parameters
+    ----------
+    begin : float
+        Until the answer begins.
+    silence : float
+        Between two pieces of it.
+    arrival : float, optional
+        From its beginning to its end.
+    """
+
+    begin: float
+    silence: float
+    arrival: float = LONGEST_ARRIVAL
+
+
 class HttpPeer:
     """Calls one peer over connections that are replaced after each time-out.
 
@@ -68,7 +94,7 @@
         data = None if body is None else msgspec.json.encode(body)
         sent = {"Content-Type": "application/json"} if data else {}
         session = self._open_session()
-        try:
+        with self._name_losses(session, f"{method} {path}"):
             async with session.request(
                 method,
                 f"http://{self.address}{path}",
@@ -79,14 +105,47 @@
                 ),
             ) as response:
                 return Answer(response.status, await response.read())
+
+    async def read(self, path, limits):
+        """Return the `Answer` to a call that has no effect.
+
+        Parameters
+        ----------
+        path : str
+        limits : ReadLimits
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the call was certainly not received.
+        AnswerLostError
+            If it may have been received.
+        """
+        session = self._open_session()
+        with self._name_losses(session, f"GET {path}"):
+            async with (
+                asyncio.timeout(limits.begin) as limit,
+                session.get(
+                    f"http://{self.address}{path}",
+                    timeout=aiohttp.ClientTimeout(connect=self._connect_timeout),
+                ) as response,
+            ):
+                return Answer(
+                    response.status, await _read_body(response, limit, limits)
+                )
+
+    @contextmanager
+    def _name_losses(self, session, step):
+        try:
+            yield
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
             raise PlatformUnavailableError(
-                f"no connection: {error!r}", step=f"{method} {path}", peer=self.address
+                f"no connection: {error!r}", step=step, peer=self.address
             ) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._replace_session(session)
             raise AnswerLostError(
-                f"no answer: {error!r}", step=f"{method} {path}", peer=self.address
+                f"no answer: {error!r}", step=step, peer=self.address
             ) from error
 
     async def close(self):
@@ -125,6 +184,18 @@
         task.add_done_callback(self._closing.discard)
 
 
+async def _read_body(response, limit, limits):
+    """Return the body, moving the `limit` on with each piece that arrives."""
+    loop = asyncio.get_running_loop()
+    latest = loop.time() + limits.arrival
+    pieces = []
+    limit.reschedule(min(latest, loop.time() + limits.silence))
+    async for piece in response.content.iter_any():
+        pieces.append(piece)
+        limit.reschedule(min(latest, loop.time() + limits.silence))
+    return b"".join(pieces)
+
+
 def _make_socket(address):
     """Return a socket whose close discards what has not been delivered.
 
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -10,7 +10,7 @@
     LeaseExpiredError,
     PlatformUnavailableError,
 )
-from peridotspoke.platform.http import HTTP_OK, decode_body
+from peridotspoke.platform.http import HTTP_OK, ReadLimits, decode_body
 from peridotspoke.store import (
     Change,
     CommitResult,
@@ -82,7 +82,7 @@
     peer : HttpPeer
     clock : Clock
     timeout : float
-        Limit of one call, seconds.
+        Limit of one call, seconds; of a read, of each silence.
     watch_rules : WatchRules, optional
     note_call : callable, optional
         Called with the kind of each call, its result, whether it was served, the
@@ -107,7 +107,7 @@
 
     async def read(self, key):
         """Return the `Record` of `key`, or None."""
-        answer = await self._call("GET", f"kv-key?key={quote(key)}", "key")
+        answer = await self._read(f"kv-key?key={quote(key)}", "key")
         if answer.status == HTTP_NOT_FOUND:
             return None
         return self._decode(answer, _Item, "kv-key").decode()
@@ -118,9 +118,8 @@
         while True:
             query = f"kv-range?prefix={quote(prefix)}"
             query += f"&after={quote(after)}" if after else ""
-            page = self._decode(
-                await self._call("GET", query, "range"), _Items, "kv-range"
-            )
+            answer = await self._read(query, "range")
+            page = self._decode(answer, _Items, "kv-range")
             revision = page.as_of if revision is None else revision
             records += [item.decode() for item in page.items]
             if not page.has_more or not page.items:
@@ -184,9 +183,7 @@
                 f"kv-watch?prefix={quote(prefix)}&after={revision}"
                 f"&waitMs={round(wait * 1000)}"
             )
-            answer = await self._call(
-                "GET", query, "watch", timeout=wait + rules.margin
-            )
+            answer = await self._read(query, "watch", wait + rules.margin)
             found = self._decode(answer, _Items, "kv-watch")
             revision = max(revision, found.as_of)
             wait = rules.busy_wait if found.events else rules.wait
@@ -202,11 +199,21 @@
         await self._peer.close()
 
     async def _call(self, method, path, kind, body=None, timeout=None):
+        return await self._take(
+            kind,
+            self._peer.call(
+                method, f"/peridotspoke/{path}", timeout or self._timeout, body
+            ),
+        )
+
+    async def _read(self, path, kind, begin=None):
+        limits = ReadLimits(begin or self._timeout, self._timeout)
+        return await self._take(kind, self._peer.read(f"/peridotspoke/{path}", limits))
+
+    async def _take(self, kind, answering):
         asked_at = self._clock.read_monotonic()
         try:
-            answer = await self._peer.call(
-                method, f"/peridotspoke/{path}", timeout or self._timeout, body
-            )
+            answer = await answering
         except (AnswerLostError, PlatformUnavailableError) as error:
             self._note(kind, type(error).__name__, False, 0, asked_at)
             raise
