Let an answer to a read that arrives outlive the loss of other calls

Cause: reads shared their connections with all calls to the store. Once any call timed out, its contemporaries' connections were closed after 5 s, or at once when the store served the node again, with answers that were arriving. A large answer over a slow link is just what makes small calls late, and may take longer than 5 s.

The fix: reads have connections of their own beside those of other calls. Both are replaced after a time-out, so that nothing new is sent on a connection that was open then. Old ones of calls are closed after the grace or when the peer is back, as before, and reads whose answer has not begun end then too. One whose answer arrives shows that its connection works and has its limit of silence; the old connections of reads are closed with the last of them.

test_an_answer_that_arrives_outlives_the_loss_of_another failed in all four cases before, and so did test_a_read_that_hangs_is_given_up_once_the_peer_answers_again: a drop of stale calls at the moment of the loss cancelled the task that was to close the connections before it ran, and they stayed open. An event tells it now. The other new tests passed before.

--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from contextlib import contextmanager
+from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import dataclass
 
 import aiohttp
@@ -56,7 +56,8 @@
     """Calls one peer over connections that are replaced after each time-out.
 
     A connection may go silent for good while new ones work, so that no later call
-    uses a connection that was open when a call timed out.
+    uses a connection that was open when a call timed out. An answer to a read that
+    arrives on one shows that it works, and may end.
 
     Parameters
     ----------
@@ -69,8 +70,8 @@
     def __init__(self, address, connect_timeout=0.6):
         self.address = address
         self._connect_timeout = connect_timeout
-        self._session = None
-        self._closing = set()
+        self._connections = None
+        self._closing = {}
 
     async def call(self, method, path, timeout, body=None, headers=None):
         """Return the `Answer` to one call.
@@ -93,9 +94,9 @@
         """
         data = None if body is None else msgspec.json.encode(body)
         sent = {"Content-Type": "application/json"} if data else {}
-        session = self._open_session()
-        with self._name_losses(session, f"{method} {path}"):
-            async with session.request(
+        connections = self._open_connections()
+        with self._name_losses(connections, f"{method} {path}"):
+            async with connections.calls.request(
                 method,
                 f"http://{self.address}{path}",
                 data=data,
@@ -121,21 +122,22 @@
         AnswerLostError
             If it may have been received.
         """
-        session = self._open_session()
-        with self._name_losses(session, f"GET {path}"):
+        connections = self._open_connections()
+        with self._name_losses(connections, f"GET {path}"):
             async with (
-                asyncio.timeout(limits.begin) as limit,
-                session.get(
+                connections.admit_read(limits.begin) as limit,
+                connections.reads.get(
                     f"http://{self.address}{path}",
                     timeout=aiohttp.ClientTimeout(connect=self._connect_timeout),
                 ) as response,
             ):
+                connections.hanging.discard(limit)
                 return Answer(
                     response.status, await _read_body(response, limit, limits)
                 )
 
     @contextmanager
-    def _name_losses(self, session, step):
+    def _name_losses(self, connections, step):
         try:
             yield
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
@@ -143,45 +145,109 @@
                 f"no connection: {error!r}", step=step, peer=self.address
             ) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            self._replace_session(session)
+            self._replace(connections)
             raise AnswerLostError(
                 f"no answer: {error!r}", step=step, peer=self.address
             ) from error
 
     async def close(self):
         """Close all connections."""
-        session, self._session = self._session, None
-        if session is not None:
-            await session.close()
+        connections, self._connections = self._connections, None
+        if connections is not None:
+            await connections.close()
 
-    def _open_session(self):
-        if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=60.0,
-                use_dns_cache=False,
-                socket_factory=_make_socket,
-            )
-            self._session = aiohttp.ClientSession(
-                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-            )
-        return self._session
+    def _open_connections(self):
+        if self._connections is None:
+            self._connections = _Connections()
+        return self._connections
 
     def drop_stale_calls(self):
-        """Give up the calls on connections that were replaced.
+        """Give up the calls that hang on connections that were replaced.
 
         They may hang although the peer answers on new ones.
         """
-        for task in list(self._closing):
-            task.cancel()
+        for connections in self._closing.values():
+            connections.is_stale.set()
 
-    def _replace_session(self, failed):
-        if self._session is not failed:
+    def _replace(self, failed):
+        if self._connections is not failed:
             return
-        task = asyncio.ensure_future(_close_later(self._session))
-        self._session = None
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        self._connections = None
+        task = asyncio.ensure_future(_close_later(failed))
+        self._closing[task] = failed
+        task.add_done_callback(self._closing.pop)
+
+
+class _Connections:
+    """The connections of one time, those of reads apart from the others.
+
+    `hanging` holds the limits of the reads whose answer has not begun.
+    """
+
+    def __init__(self):
+        self.is_stale = asyncio.Event()
+        self.hanging = set()
+        self._sessions = {}
+        self._reads_under_way = 0
+        self._is_retired = False
+
+    @property
+    def calls(self):
+        """The session of the calls that may have an effect."""
+        return self._open("calls")
+
+    @property
+    def reads(self):
+        """The session of the reads."""
+        return self._open("reads")
+
+    def _open(self, kind):
+        if kind not in self._sessions:
+            self._sessions[kind] = _open_session()
+        return self._sessions[kind]
+
+    @asynccontextmanager
+    async def admit_read(self, begin):
+        """Yield the `asyncio.Timeout` of one read, `begin` seconds at first."""
+        self._reads_under_way += 1
+        try:
+            async with asyncio.timeout(begin) as limit:
+                self.hanging.add(limit)
+                yield limit
+        finally:
+            self.hanging.discard(limit)
+            self._reads_under_way -= 1
+            if self._is_retired and not self._reads_under_way:
+                await self.close()
+
+    async def retire(self):
+        """End the calls and the reads that hang; close with the last answer."""
+        self._is_retired = True
+        now = asyncio.get_running_loop().time()
+        for limit in self.hanging:
+            if not limit.expired():
+                limit.reschedule(now)
+        if not self._reads_under_way:
+            await self.close()
+        elif "calls" in self._sessions:
+            await self._sessions["calls"].close()
+
+    async def close(self):
+        """Close all connections."""
+        for session in self._sessions.values():
+            await session.close()
+
+
+def _open_session():
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=60.0,
+        use_dns_cache=False,
+        socket_factory=_make_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    )
 
 
 async def _read_body(response, limit, limits):
@@ -207,11 +273,11 @@
     return opened
 
 
-async def _close_later(session):
-    try:
-        await asyncio.sleep(OLD_SESSION_GRACE)
-    finally:
-        await session.close()
+async def _close_later(connections):
+    with suppress(TimeoutError):
+        async with asyncio.timeout(OLD_SESSION_GRACE):
+            await connections.is_stale.wait()
+    await connections.retire()
 
 
 def decode_body(answer, body_class, step, peer):
--- a/peridotspoke/platform/tests/test_http.py
+++ b/peridotspoke/platform/tests/test_http.py
@@ -1,10 +1,12 @@
 """Tests of the adapter's HTTP client against a raw socket."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from peridotspoke.exceptions import AnswerLostError, PlatformUnavailableError
+from peridotspoke.platform import http
 from peridotspoke.platform.http import HttpPeer, ReadLimits
 
 NEVER = 3600.0  # seconds; a limit that must not be the one that ends a call
@@ -168,3 +170,132 @@
         assert await ended == "reset"
     await peer.close()
     server.close()
+
+
+class SwitchedServer:
+    """Answers at once, but for paths that never, or only in part, are answered.
+
+    `/silent` gets no answer, `/large` begins at once and ends when `released` is set.
+    `asked` holds the paths of each connection.
+    """
+
+    def __init__(self):
+        self.asked = []
+        self.open_connections = 0
+        self.begun, self.released = asyncio.Event(), asyncio.Event()
+
+    async def open(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        return HttpPeer(f"{host}:{port}")
+
+    async def _serve(self, reader, writer):
+        paths = []
+        self.asked.append(paths)
+        self.open_connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                request = await reader.readuntil(b"\r\n\r\n")
+                paths.append(request.split()[1].decode())
+                if paths[-1] == "/silent":
+                    continue
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{")
+                if paths[-1] == "/large":
+                    self.begun.set()
+                    await self.released.wait()
+                writer.write(b"}")
+        self.open_connections -= 1
+        writer.transport.abort()
+
+    def close(self):
+        self.released.set()
+        self._server.close()
+
+
+PATIENT = ReadLimits(begin=NEVER, silence=NEVER, arrival=NEVER)
+HASTY = ReadLimits(begin=0.1, silence=NEVER, arrival=NEVER)
+
+
+async def lose_call(peer):
+    """Lose a call with an effect."""
+    with pytest.raises(AnswerLostError):
+        await peer.call("POST", "/silent", timeout=0.1)
+
+
+async def lose_read(peer):
+    """Lose a read."""
+    with pytest.raises(AnswerLostError):
+        await peer.read("/silent", HASTY)
+
+
+@pytest.mark.parametrize("lose", [lose_call, lose_read])
+@pytest.mark.parametrize("grace", [0.0, NEVER], ids=["grace-over", "peer-returns"])
+async def test_an_answer_that_arrives_outlives_the_loss_of_another(
+    monkeypatch, lose, grace
+):
+    # It was cut off and asked for anew while its link was slow and other calls failed.
+    monkeypatch.setattr(http, "OLD_SESSION_GRACE", grace)
+    server = SwitchedServer()
+    peer = await server.open()
+    async with asyncio.timeout(30):
+        arriving = asyncio.ensure_future(peer.read("/large", PATIENT))
+        await server.begun.wait()
+        await lose(peer)
+        await peer.read("/", PATIENT)
+        peer.drop_stale_calls()
+        while peer._closing:
+            await asyncio.sleep(0.01)
+        server.released.set()
+        assert (await arriving).body == b"{}"
+    await peer.close()
+    server.close()
+
+
+async def test_a_read_that_hangs_is_given_up_once_the_peer_answers_again():
+    """It waits for an answer that has not begun, unlike one that arrives."""
+    server = SwitchedServer()
+    peer = await server.open()
+    async with asyncio.timeout(30):
+        hanging = asyncio.ensure_future(peer.read("/silent", PATIENT))
+        while server.asked != [["/silent"]]:
+            await asyncio.sleep(0.01)
+        await lose_call(peer)
+        peer.drop_stale_calls()
+        with pytest.raises(AnswerLostError):
+            await hanging
+    await peer.close()
+    server.close()
+
+
+@pytest.mark.parametrize("lose", [lose_call, lose_read])
+async def test_no_connection_from_before_a_loss_is_used_after_it(lose):
+    server = SwitchedServer()
+    peer = await server.open()
+    async with asyncio.timeout(30):
+        await peer.read("/a", PATIENT)
+        await peer.call("POST", "/b", timeout=NEVER)
+        await lose(peer)
+        await peer.read("/c", PATIENT)
+        await peer.call("POST", "/d", timeout=NEVER)
+        before = [paths for paths in server.asked if {"/a", "/b"} & {*paths}]
+        assert not [paths for paths in before if {"/c", "/d"} & {*paths}]
+    await peer.close()
+    server.close()
+
+
+async def test_connections_of_reads_are_closed_with_the_last_answer_on_them():
+    server = SwitchedServer()
+    peer = await server.open()
+    async with asyncio.timeout(30):
+        arriving = asyncio.ensure_future(peer.read("/large", PATIENT))
+        await server.begun.wait()
+        await lose_call(peer)
+        peer.drop_stale_calls()
+        while peer._closing:
+            await asyncio.sleep(0.01)
+        server.released.set()
+        await arriving
+        while server.open_connections:
+            await asyncio.sleep(0.01)
+    await peer.close()
+    server.close()
