Date a view by when its changes were asked for, not by their arrival

Cause: a watch's answer with changes dated the records by its arrival.

Change: changes prove the records as of the time when they were asked for; an empty answer, which is small, as of its arrival.

--- a/peridotspoke/store/following.py
+++ b/peridotspoke/store/following.py
@@ -217,12 +217,20 @@
         log_event("watch-silent", "WARNING", prefix=self._prefix, revision=revision)
 
     async def _follow_confirming(self, revision):
-        """Yield after each batch; each proves the records up to its revision."""
+        """Yield after each batch; each proves the records up to its revision.
+
+        One with changes may have been on its way for long, and proves them only as
+        of when it was asked for.
+        """
+        asked_at = self._clock.read_monotonic()
         async with aclosing(self._service.watch(self._prefix, revision)) as batches:
             async for batch in batches:
-                self._confirmed_at = self._clock.read_monotonic()
+                now = self._clock.read_monotonic()
+                proved_at = asked_at if batch.changes else now
+                self._confirmed_at = max(self._confirmed_at, proved_at)
                 changed = _apply_batch(self._records, batch)
                 yield self._report(changed, batch.revision)
+                asked_at = self._clock.read_monotonic()
 
     def _report(self, changed, revision):
         return FollowedRecords(self._records, changed, self._confirmed_at, revision)
--- a/peridotspoke/store/tests/test_following.py
+++ b/peridotspoke/store/tests/test_following.py
@@ -4,9 +4,19 @@
 import random
 from contextlib import aclosing
 
+import pytest
+
 from peridotspoke.clock import ManualClock
+from peridotspoke.exceptions import PlatformUnavailableError
 from peridotspoke.standins import MemoryKeyValueService, StoreStandIn
-from peridotspoke.store import FollowingRules, follow_prefix
+from peridotspoke.store import (
+    Change,
+    FollowingRules,
+    Record,
+    Snapshot,
+    WatchBatch,
+    follow_prefix,
+)
 
 MOST_CHANGES = 500
 RULES = FollowingRules(check_interval=0.02)
@@ -52,3 +62,39 @@
     assert 0 < len(step.records) < MOST_CHANGES
     assert step.confirmed_at > 100.0
     assert store.calls["watch"] == 1
+
+
+class SlowWatch:
+    """Each of its answers, with or without a change, takes 3 s of the clock."""
+
+    watch_confirms = True
+
+    def __init__(self, clock, batches):
+        self._clock = clock
+        self._batches = batches
+
+    async def read_prefix(self, prefix):
+        return Snapshot((), 1)
+
+    async def watch(self, prefix, from_revision):
+        for batch in self._batches:
+            self._clock.advance(3.0)
+            yield batch
+        raise PlatformUnavailableError("refused", step="watch")
+
+
+@pytest.mark.parametrize(("changes", "confirmed_at"), [(True, 100.5), (False, 103.5)])
+async def test_changes_on_a_slow_link_do_not_date_the_records_by_their_arrival(
+    changes, confirmed_at
+):
+    # What else had changed while they were on their way is not known.
+    clock = ManualClock(start=100.0)
+    record = Record("pools/p1", b"{}", 2)
+    change = (Change(record.key, record, 2),) if changes else ()
+    service = SlowWatch(clock, [WatchBatch(change, 2)])
+    follow = follow_prefix(service, "pools/", clock=clock, chance=random.Random(1))
+    async with aclosing(follow) as steps:
+        await anext(steps)
+        clock.advance(0.5)
+        followed = await anext(steps)
+    assert followed.confirmed_at == confirmed_at
