Turn jobs away only by what a present owner told lately

A stuck or dead owner that told of a long wait would have had its pool's jobs refused for good, though a successor had room.

Change: it counts for 5 s and under the present owner's fence alone; otherwise jobs are accepted, as where nothing was told.

Test, failing before in both cases: test_no_job_is_turned_away_by_what_an_owner_told_long_ago.

--- a/peridotspoke/nodes/desk.py
+++ b/peridotspoke/nodes/desk.py
@@ -32,6 +32,7 @@
 STORE_RETRY = 1.0  # seconds after which a caller may come back when the store is away
 SPREAD = 1.5  # factor over which the return of refused callers is spread
 WRITE_TRIES = 3
+MOST_DEMAND_AGE = 5.0  # seconds; a change of the owner takes less
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,11 +156,19 @@
     def _refuse(self, job):
         if not self._node.has_store():
             return Refused("the store is away", self._spread(STORE_RETRY))
-        wait = find_room_wait(job, self._node.view.pools.get(job.pool))
+        wait = find_room_wait(job, self._find_demand(job.pool))
         if wait is None:
             return None
         return Refused("no room in time", self._spread(wait), overloaded=True)
 
+    def _find_demand(self, pool):
+        """Return what a pool's present owner told lately, or None."""
+        view = self._node.view
+        waiting, age = view.find_waiting(pool, self._node.clock.read_monotonic())
+        if waiting is None or age > MOST_DEMAND_AGE:
+            return None
+        return view.pools.get(pool)
+
     def _spread(self, seconds):
         """Return a time at which not all callers come back together."""
         return seconds * self._node.chance.uniform(1.0, SPREAD)
--- a/peridotspoke/nodes/tests/test_desk.py
+++ b/peridotspoke/nodes/tests/test_desk.py
@@ -248,6 +248,7 @@
     """A refusal would say that it never runs."""
     parts, desk = make_desk()
     await submit(desk)
+    hear_owner(parts, 7, 7, waiting=5)
     parts.view.pools["pool"] = PoolDemand(wait=30.0)
     assert isinstance(await submit(desk), answers.Accepted)
     other = await submit(desk, path=f"/q/{OTHER_JOB}")
@@ -332,6 +333,7 @@
 async def test_a_job_that_would_be_done_too_late_is_turned_away_with_a_time():
     """It hears when room is expected; jobs that can be served are accepted."""
     parts, desk = make_desk()
+    hear_owner(parts, 7, 7, waiting=5)
     parts.view.pools["pool"] = PoolDemand(wait=30.0)
     answer = await submit(desk)
     assert isinstance(answer, answers.Refused)
@@ -342,6 +344,17 @@
     assert isinstance(await submit(desk), answers.Accepted)
 
 
+@pytest.mark.parametrize(("age", "told_by"), [(5.1, 7), (0.0, 6)])
+async def test_no_job_is_turned_away_by_what_an_owner_told_long_ago(age, told_by):
+    # The owner is stuck, or has gone.
+    parts, desk = make_desk()
+    hear_owner(parts, 7, told_by, waiting=5)
+    parts.view.pools["pool"] = PoolDemand(wait=30.0)
+    parts.clock.advance(age)
+    parts.note_store_call("watch", "200", served=True)
+    assert isinstance(await submit(desk), answers.Accepted)
+
+
 async def test_the_time_of_each_acceptance_is_measured_by_its_outcome():
     """The metrics tell how long callers waited for which answer."""
     parts, desk = make_desk()
