Keep runs, leases and ends apart by the life of their executor

Change: a run that no report has listed stays until a report of the new life; leases of such runs are awaited for the longest lease; a cursor is sent only to a life that answered and can't have run anything since; the permission to order is checked as an order is sent.

Tests: each scenario fails without its safeguard.

--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -23,6 +23,7 @@
 
 CLOCK_DRIFT = 0.02  # share of elapsed time; the platform's bound for executors' clocks
 MS_PER_SECOND = 1000
+RECENT_ANSWER_S = 0.2  # less than an executor's restart and a run on it take
 
 
 class ClockBounds:
@@ -132,6 +133,9 @@
         Sent with each order.
     rules : SessionRules
     clock : Clock
+    may_order : callable
+        Returns whether this node may still send orders. Called just before each order
+        is sent, since the process may have been paused after the order was planned.
     may_extend_leases : callable
         Returns whether the leases of runs may still be extended.
     post : callable
@@ -148,6 +152,7 @@
         fence,
         rules,
         clock,
+        may_order,
         may_extend_leases,
         post,
         record_lease_end,
@@ -157,12 +162,14 @@
         self._fence = fence
         self._rules = rules
         self._clock = clock
+        self._may_order = may_order
         self._may_extend_leases = may_extend_leases
         self._post = post
         self._record_lease_end = record_lease_end
         self._clock_bounds = ClockBounds()
         self._incarnation = 0
         self._failures = 0
+        self._answered_at = float("-inf")
         self._wake = asyncio.Event()
 
     @property
@@ -187,11 +194,12 @@
         """Send the order to start a run, once, and post its outcome.
 
         Posts `StartLost` where the outcome is unknown. The order is refused as late,
-        without a call, while the executor's clock is unknown or leases may not be
-        extended.
+        without a call, while the executor's clock is unknown, or orders may not be
+        sent, or leases may not be extended.
         """
         now = self._clock.read_monotonic()
-        if not self._clock_bounds.is_known or not self._may_extend_leases():
+        may_send = self._may_order() and self._may_extend_leases()
+        if not self._clock_bounds.is_known or not may_send:
             self._post(StartAnswered(run, Refusal.LATE))
             return
         order = StartOrder(
@@ -220,6 +228,8 @@
     async def stop(self, order, is_due):
         """Send the order to stop a run until it is answered or no longer due.
 
+        Nothing is sent while this node may not order.
+
         Parameters
         ----------
         order : StopOrder
@@ -227,6 +237,9 @@
             Called with the executor's identity and the order.
         """
         while is_due(self.executor_id, order):
+            if not self._may_order():
+                await asyncio.sleep(self._rules.retry)
+                continue
             try:
                 refusal = await self._calls.stop(order)
             except (AnswerLostError, PlatformUnavailableError):
@@ -244,6 +257,8 @@
 
     async def throttle(self, order):
         """Send a `ThrottleOrder` once; the supervisor repeats one that was lost."""
+        if not self._may_order():
+            return
         try:
             await self._calls.throttle(order)
         except (AnswerLostError, PlatformUnavailableError) as error:
@@ -259,7 +274,7 @@
         This call does not extend leases.
         """
         asked_at = self._clock.read_monotonic()
-        order = LeaseRenewal(self._fence, self._state.acknowledged)
+        order = LeaseRenewal(self._fence, self._choose_cursor(asked_at))
         try:
             report = await self._calls.renew_leases(order)
         except (AnswerLostError, PlatformUnavailableError) as error:
@@ -268,6 +283,21 @@
         if report.refusal is None:
             self._post(ReportArrived(self.executor_id, report, asked_at))
 
+    def _choose_cursor(self, now):
+        """Return the number of the last ended run that the executor may forget.
+
+        The numbers of ended runs start anew in each incarnation. So 0, which lets
+        nothing be forgotten, is returned while the executor may have restarted and
+        run something since its last answer: the cursor would make the new incarnation
+        forget ends that were never reported.
+        """
+        has_recent_answer = now - self._answered_at < RECENT_ANSWER_S
+        if self._failures or self._incarnation != self._state.incarnation:
+            return 0
+        if self._state.has_unreported_run and not has_recent_answer:
+            return 0
+        return self._state.acknowledged
+
     async def _poll(self):
         asked_at = self._clock.read_monotonic()
         lease_end_ms = None
@@ -279,7 +309,8 @@
             lease_end_ms = self._extend_leases(asked_at)
         busy = bool(self._state.runs) and self._clock_bounds.is_known
         wait = self._rules.poll_wait if busy and self._failures == 0 else 0.0
-        order = LeaseRenewal(self._fence, self._state.acknowledged, lease_end_ms, wait)
+        cursor = self._choose_cursor(asked_at)
+        order = LeaseRenewal(self._fence, cursor, lease_end_ms, wait)
         try:
             report = await self._calls.renew_leases(order)
         except (AnswerLostError, PlatformUnavailableError) as error:
@@ -292,7 +323,7 @@
         return True
 
     def _update_clock_bounds(self, report, asked_at):
-        now = self._clock.read_monotonic()
+        now = self._answered_at = self._clock.read_monotonic()
         if report.incarnation != self._incarnation:
             self._incarnation = report.incarnation
             self._clock_bounds = ClockBounds()
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -73,15 +73,10 @@
         self._rules = SessionRules(
             run_lease=settings.run_lease, poll_wait=settings.timing.poll_wait
         )
-        max_life = (
-            settings.run_lease + settings.timing.extension_limit
-        ) * SLOW_CLOCK_FACTOR
         self._ledger = PoolLedger(
             holding.unit,
             holding.fence,
-            LedgerRules(
-                max_life, margin=(SLOW_CLOCK_FACTOR - 1.0) * settings.run_lease
-            ),
+            _make_ledger_rules(settings),
             node.clock.read_monotonic(),
             self._log,
         )
@@ -348,6 +343,7 @@
             self._holding.fence,
             self._rules,
             self._node.clock,
+            self._node.ownership.may_order,
             self._node.ownership.may_extend_leases,
             self._queue.put_nowait,
             self._ledger.extend_lease,
@@ -356,6 +352,20 @@
         self._sessions[state.executor_id] = (session, task, state.entry.address)
 
 
+def _make_ledger_rules(settings):
+    """Return the `LedgerRules` for the leases that sessions grant to runs."""
+    run_lease = settings.run_lease
+    longest_lease = (
+        settings.bounds.max_run_lease * SLOW_CLOCK_FACTOR + settings.timing.call
+    )
+    return LedgerRules(
+        inherited_lease=(run_lease + settings.timing.extension_limit)
+        * SLOW_CLOCK_FACTOR,
+        margin=(SLOW_CLOCK_FACTOR - 1.0) * run_lease,
+        restart_excess=max(0.0, longest_lease - run_lease),
+    )
+
+
 def _format_task_key(key):
     return f"{key.occurrence}.{key.step}.{key.index}"
 
--- /dev/null
+++ b/peridotspoke/nodes/tests/test_sessions.py
@@ -0,0 +1,137 @@
+"""Tests of when a session sends orders, and which ends it lets an executor forget."""
+
+import pytest
+
+from peridotspoke.clock import ManualClock
+from peridotspoke.exceptions import AnswerLostError
+from peridotspoke.nodes.messages import StartAnswered
+from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
+from peridotspoke.workloads.executors import (
+    ExecutorCalls,
+    Refusal,
+    RunReport,
+    StopOrder,
+    ThrottleOrder,
+)
+from peridotspoke.workloads.tests.ledgers import (
+    add_job,
+    end,
+    make_ledger,
+    report,
+    start_all,
+)
+
+FENCE = 7
+
+
+class FakeExecutor(ExecutorCalls):
+    """Records the calls and answers with the reports of `answers`, in turn."""
+
+    def __init__(self, incarnation=1):
+        self.incarnation = incarnation
+        self.sent = []
+        self.is_silent = False
+
+    async def start(self, order):
+        self.sent.append(order)
+
+    async def stop(self, order):
+        self.sent.append(order)
+
+    async def throttle(self, order):
+        self.sent.append(order)
+
+    async def renew_leases(self, order):
+        self.sent.append(order)
+        if self.is_silent:
+            raise AnswerLostError("silent", step="renew leases")
+        return RunReport(1000, self.incarnation)
+
+    async def close(self):
+        return None
+
+
+class SessionFixture:
+    """A session with a fake executor, and a permission that tests can withdraw."""
+
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.ledger = make_ledger("e1", now=100.0)
+        self.executor = FakeExecutor()
+        self.permitted = True
+        self.messages = []
+        self.session = ExecutorSession(
+            self.ledger.executors["e1"],
+            self.executor,
+            FENCE,
+            SessionRules(run_lease=5.0),
+            self.clock,
+            lambda: self.permitted,
+            lambda: True,
+            self.messages.append,
+            self.ledger.extend_lease,
+        )
+
+    async def poll(self):
+        """Let the session poll, and return the cursor that it sent."""
+        await self.session._poll()
+        return self.executor.sent[-1].cursor
+
+    def acknowledge_one_end(self):
+        """Let the ledger handle and store the end of a run, and return its job."""
+        progress = add_job(self.ledger)
+        first, second = start_all(self.ledger, self.clock.read_monotonic())
+        now = self.clock.read_monotonic() + 0.001
+        report(self.ledger, "e1", now, [first, second])
+        report(self.ledger, "e1", now, [second], [end(1, first)])
+        self.ledger.acknowledge_ends(self.ledger.list_end_cursors())
+        return progress
+
+
+async def test_a_process_that_was_paused_sends_no_order_with_an_expired_permission():
+    """The permission is checked when an order is sent, not only when it is planned."""
+    fixture = SessionFixture()
+    add_job(fixture.ledger)
+    (run, _) = start_all(fixture.ledger, 100.0)
+    await fixture.poll()
+    fixture.executor.sent.clear()
+    fixture.permitted = False
+    await fixture.session.start(run)
+    await fixture.session.throttle(ThrottleOrder(run.key, run.number, 50, FENCE))
+    dues = [True, False]
+    order = StopOrder(run.key, run.number, FENCE)
+    await fixture.session.stop(order, lambda *_: dues.pop(0))
+    assert fixture.executor.sent == []
+    answers = [item for item in fixture.messages if isinstance(item, StartAnswered)]
+    assert [answer.refusal for answer in answers] == [Refusal.LATE]
+
+
+async def test_an_executor_that_may_have_restarted_is_told_to_forget_no_end():
+    """The next incarnation numbers its ends anew, and would forget new ones."""
+    fixture = SessionFixture()
+    fixture.acknowledge_one_end()
+    assert await fixture.poll() == 0  # no answer of this session yet
+    assert await fixture.poll() == 1
+    fixture.executor.is_silent = True
+    assert await fixture.poll() == 1
+    assert await fixture.poll() == 0  # it did not answer the poll before
+    fixture.executor.is_silent = False
+    fixture.executor.incarnation = 2
+    assert await fixture.poll() == 0
+    assert await fixture.poll() == 0  # the ledger does not know the restart yet
+    report(fixture.ledger, "e1", 101.0, incarnation=2)
+    assert await fixture.poll() == 0  # nothing of the new incarnation is acknowledged
+
+
+@pytest.mark.parametrize(("pause", "cursor"), [(0.05, 1), (2.5, 0)])
+async def test_an_unreported_run_delays_the_cursor_unless_the_answer_is_recent(
+    pause, cursor
+):
+    """A new incarnation could have started and ended the run since the last answer."""
+    fixture = SessionFixture()
+    fixture.acknowledge_one_end()
+    await fixture.poll()
+    add_job(fixture.ledger, job_id="a" * 16)
+    assert start_all(fixture.ledger, 100.0)
+    fixture.clock.advance(pause)
+    assert await fixture.poll() == cursor
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -110,6 +110,7 @@
             state.cursor = state.acknowledged = 0
             state.foreign.clear()
             state.reported_at = None
+            state.lease_end += self.rules.restart_excess
             for run in list(state.runs.values()):
                 self._handle_run_after_restart(run, now)
         state.incarnation = incarnation
@@ -117,10 +118,12 @@
     def _handle_run_after_restart(self, run, now):
         """Release a run that ended when its executor restarted.
 
-        A start without an answer may still be carried out by the new incarnation, so
-        that run is stopped there first. An inherited run is left as it is: its start
-        can't be carried out any more once the executor has answered a request under
-        this owner's fence, and the report then shows whether it runs.
+        The new incarnation may have carried out a start that was sent before the
+        restart was known. So a run that no incarnation has reported yet stays until a
+        report of the new one shows whether it runs there, and a start without an
+        answer is stopped there first. An inherited run stays as well: its start can't
+        be carried out any more once the executor has answered a request under this
+        owner's fence.
         """
         if run.phase is RunPhase.INHERITED:
             return
@@ -128,8 +131,11 @@
             run.start_unconfirmed = True
             run.stop_answered_at = None
             self.stop_run(run, "start unconfirmed when the executor restarted")
-        else:
+        elif run.was_reported or run.phase is RunPhase.PLANNED:
             self.requeue(run, now, "executor restarted")
+        else:
+            run.stop_answered_at = None
+            self.requested_reports.add(run.executor_id)
 
     def extend_lease(self, executor_id, lease_end):
         """Record that the lease of an executor's runs may have been extended.
@@ -214,16 +220,29 @@
             Monotonic seconds.
         """
         for state in list(self.executors.values()):
-            if now <= state.lease_end + self.rules.margin:
+            lease_end = state.lease_end + self.rules.margin
+            if now <= lease_end:
                 continue
-            if state.runs and not state.reachable:
-                self.note("leases-expired", executor=state.executor_id)
             if not state.reachable or state.entry is None:
-                for run in list(state.runs.values()):
-                    self.requeue(run, now, "lease expired")
+                has_longest_ended = now > lease_end + self.rules.restart_excess
+                self._release_lapsed(state, has_longest_ended, now)
             if state.entry is None and not state.runs:
                 del self.executors[state.executor_id]
 
+    def _release_lapsed(self, state, has_longest_ended, now):
+        """Release the runs of an executor whose recorded leases have expired.
+
+        A run that no report has listed may be on a later incarnation, where its lease
+        can last longer; it is released if `has_longest_ended`.
+        """
+        lapsed = [
+            run for run in state.runs.values() if run.was_reported or has_longest_ended
+        ]
+        if lapsed and not state.reachable:
+            self.note("leases-expired", executor=state.executor_id)
+        for run in lapsed:
+            self.requeue(run, now, "lease expired")
+
     def apply_report(self, executor_id, report, asked_at, now, wall):
         """Update the ledger from an executor's report.
 
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -30,10 +30,15 @@
     margin : float
         Time that is waited beyond the end of a lease, seconds, because an executor's
         clock may be slow.
+    restart_excess : float, optional
+        By how long, seconds, a lease can exceed its recorded end where the order was
+        carried out by a later incarnation than the owner knew: the clock of each
+        incarnation starts anew, and an executor only limits the length of a lease.
     """
 
     inherited_lease: float
     margin: float
+    restart_excess: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -100,6 +100,11 @@
         """The `TaskKey` of the run's task."""
         return self.task.key
 
+    @property
+    def was_reported(self):
+        """Whether a report has listed the run."""
+        return self.reported_at > float("-inf")
+
 
 @dataclass(slots=True, eq=False)
 class ExecutorState:
@@ -181,6 +186,14 @@
             and now >= self.blocked_until
         )
 
+    @property
+    def has_unreported_run(self):
+        """Whether a run may have started that no report has listed."""
+        return any(
+            not run.was_reported and run.phase is not RunPhase.PLANNED
+            for run in self.runs.values()
+        )
+
     def compute_free(self):
         """Return the unused resources of the executor.
 
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -4,9 +4,11 @@
 from peridotspoke.workloads.executors import EndKind, Refusal
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, decode_summary
+from peridotspoke.workloads.runledger import LedgerRules
 from peridotspoke.workloads.tests.ledgers import (
     add_job,
     end,
+    make_entry,
     make_ledger,
     plan,
     report,
@@ -136,6 +138,60 @@
     assert unconfirmed.task.status is TaskStatus.ASSIGNED
 
 
+def test_a_run_that_was_never_reported_may_be_on_the_restarted_executor():
+    """The new incarnation can have answered a start that was sent to the old one."""
+    ledger = make_ledger("e1")
+    add_job(ledger)
+    listed, ended = start_all(ledger, 0.0)
+    report(ledger, "e1", 1.0, incarnation=2, asked_at=-0.5)
+    assert listed.task.status is TaskStatus.ASSIGNED
+    report(ledger, "e1", 2.0, [listed], incarnation=2)
+    assert listed.task.status is TaskStatus.ASSIGNED
+    assert ended.task.status is TaskStatus.WAITING
+
+
+def test_a_stopped_run_that_was_never_reported_is_stopped_again_after_a_restart():
+    """The earlier stop may have been answered by the old incarnation."""
+    ledger = make_ledger("e1")
+    add_job(ledger)
+    run, _ = start_all(ledger, 0.0)
+    ledger.stop_run(run, "test")
+    (command,) = ledger.list_stops()
+    ledger.apply_stop_answer("e1", command.order, 0.5)
+    ledger.see_entry(make_entry("e1", incarnation=2), 1.0)
+    assert run.task.status is TaskStatus.ASSIGNED
+    assert [item.order.key for item in ledger.list_stops()] == [run.key]
+
+
+def test_a_late_report_of_the_earlier_incarnation_changes_nothing():
+    """Its numbers of ended runs would be taken for those of the new incarnation."""
+    ledger = make_ledger("e1")
+    add_job(ledger)
+    first, second = start_all(ledger, 0.0)
+    report(ledger, "e1", 1.0, [first, second])
+    ledger.see_entry(make_entry("e1", incarnation=2), 2.0)
+    report(ledger, "e1", 2.1, [second], [end(1, first)], asked_at=1.5)
+    assert ledger.executors["e1"].cursor == 0
+    assert first.task.status is TaskStatus.WAITING
+    assert not list(ledger.list_stops())
+
+
+def test_leases_of_an_unreported_run_can_last_as_long_as_a_new_incarnation_allows():
+    """The time in an order means nothing on a clock that has started anew."""
+    rules = LedgerRules(inherited_lease=12.0, margin=0.1, restart_excess=6.0)
+    ledger = make_ledger("e1", rules=rules)
+    add_job(ledger)
+    reported, unreported = start_all(ledger, 0.0)
+    ledger.extend_lease("e1", 5.0)
+    report(ledger, "e1", 0.5, [reported], asked_at=-0.5)
+    ledger.note_unreachable("e1", "no answer", 1.0)
+    ledger.expire_leases(5.2)
+    assert reported.task.status is TaskStatus.WAITING
+    assert unreported.task.status is TaskStatus.ASSIGNED
+    ledger.expire_leases(11.2)
+    assert unreported.task.status is TaskStatus.WAITING
+
+
 def test_an_executor_that_refused_a_start_gets_none_for_a_while():
     """An executor without free capacity is not asked again immediately."""
     ledger = make_ledger("e1")
--- /dev/null
+++ b/peridotspoke/workloads/tests/test_ownership_walks.py
@@ -0,0 +1,75 @@
+"""Plays random walks through the histories of owners, and walks that once failed.
+
+With any one safeguard taken out, the walks must find a violation.
+"""
+
+import pytest
+
+from peridotspoke.workloads.tests.ownershipmodel import ViolationError
+from peridotspoke.workloads.tests.ownershipwalks import (
+    ONE_TASK,
+    TWO_STEPS,
+    Action,
+    find_violation,
+    play_walk,
+)
+from peridotspoke.workloads.tests.weakenedowners import WEAKENED_OWNERS
+
+WALKS = 20000
+
+
+def make_actions(text):
+    """Return the actions of a text such as ``"plan 1, take_over 0"``."""
+    rows = (row.split() for row in text.split(","))
+    return tuple(Action(kind, int(index)) for kind, index in rows)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_walk_breaks_a_rule(seed, restarts):
+    assert find_violation(seed, WALKS, restarts) is None
+
+
+@pytest.mark.parametrize(
+    ("steps", "actions", "safeguard"),
+    [
+        pytest.param(
+            TWO_STEPS,
+            "request_report 1, work_with_one 1, restart_executor 1, work_with_one 0,"
+            "restart_executor 0, work_with_one 1, request_report 2, deliver_order 0,"
+            "deliver_order 0, work_with_one 1, deliver_order 0",
+            "restarts end unreported runs",
+            id="a new incarnation answers a start that the owner sent to the old one",
+        ),
+        pytest.param(
+            ONE_TASK,
+            "restart_executor 22, work_with_all 10, work_with_all 44, lose_contact 2,"
+            "pass_time 22, pass_time 46, plan 35",
+            "leases keep to earlier clocks",
+            id="a lease was extended before the restart was known",
+        ),
+        pytest.param(
+            ONE_TASK,
+            "work_with_all 49, work_with_one 29, finish_run 19, work_with_all 52,"
+            "finish_run 59, restart_executor 2, work_with_one 13, deliver_order 33,"
+            "finish_run 14",
+            "cursors reach restarted executors",
+            id="a cursor of an earlier incarnation reaches the next one",
+        ),
+    ],
+)
+def test_a_walk_that_once_broke_a_rule_breaks_none(steps, actions, safeguard):
+    """Each was reduced from a walk that was found before its safeguard existed."""
+    play_walk(steps, make_actions(actions))
+    weakening = next(item for item in WEAKENED_OWNERS if item.name == safeguard)
+    with pytest.raises(ViolationError):
+        play_walk(steps, make_actions(actions), weakening)
+
+
+@pytest.mark.parametrize(
+    "weakening", WEAKENED_OWNERS, ids=[item.name for item in WEAKENED_OWNERS]
+)
+def test_walks_find_a_violation_without_one_of_the_safeguards(weakening):
+    found = find_violation(weakening.seed, WALKS, weakening.restarts, weakening)
+    assert found is not None
+    assert isinstance(found[2], ViolationError)
--- /dev/null
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -0,0 +1,189 @@
+"""Pools' owners that lack one safeguard each, for the search of their histories.
+
+Each class removes one guard against a second run of a task. `WEAKENED_OWNERS` lists
+them with the machine that can break them: the search must find a violation for each.
+"""
+
+from dataclasses import dataclass, replace
+
+from peridotspoke.nodes.committing import CommitTracker
+from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.runs import RunPhase
+
+__all__ = [
+    "WEAKENED_OWNERS",
+    "EarlyAcknowledgingLedger",
+    "InheritedRunDroppingLedger",
+    "LeaseIgnoringLedger",
+    "LostStartRetryingLedger",
+    "Weakening",
+]
+
+
+class LostStartRetryingLedger(PoolLedger):
+    """Retries a start that got no answer, although it may still be carried out."""
+
+    def handle_start_timeout(self, run):
+        if self.is_current(run):
+            self.requeue(run, 0.0, "no answer")
+
+
+class LeaseIgnoringLedger(PoolLedger):
+    """Does not wait until the leases of unreachable executors expire."""
+
+    def extend_lease(self, executor_id, lease_end):
+        return None
+
+
+class InheritedRunDroppingLedger(PoolLedger):
+    """Takes the runs of an earlier owner as ended immediately."""
+
+    def _add_inherited_run(self, progress, task):
+        super()._add_inherited_run(progress, task)
+        run = self.find_run(task)
+        self.requeue(run, 0.0, "taken over")
+
+
+class ShortInheritanceLedger(PoolLedger):
+    """Does not wait until the leases that an earlier owner granted expire."""
+
+    def __init__(self, pool, fence, rules, now, note=None):
+        short_rules = replace(rules, inherited_lease=-rules.restart_excess)
+        super().__init__(pool, fence, short_rules, now, note)
+
+
+class EarlyAcknowledgingLedger(PoolLedger):
+    """Acknowledges ended runs before their effect is stored."""
+
+    def apply_report(self, executor_id, report, asked_at, now, wall):
+        super().apply_report(executor_id, report, asked_at, now, wall)
+        self.acknowledge_ends(self.list_end_cursors())
+
+
+class EarlyStartingLedger(PoolLedger):
+    """Starts runs although their job has ended, or they were released, meanwhile."""
+
+    def note_stored(self, batch):
+        for run in batch.runs:
+            run.phase = RunPhase.STARTING
+        return list(batch.runs)
+
+
+class StaleReportTrustingLedger(PoolLedger):
+    """Takes a report that was requested before a start was answered as fresh."""
+
+    def _handle_unlisted_runs(self, state, listed, asked_at, now):
+        super()._handle_unlisted_runs(state, listed, float("inf"), now)
+
+
+class RestartTrustingLedger(PoolLedger):
+    """Takes every run as ended once its executor has restarted."""
+
+    def _handle_run_after_restart(self, run, now):
+        self.requeue(run, now, "executor restarted")
+
+
+class UnreportedRunDroppingLedger(PoolLedger):
+    """Takes a run that no report has listed as ended once its executor restarts."""
+
+    def _handle_run_after_restart(self, run, now):
+        if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING):
+            if not run.start_unconfirmed:
+                self.requeue(run, now, "executor restarted")
+                return
+        super()._handle_run_after_restart(run, now)
+
+
+class UnconfirmedStartDroppingLedger(PoolLedger):
+    """Takes a start without an answer as void once its executor restarts."""
+
+    def _handle_run_after_restart(self, run, now):
+        if run.start_unconfirmed or run.phase is RunPhase.STARTING:
+            self.requeue(run, now, "executor restarted")
+            return
+        super()._handle_run_after_restart(run, now)
+
+
+class ShortRestartLedger(PoolLedger):
+    """Expects that every lease ends when the executor's earlier clock says so."""
+
+    def __init__(self, pool, fence, rules, now, note=None):
+        exact_rules = replace(rules, restart_excess=0.0)
+        super().__init__(pool, fence, exact_rules, now, note)
+
+
+class HastyTracker(CommitTracker):
+    """Takes ended runs as stored although their jobs are still being stored."""
+
+    def advance_cursors(self, list_cursors, dirty):
+        return list_cursors()
+
+
+@dataclass(frozen=True, slots=True)
+class Weakening:
+    """A safeguard that is taken out.
+
+    Parameters
+    ----------
+    name : str
+    seed : int
+        Of walks that find a violation.
+    restarts : bool, optional
+        Whether only histories in which executors restart can show it.
+    ledger : type, optional
+        Class of each new owner's ledger.
+    tracker : type, optional
+        Class of each new owner's tracker of writes.
+    checks_fence, raises_fence, checks_permission, limits_cursor : bool, optional
+        As in `World`.
+    """
+
+    name: str
+    seed: int
+    restarts: bool = False
+    ledger: type = PoolLedger
+    tracker: type = CommitTracker
+    checks_fence: bool = True
+    raises_fence: bool = True
+    checks_permission: bool = True
+    limits_cursor: bool = True
+
+    def apply(self, world):
+        """Take the safeguard out of a `World`, from its next owner on."""
+        world.make_ledger = self.ledger
+        world.make_tracker = self.tracker
+        world.checks_fence = self.checks_fence
+        world.raises_fence = self.raises_fence
+        world.checks_permission = self.checks_permission
+        world.limits_cursor = self.limits_cursor
+
+
+WEAKENED_OWNERS = (
+    Weakening("a start without answer is retried", 1, ledger=LostStartRetryingLedger),
+    Weakening("leases are not awaited", 1, ledger=LeaseIgnoringLedger),
+    Weakening("inherited runs are dropped", 1, ledger=InheritedRunDroppingLedger),
+    Weakening("inherited leases are short", 17, ledger=ShortInheritanceLedger),
+    Weakening(
+        "ends are acknowledged before storage", 2, ledger=EarlyAcknowledgingLedger
+    ),
+    Weakening("ends are acknowledged during storage", 15, tracker=HastyTracker),
+    Weakening("released runs start", 4, ledger=EarlyStartingLedger),
+    Weakening("reports from before a start count", 5, ledger=StaleReportTrustingLedger),
+    Weakening("restarts end every run", 1, True, ledger=RestartTrustingLedger),
+    Weakening(
+        "restarts end unreported runs", 2, True, ledger=UnreportedRunDroppingLedger
+    ),
+    Weakening(
+        "restarts void unanswered starts",
+        1,
+        True,
+        ledger=UnconfirmedStartDroppingLedger,
+    ),
+    Weakening("leases keep to earlier clocks", 3, True, ledger=ShortRestartLedger),
+    Weakening(
+        "former owners reach restarted executors", 1, True, checks_permission=False
+    ),
+    Weakening("cursors reach restarted executors", 1, True, limits_cursor=False),
+    Weakening("the store takes former owners' writes", 1, checks_fence=False),
+    Weakening("executors take former owners' orders", 1, raises_fence=False),
+)
