Keep an executor that has left withdrawn while it is still listed

Its pool took it for ready again: 102 starts in 34 s went to executors that had left, tasks that last were stopped to go there, four in a row within 0.1 s.

Change: the withdrawal stays until the entry is gone; a machine whose withdrawn executor has left counts as capacity of its new pool.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -142,7 +142,7 @@
             for name, empty in self._list_withdrawn().items()
             if withdrawn[name][0].reason == RESIZE_REASON
         }
-        others = set(withdrawn) - set(resizing)
+        others = set(withdrawn) - set(resizing) - self._list_departed().keys()
         others |= self._orders.in_progress | self._orders.in_maintenance.keys()
         plan = plan_moves(
             self._machines,
@@ -284,15 +284,26 @@
     async def _remove_stale_withdrawals(self):
         """Remove the withdrawals of executors that no longer exist.
 
-        A withdrawal stays while an order for its machine is being stored or sent.
+        A withdrawal stays while an order for its machine is being stored or sent, and
+        while the executor is listed: its entry outlasts it by several heartbeats, and
+        without the withdrawal the pool's owner would start runs there again.
         """
-        gone = {}
-        for name, (withdrawal, revision) in self._node.view.withdrawals.items():
+        listed = self._node.view.entries
+        gone = {
+            name: self._node.view.withdrawals[name][1]
+            for name, executor_id in self._list_departed().items()
+            if name not in self._orders.in_progress and executor_id not in listed
+        }
+        await self._records.remove_withdrawals(gone)
+
+    def _list_departed(self):
+        """Return the withdrawn executors that no longer exist, by machine."""
+        departed = {}
+        for name, (withdrawal, _) in self._node.view.withdrawals.items():
             machine = self._machines.get(name)
-            is_gone = machine is None or (
+            if machine is None or (
                 machine.state is MachineState.UP
                 and machine.executor_id != withdrawal.executor_id
-            )
-            if is_gone and name not in self._orders.in_progress:
-                gone[name] = revision
-        await self._records.remove_withdrawals(gone)
+            ):
+                departed[name] = withdrawal.executor_id
+        return departed
--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -21,6 +21,8 @@
 from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.machines import Machine, MachineState
+from peridotspoke.workloads.sizing import SizingRules
+from peridotspoke.workloads.tests.ledgers import make_entry
 
 
 class MachinesDouble:
@@ -139,6 +141,30 @@
     assert key_withdrawal("m2") not in fleet.store.records
 
 
+async def test_an_executor_that_has_left_stays_withdrawn_while_it_is_listed(fleet):
+    """Its entry outlasts it, so its pool would start runs on it again."""
+    withdrawal = Withdrawal("i-former", "pool", RESIZE_REASON, 1, empty=True)
+    await fleet.put(key_withdrawal("m1"), encode_value(withdrawal))
+    fleet.update_view()
+    fleet.parts.view.entries["i-former"] = make_entry("i-former")
+    await run_round(fleet)
+    assert key_withdrawal("m1") in fleet.store.records
+    del fleet.parts.view.entries["i-former"]
+    await run_round(fleet)
+    assert key_withdrawal("m1") not in fleet.store.records
+
+
+async def test_a_machine_is_counted_while_its_former_executor_is_withdrawn(fleet):
+    """Its new executor serves the pool, so the pool needs no other machine."""
+    withdrawal = Withdrawal("i-former", "spare", RESIZE_REASON, 1, empty=True)
+    await fleet.put(key_withdrawal("m1"), encode_value(withdrawal))
+    fleet.update_view()
+    fleet.parts.view.entries["i-former"] = make_entry("i-former")
+    fleet.set_demand(96.0 / SizingRules().headroom)
+    await run_round(fleet)
+    assert fleet.machines.orders == []
+
+
 async def run_round(fleet):
     """Run one round and wait until its orders are sent."""
     await fleet.supervisor._run_round()
