Place tasks that last first, on few executors, and keep these in their pool

Change: such a job has no slack, so it is placed before finite work of its queue's priority; its tasks share executors with others that last, on two at least; executors that hold such tasks aren't offered for removal.

--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -33,7 +33,8 @@
         Minimum number of executors that the per-executor limits of the long-running
         tasks require.
     removable : tuple of str
-        Executors that could be emptied, the one with the least work first.
+        Executors that could be emptied, the one with the least work first; those with
+        long-running tasks are left out.
     unusable : tuple of str
         Executors that are listed but unreachable.
     wait : float
@@ -240,6 +241,11 @@
 
 
 def _rank_removable(ledger):
+    """Return the executors that could be emptied, the one with the least work first.
+
+    Executors with long-running tasks are left out: emptying them would stop these
+    tasks only to start them elsewhere.
+    """
     ranked = []
     for state in ledger.executors.values():
         if state.entry is None or state.entry.condition is ExecutorCondition.DRAINING:
@@ -247,7 +253,8 @@
         runs = [
             run for run in state.runs.values() if run.phase is not RunPhase.STOPPING
         ]
-        lasting = sum(run.step.lasting for run in runs)
+        if any(run.step.lasting for run in runs):
+            continue
         load = sum(compute_need(run.step).cpu for run in runs)
-        ranked.append((lasting, load, state.executor_id))
-    return tuple(executor_id for _, _, executor_id in sorted(ranked))
+        ranked.append((load, state.executor_id))
+    return tuple(executor_id for _, executor_id in sorted(ranked))
--- a/peridotspoke/workloads/placement.py
+++ b/peridotspoke/workloads/placement.py
@@ -1,11 +1,18 @@
-"""Chooses the executors that tasks are placed on."""
+"""Chooses the executors that tasks are placed on.
 
+Long-running tasks are put on few executors, so that a pool whose load falls can give
+up the others, but the tasks of a step on two at least where the executors have room.
+"""
+
+import math
 from dataclasses import dataclass, field
 
 from peridotspoke.workloads.jobs import Need
 
 __all__ = ["Offer", "choose_executor", "find_gang", "fits"]
 
+MIN_EXECUTORS_OF_LASTING_STEP = 2
+
 
 @dataclass(slots=True)
 class Offer:
@@ -70,8 +77,9 @@
     """Return the best `Offer` for one task, or None if it fits nowhere.
 
     Executors are preferred that are not in `avoid`, that have a low penalty and that
-    are in the rack of the step's data, in this order. Long-running tasks are then
-    spread over executors; other tasks are packed on the fullest ones.
+    are in the rack of the step's data, in this order. Long-running tasks then go to
+    executors with an even share of their step at most and with the most tasks of
+    their kind; other tasks are packed on the fullest ones.
 
     Parameters
     ----------
@@ -105,7 +113,9 @@
 
 def _rank_offer(offer, step, need, group, avoid):
     if step.lasting:
-        fill_order = (offer.counts.get(group, 0), offer.lasting, -offer.cpu)
+        share = math.ceil(step.count / MIN_EXECUTORS_OF_LASTING_STEP)
+        has_share = offer.counts.get(group, 0) >= share
+        fill_order = (has_share, -offer.lasting, -offer.cpu)
     else:
         fill_order = (0, 0, offer.cpu - need.cpu)
     return (
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -1,6 +1,6 @@
 """Chooses executors for the waiting tasks of a pool."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from peridotspoke.workloads.placement import Offer, choose_executor, find_gang
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus
@@ -201,7 +201,13 @@
         if task.status is not TaskStatus.DONE
     )
     due = job.compute_due(occurrence)
-    return compute_timing(job, critical_path, remaining_time, remaining_work, wall, due)
+    timing = compute_timing(
+        job, critical_path, remaining_time, remaining_work, wall, due
+    )
+    if job.is_long_running:
+        # It has no end that could be late: each second without its tasks is lost.
+        return replace(timing, slack=0.0)
+    return timing
 
 
 def make_offers(ledger, now):
