Let no malformed record or unexpected error end a node's long tasks

A stored task state or outcome with an unknown value raised ValueError and ended the supervision of its pool; a store item that isn't base64 hid all others of a response; settings took nan and inf; a renewal that failed unexpectedly left a node without lease or claims; a lease granted while the process stopped stayed until it ran out; an order's late outcome made a completed wave incomplete; replaced connections stayed open as the node ended.

Change: keep_running starts such a task again and logs each failure; the others as named.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections import Counter
 
+from msgspec import structs
+
 from peridotspoke.exceptions import PlatformError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.fleetorders import FleetOrders
@@ -273,9 +275,9 @@
             self._tasks.spawn(self._store_begun(name, order.wave))
 
     async def _store_begun(self, name, number):
-        begun = self._waves[number].begun
-        if name not in begun:
-            self._waves[number] = WaveRecord((*begun, name))
+        record = self._waves[number]
+        if name not in record.begun:
+            self._waves[number] = structs.replace(record, begun=(*record.begun, name))
         try:
             await self._store_wave(number)
         except PlatformError as error:
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -10,6 +10,7 @@
 from peridotspoke.nodes.keys import WORK_PREFIX, prefix_jobs
 from peridotspoke.nodes.ownership import Ownership
 from peridotspoke.nodes.supervising import PoolSupervisor
+from peridotspoke.nodes.tasksets import keep_running
 from peridotspoke.store import FollowingRules, follow_prefix
 
 __all__ = ["DocumentCodec", "Node"]
@@ -93,20 +94,21 @@
 
     def start(self):
         """Start to follow the store and to claim units."""
-        self._spawn(self._follow_operator())
-        self._spawn(self._follow_work())
-        self._spawn(self._parts.ownership.run())
+        self._spawn(keep_running("follow operator", self._follow_operator))
+        self._spawn(keep_running("follow work", self._follow_work))
+        self._spawn(keep_running("own units", self._parts.ownership.run))
 
     async def release_units(self):
         """Release the units that this node owns, before it stops."""
         await self._parts.ownership.release_all()
 
     async def stop(self):
-        """Cancel all tasks and wait until they have ended."""
+        """Cancel all tasks, wait until they have ended and close all connections."""
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._parts.close_connections()
 
     def _list_units(self):
         configuration = self._parts.view.configuration
@@ -118,7 +120,7 @@
     def _start_supervisor(self, holding):
         if not self._following_entries:
             self._following_entries = True
-            self._spawn(self._follow_entries())
+            self._spawn(keep_running("follow entries", self._follow_entries))
         if holding.unit == FLEET:
             supervisor = FleetSupervisor(
                 self._parts,
--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -140,12 +140,21 @@
         self._on_lost(holding)
 
     async def run(self):
-        """Renew the lease and check the units until cancelled."""
+        """Renew the lease and check the units until cancelled.
+
+        Raises
+        ------
+        Exception
+            If either fails unexpectedly. It may be called again.
+        """
         renewal_task = asyncio.ensure_future(self._maintain_lease())
         try:
-            while True:
+            while not renewal_task.done():
                 self._check_owners()
                 await asyncio.sleep(CHECK_INTERVAL)
+            renewal_task.result()
+            # The process is stopping: nothing is left to renew or to claim.
+            await asyncio.Event().wait()
         finally:
             renewal_task.cancel()
 
@@ -224,6 +233,9 @@
         )
         put = Put(key_node(record.name), encode_value(record), lease.lease_id)
         await self._store.commit(Transaction((), (put,)))
+        if self._stopping:
+            await self._store.revoke_lease(lease)
+            return
         self._lease = lease
         self._granted_at = self._last_contact_at = lease.requested_at
         log_event("lease-granted", lease=lease.lease_id, ttl=lease.ttl)
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -57,6 +57,8 @@
         Number of calls that have failed since.
     regained_at : float
         When the store last served again after an outage, in monotonic seconds.
+    peers : tuple, optional
+        Connections to the platform's services, closed as the node ends.
     """
 
     settings: NodeSettings
@@ -74,6 +76,12 @@
     last_served_at: float = field(default=float("-inf"))
     store_failures: int = 0
     regained_at: float = field(default=float("-inf"))
+    peers: tuple = ()
+
+    async def close_connections(self):
+        """Close the connections to the platform's services."""
+        for peer in self.peers:
+            await peer.close()
 
     def has_store(self):
         """Return whether the store currently serves this node's calls.
--- a/peridotspoke/nodes/tasksets.py
+++ b/peridotspoke/nodes/tasksets.py
@@ -1,10 +1,35 @@
-"""The asyncio tasks of one supervisor, which are cancelled together."""
+"""The asyncio tasks of a node and of its supervisors."""
 
 import asyncio
 
 from peridotspoke.logs import log_event
 
-__all__ = ["TaskSet"]
+__all__ = ["TaskSet", "keep_running"]
+
+RESTART_DELAY = 0.3  # seconds from a failure to the next start
+
+
+async def keep_running(name, start):
+    """Run a coroutine that has no end, and start it again whenever it fails.
+
+    One record or message that causes an unexpected error then does not end a task
+    without which the process could not go on.
+
+    Parameters
+    ----------
+    name : str
+        Logged with each failure.
+    start : callable
+        Called without arguments for each start; returns the coroutine.
+    """
+    while True:
+        try:
+            await start()
+        except Exception as error:
+            log_event("task-failed", "ERROR", task=name, error=repr(error))
+        else:
+            log_event("task-ended", "ERROR", task=name)
+        await asyncio.sleep(RESTART_DELAY)
 
 
 class TaskSet:
--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -259,6 +259,17 @@
     assert (await records.read_wave(1)).completed
 
 
+async def test_an_outcome_that_arrives_late_leaves_a_wave_completed():
+    """The wave's last order may be answered after the list showed its effect."""
+    fleet = FleetDouble({"m1": "spare"})
+    await fleet.gain_ownership()
+    fleet.supervisor._waves[1] = WaveRecord(completed=True)
+    await fleet.supervisor._records.write_wave(1, WaveRecord(completed=True))
+    await fleet.supervisor._store_begun("m1", 1)
+    stored = await fleet.supervisor._records.read_wave(1)
+    assert stored == WaveRecord(("m1",), completed=True)
+
+
 async def test_a_delayed_write_of_orders_does_not_hide_later_ones():
     """Another holder must find the orders that were stored after it."""
     fleet = FleetDouble({"m1": "spare"})
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -44,8 +44,10 @@
     parts = NodeParts(
         settings, BoottimeClock(), StoreView(), MetricsRegistry(), random.Random()
     )
+    store_peer = HttpPeer(settings.store)
+    parts.peers = (store_peer,)
     parts.store = MetadataStore(
-        HttpPeer(settings.store),
+        store_peer,
         parts.clock,
         settings.timing.store_call,
         on_call=parts.record_store_call,
@@ -57,9 +59,13 @@
         HttpPeer(entry.address), entry.executor_id, settings.timing.call
     )
     if settings.machines:
-        parts.machines = HttpMachines(HttpPeer(settings.machines), MACHINES_TIMEOUT)
+        machines_peer = HttpPeer(settings.machines)
+        parts.peers += (machines_peer,)
+        parts.machines = HttpMachines(machines_peer, MACHINES_TIMEOUT)
     if settings.advice:
-        parts.advice = HttpAdvice(HttpPeer(settings.advice))
+        advice_peer = HttpPeer(settings.advice)
+        parts.peers += (advice_peer,)
+        parts.advice = HttpAdvice(advice_peer)
     codec = DocumentCodec(
         OPERATOR_PREFIX,
         CONFIGURATION_KEY,
--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -168,10 +168,12 @@
             ) from error
 
     async def close(self):
-        """Close all connections."""
+        """Close all connections, those that were replaced as well."""
         connections, self._connections = self._connections, None
         if connections is not None:
             await connections.close()
+        for replaced in list(self._closing.values()):
+            await replaced.close()
 
     def _open_connections(self):
         if self._connections is None:
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store, as a `KeyValueService`."""
 
 import base64
+import binascii
 from urllib.parse import quote
 
 import msgspec
@@ -10,6 +11,7 @@
     LeaseExpiredError,
     PlatformUnavailableError,
 )
+from peridotspoke.logs import log_event
 from peridotspoke.platform.http import HTTP_OK, ReadLimits, decode_body
 from peridotspoke.store import (
     Change,
@@ -44,7 +46,16 @@
     deleted: bool = False
 
     def decode(self):
-        value = base64.b64decode(self.value)
+        """Return the `Record`; its value is empty if it is not base64.
+
+        An empty value is unreadable to each reader of records, so that one such item
+        does not hide the others of a response.
+        """
+        try:
+            value = base64.b64decode(self.value, validate=True)
+        except binascii.Error as error:
+            log_event("item-unreadable", "ERROR", key=self.key, error=error)
+            value = b""
         return Record(self.key, value, self.revision, self.lease, self.created_rev)
 
 
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file of a node."""
 
+import math
 import os
 from pathlib import Path
 
@@ -150,7 +151,9 @@
         except ValueError:
             errors.append(f"expected a number for {key}, found {values[key]!r}")
             continue
-        if number < 0:
-            errors.append(f"expected at least 0 for {key}, found {values[key]!r}")
+        if not (math.isfinite(number) and number >= 0):
+            errors.append(
+                f"expected a finite number from 0 for {key}, found {values[key]!r}"
+            )
         numbers[name] = number * factor
     return numbers
--- a/peridotspoke/platform/tests/test_http.py
+++ b/peridotspoke/platform/tests/test_http.py
@@ -314,3 +314,13 @@
             await asyncio.sleep(0.01)
     await peer.close()
     server.close()
+
+
+async def test_closing_a_peer_closes_the_connections_that_were_replaced():
+    """A node that ends would otherwise leave them open until they are collected."""
+    peer = HttpPeer("127.0.0.1:1")
+    replaced = peer._open_connections()
+    session = replaced.calls
+    peer._replace(replaced)
+    await peer.close()
+    assert session.closed
--- a/peridotspoke/platform/tests/test_settings.py
+++ b/peridotspoke/platform/tests/test_settings.py
@@ -59,6 +59,13 @@
         assert expected in message
 
 
+@pytest.mark.parametrize("number", ["nan", "inf", "-inf", "-1"])
+def test_a_number_must_be_finite_and_not_negative(number):
+    """Such a lease or rate would switch its limit off without a word."""
+    with pytest.raises(SettingsError, match=r"bounds\.graceS"):
+        parse_settings(SETTINGS_TEXT + f"bounds.graceS={number}\n")
+
+
 def test_a_missing_file_is_a_settings_error(tmp_path):
     """The message has the path."""
     with pytest.raises(SettingsError, match="absent"):
--- a/peridotspoke/settings.py
+++ b/peridotspoke/settings.py
@@ -24,7 +24,10 @@
     """
 
     model_config = SettingsConfigDict(
-        env_prefix="PERIDOTSPOKE_", frozen=True, extra="forbid"
+        env_prefix="PERIDOTSPOKE_",
+        frozen=True,
+        extra="forbid",
+        allow_inf_nan=False,
     )
 
     platform: str = Field(
--- a/peridotspoke/workloads/progress.py
+++ b/peridotspoke/workloads/progress.py
@@ -260,7 +260,7 @@
     if record is None:
         return progress
     summary = decode_summary(record)
-    progress.outcome = JobOutcome(summary.outcome)
+    progress.outcome = _decode_choice(JobOutcome, summary.outcome, record.key)
     progress.begun = summary.begun
     progress.ended_at = summary.ended_at
     if summary.tasks:
@@ -268,19 +268,19 @@
         for occurrence in stored.occurrences:
             progress.open_occurrence(occurrence)
         for row in stored.tasks:
-            _restore_task(progress, row)
+            _restore_task(progress, row, record.key)
     progress.next_occurrence = summary.next_occurrence
     return progress
 
 
-def _restore_task(progress, row):
+def _restore_task(progress, row, record_key):
     key = TaskKey(progress.job.job_id, row.occurrence, row.step, row.index)
     task = progress.find_task(key)
     if task is None:
         raise RecordError(
             "task is not part of the job", step="decode progress", peer=str(key)
         )
-    task.status = TaskStatus(row.status)
+    task.status = _decode_choice(TaskStatus, row.status, record_key)
     task.run = row.run
     task.failures = row.failures
     task.executor = row.executor
@@ -288,6 +288,13 @@
     task.checkpoint = row.checkpoint
 
 
+def _decode_choice(choices, value, key):
+    try:
+        return choices(value)
+    except ValueError as error:
+        raise RecordError(str(error), step="decode record", peer=key) from error
+
+
 def _decode(decoder, value, key):
     try:
         return decoder.decode(value)
