End a program whose background task fails, and take a plain folder to publish

Change: wait_for_stop watches the tasks of both programs; check, diff and publish take the directory as a plain argument. Tests failed before (no such function; usage error).

--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -15,7 +15,12 @@
 from peridotspoke.programs.connecting import connect_platform
 from peridotspoke.programs.fleet import FleetTasks
 from peridotspoke.programs.fleetjobs import FleetJobs, JobInFlightSource
-from peridotspoke.programs.running import make_command, run_commands, watch_signals
+from peridotspoke.programs.running import (
+    make_command,
+    run_commands,
+    wait_for_stop,
+    watch_signals,
+)
 from peridotspoke.programs.settings import ControlSettings
 from peridotspoke.store import (
     HttpInstanceActions,
@@ -94,9 +99,10 @@
             reasons.append("the process's lease is not held")
         return Health(not reasons, tuple(reasons), asdict(status))
 
-    async def wait_for_failure(self):
-        """Wait for the background tasks and raise the first error of any of them."""
-        await asyncio.gather(*self._tasks)
+    @property
+    def tasks(self):
+        """The background tasks, which run until the program stops."""
+        return tuple(self._tasks)
 
     async def stop(self):
         """Cancel all tasks and close all sockets."""
@@ -111,13 +117,8 @@
     stop_requested = watch_signals()
     controller = Controller(settings, SystemClock(), random.SystemRandom())
     await controller.start()
-    tasks = [
-        asyncio.create_task(stop_requested.wait()),
-        asyncio.create_task(controller.wait_for_failure()),
-    ]
     try:
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        done.pop().result()
+        await wait_for_stop(stop_requested, controller.tasks)
     finally:
         await controller.stop()
 
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -26,7 +26,12 @@
 from peridotspoke.programs.callers import CallerServer
 from peridotspoke.programs.connecting import connect_platform
 from peridotspoke.programs.jobs import JobRequests
-from peridotspoke.programs.running import make_command, run_commands, watch_signals
+from peridotspoke.programs.running import (
+    make_command,
+    run_commands,
+    wait_for_stop,
+    watch_signals,
+)
 from peridotspoke.programs.settings import EntrySettings
 from peridotspoke.programs.upstreams import UpstreamFollower
 from peridotspoke.requests import (
@@ -165,6 +170,11 @@
             raise PeerError("slots are not lent here", step="lend slots")
         return self._lending.answer_request(request)
 
+    @property
+    def tasks(self):
+        """The background tasks, which run until the program stops."""
+        return tuple(self._tasks)
+
     async def drain(self):
         """Announce a planned stop and finish the requests in progress.
 
@@ -240,7 +250,7 @@
     entry = EntryInstance(settings, SystemClock(), random.SystemRandom())
     await entry.start()
     try:
-        await stop_requested.wait()
+        await wait_for_stop(stop_requested, entry.tasks)
         await entry.drain()
     finally:
         await entry.stop()
--- a/peridotspoke/programs/publish.py
+++ b/peridotspoke/programs/publish.py
@@ -164,7 +164,13 @@
     run_commands(
         "peridotspoke-publish",
         {
-            name: make_command("publish", PublishSettings, run, summary)
+            name: make_command(
+                "publish",
+                PublishSettings,
+                run,
+                summary,
+                argument=None if name == "status" else "directory",
+            )
             for name, (run, summary) in commands.items()
         },
     )
--- a/peridotspoke/programs/running.py
+++ b/peridotspoke/programs/running.py
@@ -17,6 +17,7 @@
     "EXIT_USAGE",
     "make_command",
     "run_commands",
+    "wait_for_stop",
     "watch_signals",
 ]
 
@@ -25,7 +26,7 @@
 HELP_FLAGS = frozenset({"--help", "-h"})
 
 
-def make_command(program, settings_class, run, summary):
+def make_command(program, settings_class, run, summary, argument=None):
     """Return a command for fire that reads the settings and passes them to `run`.
 
     Parameters
@@ -38,6 +39,8 @@
         Coroutine function that takes the settings and returns an exit status or None.
     summary : str
         The first line of the help text.
+    argument : str, optional
+        Name of the field that a plain argument sets as well; by default none does.
 
     Returns
     -------
@@ -46,7 +49,9 @@
     """
 
     def command(*extras, **flags):
-        if extras:
+        if argument is not None and len(extras) == 1 and argument not in flags:
+            flags[argument] = extras[0]
+        elif extras:
             raise SettingsError(
                 f"expected flags such as --name=value, found {' '.join(extras)!r}",
                 step="read flags",
@@ -109,6 +114,30 @@
     return "\n".join([usage, "", *summaries, "", f"{program} COMMAND --help: flags"])
 
 
+async def wait_for_stop(stop_requested, background_tasks):
+    """Wait until a stop is asked for; raise the error of a task that fails.
+
+    A task that fails together with the stop is reported as well.
+
+    Parameters
+    ----------
+    stop_requested : asyncio.Event
+    background_tasks : iterable of asyncio.Task
+        Tasks that run until the program stops.
+    """
+    stop_task = asyncio.ensure_future(stop_requested.wait())
+    watched = {stop_task, *background_tasks}
+    try:
+        await asyncio.wait(watched, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        stop_task.cancel()
+    for task in watched - {stop_task}:
+        if task.done() and not task.cancelled():
+            task.result()
+    if not stop_requested.is_set():
+        raise PeridotspokeError("a background task ended", step="run program")
+
+
 def watch_signals():
     """Return an event that is set by the first SIGTERM or SIGINT.
 
--- a/peridotspoke/programs/tests/command_lines.feature
+++ b/peridotspoke/programs/tests/command_lines.feature
@@ -11,6 +11,9 @@
       | publish | publish --help  | 0      | --directory (PERIDOTSPOKE_DIRECTORY, default '.'): |
       | audit   |                 | 2      | usage: peridotspoke-audit COMMAND          |
       | publish | polish          | 2      | polish                                     |
+      | publish | check examples/lima | 0 | declarations are valid |
+      | publish | check examples/lima examples | 2 | expected flags such as --name=value, found |
+      | publish | status examples | 2 | expected flags such as --name=value, found |
       | entry   | --colour=red    | 2      | --colour: no such flag                     |
       | control | --zone=a x      | 2      | expected flags such as --name=value, found 'x' |
       | control | --zone=a        | 2      | --name / PERIDOTSPOKE_NAME: found nothing; expected name |
