Confirm a start by the clock of the incarnation that answers it

Its executor left 0.07 s after the start, before any report; the machines were rolled, and since the safeguard for restarted executors its owners each waited for the longest lease plus an excess, and began anew at each hand-over.

Change: an answer to a start tells the executor's clock, which starts anew in each incarnation: a reading within the bounds confirms the run as the known incarnation's, whose lease is short and whose restart ends it. Only runs that nobody confirmed wait longer; inherited ones wait as before that safeguard.

--- a/peridotspoke/nodes/messages.py
+++ b/peridotspoke/nodes/messages.py
@@ -63,10 +63,19 @@
     """The outcome of a start is certain.
 
     The run was started if `refusal` is None, and was not started otherwise.
+
+    Parameters
+    ----------
+    run : Run
+    refusal : Refusal or None
+    by_known_incarnation : bool, optional
+        Whether the incarnation that the owner knows has started it; False if a later
+        one may have.
     """
 
     run: Run
     refusal: Refusal | None
+    by_known_incarnation: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -27,10 +27,11 @@
 
 
 class ClockBounds:
-    """Lower bound of how far an executor's clock is ahead of this node's clock.
+    """Bounds of how far an executor's clock is ahead of this node's clock.
 
-    Each answer from the executor gives a bound; the bound weakens over time by the
-    possible drift of the executor's clock.
+    Each answer from the executor gives bounds; they weaken over time by the possible
+    drift of the executor's clock. The clock starts anew as the executor restarts, so a
+    reading outside the bounds is one of a later incarnation.
 
     Examples
     --------
@@ -38,10 +39,15 @@
     >>> bounds.update(50_000, asked_at=9.0, answered_at=10.0)
     >>> bounds.min_offset(10.0), bounds.to_executor_time(10.0, 5.0)
     (40.0, 55000)
+    >>> bounds.contain(51_000, asked_at=10.5, answered_at=11.0)
+    True
+    >>> bounds.contain(300, asked_at=10.5, answered_at=11.0)
+    False
     """
 
     def __init__(self):
         self._min_offset = None
+        self._max_offset = float("inf")
         self._updated_at = 0.0
 
     @property
@@ -60,12 +66,34 @@
             This node's monotonic seconds before the call and after its answer.
         """
         min_offset = clock / MS_PER_SECOND - answered_at
-        if self._min_offset is None:
-            self._min_offset = min_offset
-        else:
-            self._min_offset = max(min_offset, self.min_offset(answered_at))
+        max_offset = (clock + 1) / MS_PER_SECOND - asked_at
+        if self._min_offset is not None:
+            min_offset = max(min_offset, self.min_offset(answered_at))
+            max_offset = min(max_offset, self._max_offset + self._drift(answered_at))
+        self._min_offset, self._max_offset = min_offset, max_offset
         self._updated_at = answered_at
 
+    def contain(self, clock, asked_at, answered_at):
+        """Return whether a reading can be of the clock that was read before.
+
+        Parameters
+        ----------
+        clock : int
+            The reading, milliseconds.
+        asked_at, answered_at : float
+            This node's monotonic seconds before the call and after its answer.
+        """
+        if self._min_offset is None:
+            return False
+        earliest = self.min_offset(answered_at) + asked_at
+        latest = self._max_offset + self._drift(answered_at) + answered_at
+        return (
+            earliest <= (clock + 1) / MS_PER_SECOND and clock <= latest * MS_PER_SECOND
+        )
+
+    def _drift(self, now):
+        return CLOCK_DRIFT * (now - self._updated_at)
+
     def min_offset(self, now):
         """Return the least number of seconds that the executor's clock is ahead.
 
@@ -74,7 +102,7 @@
         now : float
             This node's monotonic seconds.
         """
-        return self._min_offset - CLOCK_DRIFT * (now - self._updated_at)
+        return self._min_offset - self._drift(now)
 
     def to_executor_time(self, now, seconds):
         """Return a time on the executor's clock at most `seconds` after `now`.
@@ -202,6 +230,7 @@
         if not self._clock_bounds.is_known or not may_send:
             self._post(StartAnswered(run, Refusal.LATE))
             return
+        bounds = self._clock_bounds
         order = StartOrder(
             run.key,
             run.number,
@@ -212,7 +241,7 @@
             run.ticket,
         )
         try:
-            refusal = await self._calls.start(order)
+            answer = await self._calls.start(order)
         except AnswerLostError:
             self._post(StartLost(run))
             return
@@ -220,9 +249,14 @@
             self._post(ExecutorCallFailed(self.executor_id, error.message))
             self._post(StartAnswered(run, Refusal.UNHEALTHY))
             return
-        if refusal is Refusal.FENCED:
+        if answer.refusal is Refusal.FENCED:
             self._post(Fenced(self.executor_id))
-        self._post(StartAnswered(run, refusal))
+        by_known_incarnation = (
+            answer.clock is not None
+            and self._incarnation == self._state.incarnation
+            and bounds.contain(answer.clock, now, self._clock.read_monotonic())
+        )
+        self._post(StartAnswered(run, answer.refusal, by_known_incarnation))
         self.wake()
 
     async def stop(self, order, is_due):
@@ -294,7 +328,7 @@
         has_recent_answer = now - self._answered_at < RECENT_ANSWER_S
         if self._failures or self._incarnation != self._state.incarnation:
             return 0
-        if self._state.has_unreported_run and not has_recent_answer:
+        if self._state.has_unconfirmed_run and not has_recent_answer:
             return 0
         return self._state.acknowledged
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -160,8 +160,8 @@
             case ReportArrived(executor_id, report, asked_at):
                 ledger.apply_report(executor_id, report, asked_at, now, wall)
                 ledger.stop_slow_runs(executor_id, now)
-            case StartAnswered(run, refusal):
-                ledger.apply_start_answer(run, refusal, now)
+            case StartAnswered(run, refusal, by_known_incarnation):
+                ledger.apply_start_answer(run, refusal, now, by_known_incarnation)
             case StartLost(run):
                 ledger.handle_start_timeout(run)
             case StopAnswered(executor_id, order):
--- a/peridotspoke/nodes/tests/test_sessions.py
+++ b/peridotspoke/nodes/tests/test_sessions.py
@@ -10,6 +10,7 @@
     ExecutorCalls,
     Refusal,
     RunReport,
+    StartAnswer,
     StopOrder,
     ThrottleOrder,
 )
@@ -31,9 +32,11 @@
         self.incarnation = incarnation
         self.sent = []
         self.is_silent = False
+        self.clock = 1000
 
     async def start(self, order):
         self.sent.append(order)
+        return StartAnswer(clock=self.clock)
 
     async def stop(self, order):
         self.sent.append(order)
@@ -45,7 +48,7 @@
         self.sent.append(order)
         if self.is_silent:
             raise AnswerLostError("silent", step="renew leases")
-        return RunReport(1000, self.incarnation)
+        return RunReport(self.clock, self.incarnation)
 
     async def close(self):
         return None
@@ -135,3 +138,18 @@
     assert start_all(fixture.ledger, 100.0)
     fixture.clock.advance(pause)
     assert await fixture.poll() == cursor
+
+
+@pytest.mark.parametrize(("clock", "confirmed"), [(1000, True), (40, False)])
+async def test_a_start_is_confirmed_by_the_clock_of_the_incarnation_that_answers(
+    clock, confirmed
+):
+    """The clock starts anew with each incarnation, which its answer shows at once."""
+    fixture = SessionFixture()
+    add_job(fixture.ledger)
+    (run, _) = start_all(fixture.ledger, 100.0)
+    await fixture.poll()
+    fixture.executor.clock = clock
+    await fixture.session.start(run)
+    answers = [item for item in fixture.messages if isinstance(item, StartAnswered)]
+    assert [item.by_known_incarnation for item in answers] == [confirmed]
--- a/peridotspoke/platform/executors.py
+++ b/peridotspoke/platform/executors.py
@@ -13,6 +13,7 @@
     Refusal,
     ReportedRun,
     RunReport,
+    StartAnswer,
 )
 from peridotspoke.workloads.jobs import Need, TaskKey
 
@@ -160,7 +161,7 @@
         self._timeout = timeout
 
     async def start(self, order):
-        """Send a `StartOrder`; return None if it was accepted, else the `Refusal`."""
+        """Send a `StartOrder` and return the `StartAnswer`."""
         body = {
             "task": format_task(order.key),
             "run": order.run,
@@ -172,7 +173,12 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self._send_order("run-start", body)
+        response = await self._post("run-start", body, self._timeout)
+        refusal = self._find_refusal("run-start", response)
+        if refusal is not None:
+            return StartAnswer(refusal)
+        answer = decode_body(response, _RunLists, "run-start", self._peer.address)
+        return StartAnswer(clock=answer.clock_ms or None)
 
     async def stop(self, order):
         """Send a `StopOrder`; return None if it was accepted, else the `Refusal`."""
--- a/peridotspoke/workloads/executors.py
+++ b/peridotspoke/workloads/executors.py
@@ -16,6 +16,7 @@
     "Refusal",
     "ReportedRun",
     "RunReport",
+    "StartAnswer",
     "StartOrder",
     "StopOrder",
     "ThrottleOrder",
@@ -301,6 +302,22 @@
     lifetime: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """Answer to a `StartOrder`.
+
+    Parameters
+    ----------
+    refusal : Refusal or None
+        None if the start was accepted.
+    clock : int or None, optional
+        The executor's clock at its answer, milliseconds; None if it is not told.
+    """
+
+    refusal: Refusal | None = None
+    clock: int | None = None
+
+
 class ExecutorCalls(ABC):
     """Client of one executor.
 
@@ -310,7 +327,7 @@
 
     @abstractmethod
     async def start(self, order):
-        """Send a `StartOrder`; return None if accepted, else the `Refusal`."""
+        """Send a `StartOrder` and return the `StartAnswer`."""
 
     @abstractmethod
     async def stop(self, order):
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -119,7 +119,7 @@
         """Release a run that ended when its executor restarted.
 
         The new incarnation may have carried out a start that was sent before the
-        restart was known. So a run that no incarnation has reported yet stays until a
+        restart was known. So a run that no incarnation has confirmed yet stays until a
         report of the new one shows whether it runs there, and a start without an
         answer is stopped there first. An inherited run stays as well: its start can't
         be carried out any more once the executor has answered a request under this
@@ -131,7 +131,7 @@
             run.start_unconfirmed = True
             run.stop_answered_at = None
             self.stop_run(run, "start unconfirmed when the executor restarted")
-        elif run.was_reported or run.phase is RunPhase.PLANNED:
+        elif run.is_confirmed or run.phase is RunPhase.PLANNED:
             self.requeue(run, now, "executor restarted")
         else:
             run.stop_answered_at = None
@@ -232,11 +232,14 @@
     def _release_lapsed(self, state, has_longest_ended, now):
         """Release the runs of an executor whose recorded leases have expired.
 
-        A run that no report has listed may be on a later incarnation, where its lease
-        can last longer; it is released if `has_longest_ended`.
+        A run that no incarnation has confirmed may be on a later one, where its lease
+        can last longer; it is released if `has_longest_ended`. The time that inherited
+        runs are given covers that.
         """
         lapsed = [
-            run for run in state.runs.values() if run.was_reported or has_longest_ended
+            run
+            for run in state.runs.values()
+            if run.is_confirmed or run.phase is RunPhase.INHERITED or has_longest_ended
         ]
         if lapsed and not state.reachable:
             self.note("leases-expired", executor=state.executor_id)
@@ -295,6 +298,7 @@
             run.progressed_at = now
             run.first_percent = reported.percent
         run.start_unconfirmed = False
+        run.is_confirmed = True
         if run.phase in (RunPhase.STARTING, RunPhase.INHERITED):
             run.phase = RunPhase.RUNNING
         if (
@@ -424,7 +428,7 @@
             if state is not None and state.incarnation == incarnation:
                 state.acknowledged = max(state.acknowledged, cursor)
 
-    def apply_start_answer(self, run, refusal, now):
+    def apply_start_answer(self, run, refusal, now, by_known_incarnation=False):
         """Update a run from the answer to its start.
 
         Parameters
@@ -434,12 +438,16 @@
             None if the start was carried out; otherwise it certainly was not.
         now : float
             Monotonic seconds.
+        by_known_incarnation : bool, optional
+            Whether the executor's incarnation that was known as the start was sent
+            has carried it out; False if a later one may have.
         """
         if not self.is_current(run):
             return
         state = self.executors[run.executor_id]
         if refusal is None:
             run.start_unconfirmed = False
+            run.is_confirmed |= by_known_incarnation
             run.started_at = run.started_at or now
             run.progressed_at = now
             if run.phase is RunPhase.STARTING:
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -50,6 +50,9 @@
         When the start was confirmed, or else first reported; None before that.
     start_unconfirmed : bool
         Whether the start got no answer, so that the executor may still carry it out.
+    is_confirmed : bool
+        Whether it is certain which incarnation carried out the start, by its answer or
+        by a report.
     stop_answered_at : float or None
         When the executor answered the stop; None before that.
     percent : int
@@ -84,6 +87,7 @@
     planned_at: float
     started_at: float | None = None
     start_unconfirmed: bool = False
+    is_confirmed: bool = False
     stop_answered_at: float | None = None
     percent: int = 0
     load: int = 0
@@ -100,11 +104,6 @@
         """The `TaskKey` of the run's task."""
         return self.task.key
 
-    @property
-    def was_reported(self):
-        """Whether a report has listed the run."""
-        return self.reported_at > float("-inf")
-
 
 @dataclass(slots=True, eq=False)
 class ExecutorState:
@@ -187,10 +186,10 @@
         )
 
     @property
-    def has_unreported_run(self):
-        """Whether a run may have started that no report has listed."""
+    def has_unconfirmed_run(self):
+        """Whether a run may have started that no incarnation has confirmed."""
         return any(
-            not run.was_reported and run.phase is not RunPhase.PLANNED
+            not run.is_confirmed and run.phase is not RunPhase.PLANNED
             for run in self.runs.values()
         )
 
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -253,7 +253,7 @@
         if self.world.limits_cursor:
             if not state.reachable:
                 return 0
-            if state.has_unreported_run and not has_recent_answer:
+            if state.has_unconfirmed_run and not has_recent_answer:
                 return 0
         return state.acknowledged
 
@@ -387,7 +387,10 @@
         if order.timed_out:
             return
         if order.run is not None:
-            order.owner.ledger.apply_start_answer(order.run, refusal, self.now)
+            known = order.incarnation == executor.incarnation
+            order.owner.ledger.apply_start_answer(
+                order.run, refusal, self.now, by_known_incarnation=known
+            )
         elif refusal is None:
             order.owner.ledger.apply_stop_answer(executor.name, order.stop, self.now)
 
