Look only at jobs that have changed in a round, and once for a place of a size

A small twin's owner has a small part of a core, so its rounds, reports and lease renewals fell behind.

Change: a ledger keeps each job's ready steps until the job changes, for 0.5 s at most; a size of task that fits nowhere by size alone isn't tried again in the round.

--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -367,7 +367,7 @@
             self.fail(state, run, now, wall)
         else:
             self.requeue(run, now, str(end.kind))
-        self.dirty.add(progress.job.job_id)
+        self.mark_changed(progress.job.job_id)
 
     def _handle_late_end(self, end, now, wall):
         """Handle the end of a run that was requeued before its end was known.
@@ -385,7 +385,7 @@
         if step.lasting or step.gang or not (not_rerun or step.speculative):
             return
         self.note("given-up-ended", task=end.key, run=end.run, kind=str(end.kind))
-        self.dirty.add(end.key.job_id)
+        self.mark_changed(end.key.job_id)
         if end.kind is EndKind.FAILED and (end.key, end.run) in self.copied_runs:
             self.copied_runs.discard((end.key, end.run))
             task.failures += 1
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -99,6 +99,8 @@
         The executors by identity.
     dirty : set of str
         Jobs that have changed since they were last put into a batch.
+    ready_work : dict of str to ReadyWork
+        By job, the work that may start, as long as the job does not change.
     requested_reports : set of str
         Executors from which a fresh report is needed.
     durations : DurationModel
@@ -116,6 +118,7 @@
         self.jobs = {}
         self.executors = {}
         self.dirty = set()
+        self.ready_work = {}
         self.requested_reports = set()
         self.durations = DurationModel()
         self.failed_on = {}
@@ -124,6 +127,11 @@
         self.taken_over_at = now
         self.note = note or (lambda event, **fields: None)
 
+    def mark_changed(self, job_id):
+        """Record that a job's progress has changed and is to be stored."""
+        self.dirty.add(job_id)
+        self.ready_work.pop(job_id, None)
+
     def add_job(self, progress):
         """Add an open job, with the runs that an earlier owner assigned.
 
@@ -164,6 +172,7 @@
             if state is not None and task.key in state.runs:
                 return
         del self.jobs[job_id]
+        self.ready_work.pop(job_id, None)
         self.failed_on = {
             key: names for key, names in self.failed_on.items() if key.job_id != job_id
         }
@@ -206,7 +215,7 @@
         """
         progress.outcome = outcome
         progress.ended_at = wall
-        self.dirty.add(progress.job.job_id)
+        self.mark_changed(progress.job.job_id)
         job = progress.job
         age = wall - job.accepted_at
         self.note("job-ended", job=job.job_id, outcome=str(outcome), age=age)
@@ -357,7 +366,7 @@
         run.resumed = bool(task.checkpoint)
         state.runs[task.key] = run
         progress.begun = True
-        self.dirty.add(progress.job.job_id)
+        self.mark_changed(progress.job.job_id)
         return run
 
     def list_planned(self, job_ids):
@@ -495,7 +504,7 @@
     def _mark_waiting(self, run):
         if run.task.status is TaskStatus.ASSIGNED:
             run.task.status = TaskStatus.WAITING
-        self.dirty.add(run.key.job_id)
+        self.mark_changed(run.key.job_id)
 
     def list_runs(self):
         """Yield the runs of all executors."""
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -1,4 +1,9 @@
-"""Chooses executors for the waiting tasks of a pool."""
+"""Chooses executors for the waiting tasks of a pool.
+
+It answers a backlog that arrives within seconds and that the executors work off only
+slowly: a round looks at the jobs that have changed since the last one, and at most once
+for a place for tasks of one size.
+"""
 
 from dataclasses import dataclass, replace
 
@@ -13,6 +18,7 @@
 )
 
 __all__ = [
+    "ReadyWork",
     "StepWork",
     "list_timings",
     "list_step_work",
@@ -23,6 +29,9 @@
 ]
 
 
+MAX_READY_WORK_AGE_S = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class StepWork:
     """The waiting tasks of a step that may start.
@@ -49,6 +58,21 @@
     predicted_duration: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReadyWork:
+    """The steps of a job that have tasks to start, as of a time.
+
+    Parameters
+    ----------
+    steps : tuple of StepWork
+    computed_at : float
+        Seconds since the Unix epoch.
+    """
+
+    steps: tuple
+    computed_at: float
+
+
 def open_due_occurrences(ledger, wall):
     """Open the occurrences of all open jobs that are due.
 
@@ -65,6 +89,7 @@
             if progress.job.compute_due(progress.next_occurrence) > wall:
                 break
             progress.open_occurrence(progress.next_occurrence)
+            ledger.ready_work.pop(progress.job.job_id, None)
 
 
 def list_step_work(ledger, wall):
@@ -81,13 +106,37 @@
     list of StepWork
         The most urgent first; of equally urgent steps, the longest tasks first.
     """
-    work = []
+    ranked = []
     for progress in ledger.jobs.values():
-        if progress.outcome is JobOutcome.OPEN:
-            for occurrence in progress.occurrences:
-                work += _list_ready_steps(ledger, progress, occurrence, wall)
-    work.sort(key=lambda item: (*rank_timing(item.timing), -item.predicted_duration))
-    return work
+        if progress.outcome is not JobOutcome.OPEN:
+            continue
+        ready = _find_ready_work(ledger, progress, wall)
+        if not ready.steps:
+            continue
+        waited = 0.0 if progress.job.is_long_running else wall - ready.computed_at
+        for item in ready.steps:
+            rank = (*rank_timing(item.timing, waited), -item.predicted_duration)
+            ranked.append((rank, item))
+    ranked.sort(key=lambda row: row[0])
+    return [item for _, item in ranked]
+
+
+def _find_ready_work(ledger, progress, wall):
+    """Return the `ReadyWork` of a job, computed anew if the job changed or it is old.
+
+    It grows old because the predicted durations of tasks change with other jobs.
+    """
+    job_id = progress.job.job_id
+    known = ledger.ready_work.get(job_id)
+    if known is not None and 0.0 <= wall - known.computed_at < MAX_READY_WORK_AGE_S:
+        return known
+    steps = tuple(
+        item
+        for occurrence in progress.occurrences
+        for item in _list_ready_steps(ledger, progress, occurrence, wall)
+    )
+    ready = ledger.ready_work[job_id] = ReadyWork(steps, wall)
+    return ready
 
 
 def _list_ready_steps(ledger, progress, occurrence, wall):
@@ -271,20 +320,41 @@
     if not work:
         return []
     offers = make_offers(ledger, now)
-    planned = []
+    planned, unplaced_needs = [], []
     for item in work:
+        step = item.progress.job.steps[item.step_number]
+        need = compute_need(step)
+        if any(_covers(need, unplaced) for unplaced in unplaced_needs):
+            continue
         granted = None
         if item.progress.job.terms.advised and tickets is not None:
             granted = tickets(item, tuple(offers))
             if granted is None:
                 continue
-        if item.progress.job.steps[item.step_number].gang:
+        if step.gang:
             planned += _plan_gang(ledger, item, offers, now, granted)
-        else:
-            planned += _plan_tasks(ledger, item, offers, now, granted)
+            continue
+        runs = list(_plan_tasks(ledger, item, offers, now, granted))
+        planned += runs
+        if len(runs) < len(item.tasks) and _fits_by_size_alone(step, granted):
+            unplaced_needs.append(need)
     return planned
 
 
+def _covers(need, other):
+    """Return whether a need is at least as large as another in each resource."""
+    return (
+        need.cpu >= other.cpu
+        and need.memory >= other.memory
+        and need.accelerators >= other.accelerators
+    )
+
+
+def _fits_by_size_alone(step, granted):
+    """Return whether only free resources decide where a step's tasks can be placed."""
+    return not (step.requires or step.most_per_executor or granted is not None)
+
+
 def _plan_tasks(ledger, item, offers, now, granted):
     step = item.progress.job.steps[item.step_number]
     need = compute_need(step)
--- a/peridotspoke/workloads/urgency.py
+++ b/peridotspoke/workloads/urgency.py
@@ -83,12 +83,19 @@
     )
 
 
-def rank_timing(timing):
+def rank_timing(timing, elapsed=0.0):
     """Return the sort key of a job for placement.
 
     Jobs that can still finish by their deadline come first, by priority and then by
     slack. Late jobs follow, the one with the least unfinished work first.
+
+    Parameters
+    ----------
+    timing : JobTiming
+    elapsed : float, optional
+        Time since the timing was computed, seconds, in which the job only waited.
     """
-    if timing.slack >= 0:
-        return (0, timing.priority, timing.slack)
-    return (1, timing.remaining_work, timing.slack)
+    slack = timing.slack - elapsed
+    if slack >= 0:
+        return (0, timing.priority, slack)
+    return (1, timing.remaining_work, slack)
