--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -33,6 +33,7 @@
 REMOVAL_MARGIN = 30.0  # seconds added to the time for which callers may ask for a job
 MAX_REMOVED_JOBS = 7  # a transaction holds 32 entries: 4 for each job, 1 for the owner
 MARK_DELAY = 0.3  # seconds until the watch has delivered a stored mark to the view
+ESTIMATE_INTERVAL = 0.05  # seconds between two estimates of the pool's demand
 MIN_DEMAND_INTERVAL = 0.15  # seconds between two writes of the pool's demand
 MAX_DEMAND_INTERVAL = 1.0  # seconds after which an unchanged demand is written again
 DEMAND_CHANGE = 0.1  # relative change of the demand above which it is written
@@ -71,6 +72,7 @@
         self._arrivals = ArrivalRate(SizingRules().window, lead)
         self._last_demand = None
         self._last_demand_at = float("-inf")
+        self._last_estimate_at = float("-inf")
         self._last_removal_at = node.clock.read_monotonic()
 
     def apply_withdrawals(self):
@@ -153,6 +155,9 @@
         """
         if now - self._last_demand_at < MIN_DEMAND_INTERVAL:
             return
+        if now - self._last_estimate_at < ESTIMATE_INTERVAL:
+            return
+        self._last_estimate_at = now
         wall = self._node.clock.read_wall()
         timings = list_timings(self._ledger, wall)
         rate = self._arrivals.forecast(now)
--- a/peridotspoke/nodes/tests/test_poolrecords.py
+++ b/peridotspoke/nodes/tests/test_poolrecords.py
@@ -2,9 +2,10 @@
 
 import pytest
 
+from peridotspoke.nodes import poolrecords
 from peridotspoke.nodes.jobviews import PoolJobs
 from peridotspoke.nodes.ownership import Holding
-from peridotspoke.nodes.poolrecords import PoolRecords
+from peridotspoke.nodes.poolrecords import ESTIMATE_INTERVAL, PoolRecords
 from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.workloads.jobs import Job, Need, Step
@@ -37,3 +38,22 @@
     assert records._arrivals.compute_mean(now) == 0.0
     records.record_arrival(make_job(records, age=0.1))
     assert records._arrivals.compute_mean(now) == pytest.approx(80.0)
+
+
+async def test_an_unchanged_demand_is_not_estimated_in_every_round(
+    records, monkeypatch
+):
+    """An estimate scans all jobs; a round comes every few milliseconds."""
+    estimates = []
+    estimate_demand = poolrecords.estimate_demand
+
+    def count_estimate(*arguments):
+        estimates.append(True)
+        return estimate_demand(*arguments)
+
+    monkeypatch.setattr(poolrecords, "estimate_demand", count_estimate)
+    rounds = 60
+    for number in range(rounds):
+        records.update_demand(100.0 + number / 100)
+    seconds = rounds / 100
+    assert 1 < len(estimates) <= seconds / ESTIMATE_INTERVAL + 1
