--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -125,6 +125,25 @@
     assert runs[0].task.status is TaskStatus.WAITING
 
 
+def test_a_silent_executor_that_answers_within_its_leases_keeps_its_runs():
+    """Nothing is started elsewhere or given up while a lease may last."""
+    ledger = make_ledger("e1", "e2")
+    add_job(ledger)
+    runs = start_all(ledger, 0.0)
+    for run in runs:
+        ledger.extend_lease(run.executor_id, 5.0)
+    report(ledger, "e1", 0.5, [run for run in runs if run.executor_id == "e1"])
+    report(ledger, "e2", 0.5, [run for run in runs if run.executor_id == "e2"])
+    for name in ("e1", "e2"):
+        ledger.note_unreachable(name, "no answer", 1.0)
+    ledger.expire_leases(5.0)
+    assert plan(ledger, 5.0) == []
+    report(ledger, "e1", 5.05, [run for run in runs if run.executor_id == "e1"])
+    report(ledger, "e2", 5.05, [run for run in runs if run.executor_id == "e2"])
+    assert [run.task.run for run in runs] == [1, 1]
+    assert {run.task.status for run in runs} == {TaskStatus.ASSIGNED}
+
+
 def test_a_restarted_executor_frees_confirmed_runs_and_stops_unconfirmed_ones():
     """A start without an answer may still be carried out by the new incarnation."""
     ledger = make_ledger("e1")
