--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -19,9 +19,10 @@
 )
 from peridotspoke.workloads.jobs import Job, Need, Step
 from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import JobProgress
-from peridotspoke.workloads.runledger import LedgerRules
-from peridotspoke.workloads.scheduling import list_timings, plan_runs, sum_ready
+from peridotspoke.workloads.readywork import list_timings, sum_ready
+from peridotspoke.workloads.scheduling import plan_runs
 
 __all__ = ["measure_rounds"]
 
--- /dev/null
+++ b/peridotspoke/nodes/jobanswers.py
@@ -0,0 +1,69 @@
+"""The typed answers to the requests of callers about jobs."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "Accepted",
+    "Counted",
+    "Invalid",
+    "Refused",
+    "Shown",
+    "Unknown",
+    "UnknownJob",
+    "UnknownQueue",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored and will run once, or its cancellation is stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request had no effect and may be repeated after `retry_after` seconds.
+
+    `overloaded` is true if the pool lacks the capacity to run the job in time.
+    """
+
+    reason: str
+    retry_after: float
+    overloaded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The request is malformed or not allowed; it had no effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The outcome is unknown: the request may have an effect, now or later."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownQueue:
+    """No queue has the host and the prefix of the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownJob:
+    """The job does not exist."""
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """The state of a job."""
+
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """The number of jobs of a queue that wait for their first start."""
+
+    waiting: int
--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -1,7 +1,5 @@
 """Answers callers: accepts jobs, shows their states, cancels them, counts queues."""
 
-from dataclasses import dataclass
-
 from peridotspoke.exceptions import (
     AnswerLostError,
     PlatformError,
@@ -9,6 +7,16 @@
     RequestError,
 )
 from peridotspoke.logs import log_event
+from peridotspoke.nodes.jobanswers import (
+    Accepted,
+    Counted,
+    Invalid,
+    Refused,
+    Shown,
+    Unknown,
+    UnknownJob,
+    UnknownQueue,
+)
 from peridotspoke.nodes.jobviews import JobView
 from peridotspoke.nodes.keys import key_cancellation, key_identity, key_job
 from peridotspoke.nodes.lookups import TOMBSTONE, JobLookup
@@ -17,17 +25,7 @@
 from peridotspoke.workloads.checking import check_job, is_job_id
 from peridotspoke.workloads.progress import encode_job
 
-__all__ = [
-    "Accepted",
-    "Counted",
-    "Invalid",
-    "JobRequestHandler",
-    "Refused",
-    "Shown",
-    "Unknown",
-    "UnknownJob",
-    "UnknownQueue",
-]
+__all__ = ["JobRequestHandler"]
 
 RETRY_AFTER = 1.0  # seconds, while the store or the configuration is unavailable
 RETRY_JITTER = 1.5  # largest random factor applied to the delay of a caller's retry
@@ -35,61 +33,6 @@
 MAX_DEMAND_AGE = 5.0  # seconds; a change of the pool's owner takes less
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """The job is stored and will run once, or its cancellation is stored."""
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The request had no effect and may be repeated after `retry_after` seconds.
-
-    `overloaded` is true if the pool lacks the capacity to run the job in time.
-    """
-
-    reason: str
-    retry_after: float
-    overloaded: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Invalid:
-    """The request is malformed or not allowed; it had no effect."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Unknown:
-    """The outcome is unknown: the request may have an effect, now or later."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownQueue:
-    """No queue has the host and the prefix of the request."""
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownJob:
-    """The job does not exist."""
-
-
-@dataclass(frozen=True, slots=True)
-class Shown:
-    """The state of a job."""
-
-    state: str
-
-
-@dataclass(frozen=True, slots=True)
-class Counted:
-    """The number of jobs of a queue that wait for their first start."""
-
-    waiting: int
-
-
 class JobRequestHandler:
     """Answers callers from the node's view of the store, or from the store itself.
 
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -23,7 +23,7 @@
 from peridotspoke.nodes.view import QueueCounts, encode_value
 from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.demand import ArrivalRate, estimate_demand
-from peridotspoke.workloads.scheduling import list_timings, sum_ready
+from peridotspoke.workloads.readywork import list_timings, sum_ready
 from peridotspoke.workloads.sizing import SizingRules
 from peridotspoke.workloads.urgency import compute_critical_path, compute_timing
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -32,8 +32,8 @@
 from peridotspoke.workloads.evacuation import plan_evacuation
 from peridotspoke.workloads.executors import Refusal, ThrottleOrder
 from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import decode_progress
-from peridotspoke.workloads.runledger import LedgerRules
 from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.throttling import plan_throttling
 
--- a/peridotspoke/nodes/tests/test_jobrequests.py
+++ b/peridotspoke/nodes/tests/test_jobrequests.py
@@ -5,7 +5,7 @@
 import pytest
 
 from peridotspoke.exceptions import AnswerLostError, RequestError
-from peridotspoke.nodes import jobrequests as answers
+from peridotspoke.nodes import jobanswers as answers
 from peridotspoke.nodes.jobrequests import JobRequestHandler
 from peridotspoke.nodes.jobviews import PoolJobs
 from peridotspoke.nodes.keys import (
--- a/peridotspoke/nodes/tests/test_poolrecords.py
+++ b/peridotspoke/nodes/tests/test_poolrecords.py
@@ -10,7 +10,7 @@
 from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.workloads.jobs import Job, Need, Step
 from peridotspoke.workloads.ledger import PoolLedger
-from peridotspoke.workloads.runledger import LedgerRules
+from peridotspoke.workloads.ledgertypes import LedgerRules
 
 
 @pytest.fixture
--- a/peridotspoke/nodes/tests/test_tickets.py
+++ b/peridotspoke/nodes/tests/test_tickets.py
@@ -7,7 +7,7 @@
 from peridotspoke.nodes.tickets import TicketCache
 from peridotspoke.workloads.configuration import Advice
 from peridotspoke.workloads.executors import TicketGrant
-from peridotspoke.workloads.scheduling import list_step_work, open_due_occurrences
+from peridotspoke.workloads.readywork import list_step_work, open_due_occurrences
 from peridotspoke.workloads.tests.ledgers import WALL_EPOCH, add_job, make_ledger
 
 
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from peridotspoke.logs import log_event
-from peridotspoke.nodes import jobrequests
+from peridotspoke.nodes import jobanswers
 from peridotspoke.platform.submissions import encode_state, encode_waiting
 
 __all__ = ["Ingress"]
@@ -122,7 +122,7 @@
     Parameters
     ----------
     answer : object
-        One of the result classes of `peridotspoke.nodes.jobrequests`.
+        One of the result classes of `peridotspoke.nodes.jobanswers`.
     unknown_status : int
         HTTP status for an unknown job.
 
@@ -131,21 +131,21 @@
     aiohttp.web.Response
     """
     match answer:
-        case jobrequests.Accepted():
+        case jobanswers.Accepted():
             return _make_response(200, {})
-        case jobrequests.Shown(state):
+        case jobanswers.Shown(state):
             return web.Response(body=encode_state(state), content_type=JSON_TYPE)
-        case jobrequests.Counted(waiting):
+        case jobanswers.Counted(waiting):
             return web.Response(body=encode_waiting(waiting), content_type=JSON_TYPE)
-        case jobrequests.UnknownQueue():
+        case jobanswers.UnknownQueue():
             return _make_response(404, {"error": "no such queue"})
-        case jobrequests.UnknownJob():
+        case jobanswers.UnknownJob():
             return _make_response(unknown_status, {"error": "no such job"})
-        case jobrequests.Invalid(reason):
+        case jobanswers.Invalid(reason):
             return _make_response(400, {"error": reason})
-        case jobrequests.Unknown(reason):
+        case jobanswers.Unknown(reason):
             return _make_response(504, {"error": reason})
-        case jobrequests.Refused(reason, retry_after, overloaded):
+        case jobanswers.Refused(reason, retry_after, overloaded):
             response = _make_response(429 if overloaded else 503, {"error": reason})
             response.headers["Retry-After"] = str(max(1, math.ceil(retry_after)))
             return response
--- /dev/null
+++ b/peridotspoke/workloads/executorledger.py
@@ -0,0 +1,232 @@
+"""The executors of a pool, whether they are reachable, and the leases of their runs."""
+
+from peridotspoke.workloads.jobledger import JobLedger
+from peridotspoke.workloads.runs import ExecutorState, RunPhase
+from peridotspoke.workloads.slowruns import find_slow_runs
+
+__all__ = ["ExecutorLedger"]
+
+COPY_DELAY_S = 0.5  # since it became unreachable; a poll's time-out comes before it
+STALL_PENALTY = 2.0  # added for each report that shows stalled runs
+
+
+class ExecutorLedger(JobLedger):
+    """A `JobLedger` that follows its executors and the leases of their runs."""
+
+    def see_entry(self, entry, now):
+        """Record the entry of an executor of this pool.
+
+        Parameters
+        ----------
+        entry : ExecutorEntry
+        now : float
+            Monotonic seconds.
+        """
+        state = self.executors.get(entry.executor_id)
+        if state is None:
+            state = ExecutorState(entry.executor_id)
+            state.lease_end = now
+            self.executors[entry.executor_id] = state
+        if state.entry is None or state.entry.condition is not entry.condition:
+            self.note(
+                "executor-listed",
+                executor=entry.executor_id,
+                condition=str(entry.condition),
+                sequence=entry.sequence,
+            )
+        state.entry = entry
+        state.last_entry = entry
+        self._update_incarnation(state, entry.incarnation, now)
+
+    def lose_entry(self, executor_id):
+        """Record that an executor is no longer listed in this pool."""
+        state = self.executors.get(executor_id)
+        if state is not None and state.entry is not None:
+            state.entry = None
+            self.note("executor-unlisted", executor=executor_id, runs=len(state.runs))
+
+    def set_withdrawn(self, executor_ids):
+        """Record which executors are being emptied.
+
+        Parameters
+        ----------
+        executor_ids : set of str
+            All of them; every other executor takes new runs again.
+        """
+        for state in self.executors.values():
+            withdrawn = state.executor_id in executor_ids
+            if withdrawn != state.withdrawn:
+                state.withdrawn = withdrawn
+                self.note(
+                    "executor-withdrawn",
+                    executor=state.executor_id,
+                    withdrawn=withdrawn,
+                    runs=len(state.runs),
+                )
+
+    def is_empty(self, executor_id):
+        """Return whether an executor has no runs, nor any that may still start."""
+        state = self.executors.get(executor_id)
+        return state is None or not (state.runs or state.foreign)
+
+    def release_departed(self, executor_id, now):
+        """Release the runs of an executor that has certainly left.
+
+        Parameters
+        ----------
+        executor_id : str
+        now : float
+            Monotonic seconds.
+        """
+        state = self.executors.get(executor_id)
+        if state is None:
+            return
+        for run in list(state.runs.values()):
+            self.requeue(run, now, "executor left")
+        if state.entry is None:
+            del self.executors[executor_id]
+
+    def _update_incarnation(self, state, incarnation, now):
+        """Record an executor's incarnation; drop what belongs to an earlier one."""
+        if not incarnation or incarnation <= state.incarnation:
+            return
+        if state.incarnation:
+            self.note("executor-reborn", executor=state.executor_id, born=incarnation)
+            state.cursor = state.acknowledged = 0
+            state.foreign.clear()
+            state.reported_at = None
+            state.lease_end += self.rules.restart_excess
+            for run in list(state.runs.values()):
+                self._handle_run_after_restart(run, now)
+        state.incarnation = incarnation
+
+    def _handle_run_after_restart(self, run, now):
+        """Release a run that ended when its executor restarted.
+
+        The new incarnation may have carried out a start that was sent before the
+        restart was known. So a run that no incarnation has confirmed yet stays until a
+        report of the new one shows whether it runs there, and a start without an
+        answer is stopped there first. An inherited run stays as well: its start can't
+        be carried out any more once the executor has answered a request under this
+        owner's fence.
+        """
+        if run.phase is RunPhase.INHERITED:
+            return
+        if run.start_unconfirmed or run.phase is RunPhase.STARTING:
+            run.start_unconfirmed = True
+            run.stop_answered_at = None
+            self.stop_run(run, "start unconfirmed when the executor restarted")
+        elif run.is_confirmed or run.phase is RunPhase.PLANNED:
+            self.requeue(run, now, "executor restarted")
+        else:
+            run.stop_answered_at = None
+            self.requested_reports.add(run.executor_id)
+
+    def extend_lease(self, executor_id, lease_end):
+        """Record that the lease of an executor's runs may have been extended.
+
+        Parameters
+        ----------
+        executor_id : str
+        lease_end : float
+            Latest time at which the lease can end, monotonic seconds.
+        """
+        state = self.executors.get(executor_id)
+        if state is not None:
+            state.lease_end = max(state.lease_end, lease_end)
+
+    def note_unreachable(self, executor_id, reason, now):
+        """Record that a call to an executor got no answer.
+
+        Parameters
+        ----------
+        executor_id : str
+        reason : str
+            Logged.
+        now : float
+            Monotonic seconds.
+        """
+        state = self.executors.get(executor_id)
+        if state is not None and state.reachable:
+            state.reachable = False
+            state.unreachable_since = now
+            self.note("executor-unreachable", executor=executor_id, reason=reason)
+
+    def requeue_speculative(self, now):
+        """Requeue the speculative tasks of unreachable executors to be run elsewhere.
+
+        The earlier run may go on, so that two copies may run. A task that has failed
+        before is not copied, as a failure of both copies could count as one attempt
+        too many.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        for state in self.executors.values():
+            if state.reachable or now - state.unreachable_since < COPY_DELAY_S:
+                continue
+            for run in list(state.runs.values()):
+                if not run.step.speculative or run.task.failures:
+                    continue
+                if run.phase is not RunPhase.PLANNED:
+                    self.copied_runs.add((run.key, run.number))
+                    self.requeue(run, now, "executor unreachable, task may run twice")
+
+    def stop_slow_runs(self, executor_id, now):
+        """Stop the runs of an executor that make no progress or are far too slow.
+
+        Parameters
+        ----------
+        executor_id : str
+        now : float
+            Monotonic seconds.
+        """
+        state = self.executors.get(executor_id)
+        if state is None:
+            return
+        slow_runs = list(find_slow_runs(self, state, now))
+        if slow_runs:
+            self.penalize(state, now, STALL_PENALTY)
+        for run in slow_runs:
+            self.failed_on.setdefault(run.key, set()).add(executor_id)
+            self.stop_run(run, f"stalled at {run.percent} percent")
+
+    def expire_leases(self, now):
+        """Release the runs that have certainly ended because their lease expired.
+
+        This concerns executors that are unreachable or not listed. Those that are not
+        listed are then removed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        for state in list(self.executors.values()):
+            lease_end = state.lease_end + self.rules.margin
+            if now <= lease_end:
+                continue
+            if not state.reachable or state.entry is None:
+                has_longest_ended = now > lease_end + self.rules.restart_excess
+                self._release_lapsed(state, has_longest_ended, now)
+            if state.entry is None and not state.runs:
+                del self.executors[state.executor_id]
+
+    def _release_lapsed(self, state, has_longest_ended, now):
+        """Release the runs of an executor whose recorded leases have expired.
+
+        A run that no incarnation has confirmed may be on a later one, where its lease
+        can last longer; it is released if `has_longest_ended`. The time that inherited
+        runs are given covers that.
+        """
+        lapsed = [
+            run
+            for run in state.runs.values()
+            if run.is_confirmed or run.phase is RunPhase.INHERITED or has_longest_ended
+        ]
+        if lapsed and not state.reachable:
+            self.note("leases-expired", executor=state.executor_id)
+        for run in lapsed:
+            self.requeue(run, now, "lease expired")
--- a/peridotspoke/workloads/tests/ledgers.py
+++ b/peridotspoke/workloads/tests/ledgers.py
@@ -10,8 +10,8 @@
 )
 from peridotspoke.workloads.jobs import Job, Need, QueueTerms, Step
 from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import JobProgress
-from peridotspoke.workloads.runledger import LedgerRules
 from peridotspoke.workloads.scheduling import plan_runs
 
 WALL_EPOCH = 1_700_000_000.0  # seconds since the Unix epoch at monotonic time 0
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -17,8 +17,8 @@
     RunReport,
 )
 from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import decode_progress
-from peridotspoke.workloads.runledger import LedgerRules
 from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.tests.ledgers import WALL_EPOCH, make_entry
 
--- a/peridotspoke/workloads/tests/peakmodel.py
+++ b/peridotspoke/workloads/tests/peakmodel.py
@@ -15,7 +15,8 @@
 from peridotspoke.workloads.jobs import Job, Need, QueueTerms, Step
 from peridotspoke.workloads.machines import Machine, MachineState
 from peridotspoke.workloads.progress import JobProgress
-from peridotspoke.workloads.scheduling import list_timings, plan_runs, sum_ready
+from peridotspoke.workloads.readywork import list_timings, sum_ready
+from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.sizing import SizingRules, plan_moves
 from peridotspoke.workloads.tests.ledgers import (
     WALL_EPOCH,
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -3,8 +3,8 @@
 from peridotspoke.store import Record
 from peridotspoke.workloads.executors import EndKind, Refusal
 from peridotspoke.workloads.jobs import Need, Step
+from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, decode_summary
-from peridotspoke.workloads.runledger import LedgerRules
 from peridotspoke.workloads.tests.ledgers import (
     add_job,
     end,
--- a/peridotspoke/workloads/tests/test_scheduling.py
+++ b/peridotspoke/workloads/tests/test_scheduling.py
@@ -13,7 +13,7 @@
 from peridotspoke.workloads.executors import EndKind
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.progress import JobProgress
-from peridotspoke.workloads.scheduling import list_step_work
+from peridotspoke.workloads.readywork import list_step_work
 from peridotspoke.workloads.tests.ledgers import (
     WALL_EPOCH,
     add_job,
