Repeat a read of the command line that the platform doesn't answer

Change: status and diff repeat a read that was not answered, twice, with backoff, and say so on stderr. Publishing itself is not repeated.

--- a/peridotspoke/programs/publish.py
+++ b/peridotspoke/programs/publish.py
@@ -24,6 +24,7 @@
 
 import aiohttp
 
+from peridotspoke.backoff import BackoffRules, compute_backoff
 from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import (
     compare_texts,
@@ -38,17 +39,27 @@
     AnswerLostError,
     OperationConflictError,
     PlatformError,
+    PlatformUnavailableError,
 )
 from peridotspoke.programs.output import print_rows
 from peridotspoke.programs.running import make_command, run_commands
 from peridotspoke.programs.settings import PublishSettings
 from peridotspoke.store import open_service
 
-__all__ = ["EXIT_CONFLICT", "EXIT_INCOMPLETE", "EXIT_UNKNOWN", "main"]
+__all__ = [
+    "EXIT_CONFLICT",
+    "EXIT_INCOMPLETE",
+    "EXIT_UNKNOWN",
+    "READ_ATTEMPTS",
+    "main",
+    "retry_read",
+]
 
 EXIT_INCOMPLETE = 3
 EXIT_CONFLICT = 4
 EXIT_UNKNOWN = 5
+READ_ATTEMPTS = 3
+READ_BACKOFF = BackoffRules(first=0.2, most=1.0)  # seconds
 ROLL_OUT_POLL_INTERVAL = 0.25  # seconds between two readings of the roll-out
 
 
@@ -58,6 +69,34 @@
         yield open_service(settings, SystemClock(), session)
 
 
+async def retry_read(read, chance=None, sleep=asyncio.sleep):
+    """Call a read of the platform, again if it fails, and return its result.
+
+    Parameters
+    ----------
+    read : callable
+        Called without arguments for each of at most `READ_ATTEMPTS` attempts; returns
+        a coroutine that has no effect on the platform.
+    chance : random.Random, optional
+        Source of the jitter of retries.
+    sleep : callable, optional
+        Coroutine function that waits for some seconds.
+
+    Raises
+    ------
+    PlatformError
+        That of the last attempt.
+    """
+    chance = chance or random.SystemRandom()
+    for attempt in range(1, READ_ATTEMPTS):
+        try:
+            return await read()
+        except (AnswerLostError, PlatformUnavailableError) as error:
+            print(f"waiting for the platform: {error}", file=sys.stderr, flush=True)
+            await sleep(compute_backoff(READ_BACKOFF, attempt, chance))
+    return await read()
+
+
 async def _check(settings):
     texts = read_declarations(settings.directory)
     print(f"{len(texts)} declarations are valid")
@@ -66,8 +105,10 @@
 async def _diff(settings):
     texts = read_declarations(settings.directory)
     async with _open_platform(settings) as service:
-        stored, _ = await read_head(service)
-        before = await read_texts(service, stored.body) if stored else {}
+        stored, _ = await retry_read(lambda: read_head(service))
+        before = {}
+        if stored:
+            before = await retry_read(lambda: read_texts(service, stored.body))
     changes = compare_texts(before, texts)
     if settings.output == "table":
         version = stored.body.version if stored else 0
@@ -138,8 +179,8 @@
 
 async def _status(settings):
     async with _open_platform(settings) as service:
-        stored, _ = await read_head(service)
-        members = await read_members(service)
+        stored, _ = await retry_read(lambda: read_head(service))
+        members = await retry_read(lambda: read_members(service))
     version = stored.body.version if stored else 0
     if settings.output == "table":
         print(f"version {version}")
