--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -1,6 +1,6 @@
 """Searches histories of a pool's owners for double runs, with many seeds.
 
-Run: ``python -m benchmarks.ownership [--seeds 20] [--walks 60000]``. One line is
+Run: ``python -m benchmarks.ownership search [--seeds 20] [--walks 60000]``. One line is
 printed for each seed and kind of search; a violation is printed with the walk that
 shows it, reduced to the actions that it needs. The exit status is 1 if one was found.
 ``python -m benchmarks.ownership weakened [--seeds 20]`` takes out one safeguard after
@@ -83,8 +83,4 @@
 
 
 if __name__ == "__main__":
-    commands = {"weakened": search_weakened}
-    if len(sys.argv) > 1 and sys.argv[1] in commands:
-        fire.Fire(commands)
-    else:
-        fire.Fire(search)
+    fire.Fire({"search": search, "weakened": search_weakened})
