--- a/peridotspoke/platform/executors.py
+++ b/peridotspoke/platform/executors.py
@@ -177,7 +177,11 @@
         refusal = self._find_refusal("run-start", response)
         if refusal is not None:
             return StartAnswer(refusal)
-        answer = decode_body(response, _RunLists, "run-start", self._peer.address)
+        try:
+            answer = decode_body(response, _RunLists, "run-start", self._peer.address)
+        except AnswerLostError:
+            # The status says that the run was started; only the clock is not known.
+            return StartAnswer()
         return StartAnswer(clock=answer.clock_ms or None)
 
     async def stop(self, order):
--- /dev/null
+++ b/peridotspoke/platform/tests/test_executors.py
@@ -0,0 +1,44 @@
+"""Tests of what an executor's answers to a start are taken for."""
+
+import msgspec
+import pytest
+
+from peridotspoke.platform.executors import HttpExecutor
+from peridotspoke.platform.http import HttpResponse
+from peridotspoke.workloads.executors import Refusal, StartAnswer, StartOrder
+from peridotspoke.workloads.jobs import TaskKey
+
+ORDER = StartOrder(TaskKey("5c0e7a21d94b36f8", 0, 0, 0), 1, "spec", 6000, 7)
+
+
+class PeerDouble:
+    """Answers each call with the same response."""
+
+    address = "10.0.0.1:80"
+
+    def __init__(self, status, body):
+        self._response = HttpResponse(status, body)
+
+    async def call(self, method, path, timeout, body=None, headers=None):
+        return self._response
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        (200, msgspec.json.encode({"clockMs": 482113}), StartAnswer(clock=482113)),
+        (200, b"{}", StartAnswer()),
+        (200, b"not JSON", StartAnswer()),
+        (
+            409,
+            msgspec.json.encode({"clockMs": 482113, "reason": "room"}),
+            StartAnswer(Refusal.ROOM),
+        ),
+        (421, b"", StartAnswer(Refusal.OTHER_INCARNATION)),
+    ],
+)
+async def test_the_status_decides_and_a_malformed_body_loses_only_the_clock(
+    status, body, expected
+):
+    executor = HttpExecutor(PeerDouble(status, body), "i-1", timeout=0.7)
+    assert await executor.start(ORDER) == expected
