Remove three settings that nothing reads

The limits of calls to the interface of the machines and the largest value were read from the platform's file and used nowhere. Their keys are now ignored like others that the node doesn't use.

--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -107,14 +107,10 @@
         Address of the advice service, empty for none.
     writes, reads : float
         Calls per second that the store accepts from all nodes together.
-    listings, duties : float
-        Calls per second that the interface of the machines accepts.
     heartbeat : float
         Interval of the heartbeats, in seconds.
     shortest_lease : float
         Shortest time to live that the store grants to a lease, in seconds.
-    most_value : int
-        Size of the largest value that the store accepts, in bytes.
     processors : float
         Processors of the instance.
     link : float
@@ -133,11 +129,8 @@
     advice: str = ""
     writes: float = 400.0
     reads: float = 2000.0
-    listings: float = 10.0
-    duties: float = 10.0
     heartbeat: float = 1.5
     shortest_lease: float = 1.0
-    most_value: int = 1024 * 1024
     processors: float = DEFAULT_PROCESSORS
     link: float = DEFAULT_LINK
     bounds: Bounds = field(default_factory=Bounds)
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -31,11 +31,8 @@
 NUMBER_FIELDS = {
     "writes": ("platform.writesPerS", 1.0),
     "reads": ("platform.readsPerS", 1.0),
-    "listings": ("cloud.ratePerS", 1.0),
-    "duties": ("cloud.dutyPerS", 1.0),
     "heartbeat": ("heartbeatMs", SECONDS_PER_MS),
     "shortest_lease": ("platform.ttlMinMs", SECONDS_PER_MS),
-    "most_value": ("platform.valueBytes", 1.0),
     "link": ("limits.linkMbps", 1.0),
 }
 # limits.cpuShare is the share of a processor that the process gets; limits.cores is
