Show by a failing test that accepted work waits for the store beside idle executors

What callers see: while the store is away for all nodes, jobs that were accepted before start nowhere, although executors answer. Cause: a run starts only once its record is stored, and an owner orders only while its lease is certain.

--- a/peridotspoke/platform/tests/test_whole_path.py
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -224,3 +224,25 @@
         metrics.get_count("store_bytes", kind=k) for k in ("watch", "range")
     )
     assert received_bytes < len(jobs) * len(spec)
+
+
+async def test_accepted_work_starts_while_the_store_is_away_for_all(platform):
+    # Guards against executors that stand idle beside accepted work until the store is
+    # back: an availability zone goes on serving what it can without the platform.
+    executor = platform.executors.pop()
+    platform.store.remove(f"servers/{executor.executor_id}")
+    (executor,) = platform.executors
+    executor.duration = 1.0
+    address = await platform.start_node("n1")
+    whole_executor = [{"count": 1, "cpu": 8000}]
+    await submit(address, whole_executor)
+    async with asyncio.timeout(20):
+        while not executor.starts:
+            await asyncio.sleep(0.02)
+        assert (await call(address, "POST", "a" * 16, whole_executor))[0] == 200
+    platform.store.unavailable = True
+    await asyncio.sleep(executor.duration + TIMING.extension_limit)
+    assert [task for task, _ in executor.starts] == [
+        f"{JOB_ID}.0.0.0",
+        f"{'a' * 16}.0.0.0",
+    ]
