Size pools by memory and whole tasks as well as by processors

A pool whose tasks that last take more memory than processors was large enough by its count and had no room for them.

Cause: `estimate_demand` summed processors alone, and `spread` knew per-executor limits only. With 32 cores and 64 GB an executor has room for four tasks of 4 cores and 15 GB by memory, and for eight by processors. Of 40 GB an executor takes one, whatever the sums say.

Why it works: the owner states `cores` as the processors that come with the memory and accelerators needed on its executors, where these bind first, so that the peaks that are held, the threshold for publishing and the surplus follow it. `spread` is the number of executors with which each task that lasts has a place as a whole: where it runs, else first-fit by size; tasks on executors that are leaving or unreachable count as without a place. Finite tasks aren't packed.

Upgrades: the record under `work/pool` has no new field.

Machines without accelerators are ordered too where these bind: orders know processors only. Required labels don't count either, other than in whether a task fits at all.

--- a/peridotspoke/nodes/tests/test_poolrecords.py
+++ b/peridotspoke/nodes/tests/test_poolrecords.py
@@ -1,16 +1,24 @@
 """Tests of the demand that a pool's owner stores for the fleet's owner."""
 
+import asyncio
+
 import pytest
 
 from peridotspoke.nodes import poolrecords
 from peridotspoke.nodes.jobviews import PoolJobs
 from peridotspoke.nodes.ownership import Holding
-from peridotspoke.nodes.poolrecords import ESTIMATE_INTERVAL, PoolRecords
+from peridotspoke.nodes.poolrecords import (
+    ESTIMATE_INTERVAL,
+    MIN_DEMAND_INTERVAL,
+    PoolRecords,
+)
 from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.workloads.jobs import Job, Need, Step
 from peridotspoke.workloads.ledger import PoolLedger
 from peridotspoke.workloads.ledgertypes import LedgerRules
+from peridotspoke.workloads.readywork import open_due_occurrences
+from peridotspoke.workloads.tests.ledgers import WALL_EPOCH, add_job, make_entry
 
 
 @pytest.fixture
@@ -57,3 +65,20 @@
         records.update_demand(100.0 + number / 100)
     seconds = rounds / 100
     assert 1 < len(estimates) <= seconds / ESTIMATE_INTERVAL + 1
+
+
+async def test_a_change_of_the_needed_memory_alone_is_published(records):
+    """The new tasks add a hundredth of the processors; 152 GB come with 76 of them."""
+    ledger = records._ledger
+    for number in range(4):
+        ledger.see_entry(make_entry(f"e{number}", cpu=32_000), 0.0)
+    add_job(ledger, Step(8, Need(4000, 4000), lasting=True), job_id="1" * 16)
+    open_due_occurrences(ledger, WALL_EPOCH)
+    records.update_demand(100.0)
+    assert records._last_demand.cores == 32.0
+    while "demand" in records._tasks.running_names:
+        await asyncio.sleep(0)
+    add_job(ledger, Step(4, Need(100, 30_000), lasting=True), job_id="2" * 16)
+    open_due_occurrences(ledger, WALL_EPOCH)
+    records.update_demand(100.0 + MIN_DEMAND_INTERVAL + 0.01)
+    assert records._last_demand.cores == 76.0
--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -9,7 +9,15 @@
 from dataclasses import dataclass
 
 from peridotspoke.workloads.executors import ExecutorCondition
-from peridotspoke.workloads.progress import JobOutcome, TaskStatus
+from peridotspoke.workloads.progress import JobOutcome
+from peridotspoke.workloads.room import (
+    compute_binding_cores,
+    count_whole_executors,
+    list_lasting_tasks,
+    measure_finite_mix,
+    measure_shape,
+    sum_needs,
+)
 from peridotspoke.workloads.runs import RunPhase, compute_need
 from peridotspoke.workloads.sizing import SizingRules
 
@@ -23,6 +31,10 @@
 class PoolDemand:
     """A pool's demand, as published by its owner.
 
+    Where memory or accelerators bind before processors, `cores` and `late_cores` are
+    the processors of executors that have enough of them. So the record is the same
+    whichever resource binds, and earlier versions size pools by it as well.
+
     Parameters
     ----------
     cores : float
@@ -30,8 +42,8 @@
     late_cores : float
         Additional processors needed for late jobs.
     spread : int
-        Minimum number of executors that the per-executor limits of the long-running
-        tasks require.
+        Minimum number of executors with which each long-running task has a place, as
+        a whole and within its per-executor limit.
     removable : tuple of str
         Executors that could be emptied, the one with the least work first; those with
         long-running tasks are left out.
@@ -185,11 +197,14 @@
             on_time += timing.remaining_work / max(span, MIN_SPAN)
         else:
             late += timing.remaining_work / rules.late_horizon
-    finite = max(_sum_running(ledger), min(ready, on_time), rate)
+    running = _sum_running(ledger)
+    finite = max(running.cores, min(ready, on_time), rate)
+    late_finite = max(finite, min(ready, on_time + late))
+    cores, all_cores = _compute_cores(ledger, running, (finite, late_finite))
     return PoolDemand(
-        cores=_sum_lasting(ledger) + finite,
-        late_cores=max(0.0, min(ready, on_time + late) - finite),
-        spread=_count_min_executors(ledger),
+        cores=cores,
+        late_cores=all_cores - cores,
+        spread=max(_count_min_executors(ledger), count_whole_executors(ledger)),
         removable=_rank_removable(ledger),
         unusable=tuple(
             sorted(
@@ -210,25 +225,40 @@
     )
 
 
+def _compute_cores(ledger, running, finite_cores):
+    """Return the processors needed by whichever resource binds first.
+
+    Parameters
+    ----------
+    ledger : PoolLedger
+    running : Amounts
+        What the running finite tasks take.
+    finite_cores : tuple of float
+        Processors that finite jobs need, in several cases.
+
+    Returns
+    -------
+    list of float
+        By case, with what the long-running tasks take.
+    """
+    shape, mix = measure_shape(ledger), measure_finite_mix(ledger)
+    lasting = sum_needs(
+        (compute_need(step), 1) for _, step in list_lasting_tasks(ledger)
+    )
+    return [
+        compute_binding_cores(lasting + mix.scale(cores).widen(running), shape)
+        for cores in finite_cores
+    ]
+
+
 def _sum_running(ledger):
-    return sum(
-        compute_need(run.step).cpu / 1000
+    return sum_needs(
+        (compute_need(run.step), 1)
         for run in ledger.list_runs()
         if not run.step.lasting
     )
 
 
-def _sum_lasting(ledger):
-    cores = 0.0
-    for progress in ledger.jobs.values():
-        if progress.outcome is JobOutcome.OPEN and progress.job.is_long_running:
-            for task in progress.list_tasks():
-                step = progress.job.steps[task.key.step]
-                if step.lasting and task.status is not TaskStatus.DONE:
-                    cores += compute_need(step).cpu / 1000
-    return cores
-
-
 def _count_min_executors(ledger):
     count = 0
     for progress in ledger.jobs.values():
