Hold the place of a lasting task that is moved until it starts

Cause: `plan_evacuation` looked for a place, and reserved it in the offers of that one call. The task waits only once its run is known to have ended, rounds later. In the same round `plan_runs` gave the place to waiting finite tasks, of whatever priority. As these end one by one, each leaves room for another of its size and never for the moved task. In the next round the same place was also found for another task, which was stopped as well.

A smaller size that fits nowhere doesn't hide the task, and an executor with a held place isn't offered for removal. Finite tasks that are moved hold nothing.

Limits: a new owner of the pool holds no place. A task that stands for another reason, such as a lost executor, still waits for its whole place behind smaller tasks that follow each other.

--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -274,16 +274,17 @@
     """Return the executors that could be emptied, the one with the least work first.
 
     Executors with long-running tasks are left out: emptying them would stop these
-    tasks only to start them elsewhere.
+    tasks only to start them elsewhere. So are those with places held for such tasks.
     """
     ranked = []
+    held = {place.executor_id for place in ledger.held_places.values()}
     for state in ledger.executors.values():
         if state.entry is None or state.entry.condition is ExecutorCondition.DRAINING:
             continue
         runs = [
             run for run in state.runs.values() if run.phase is not RunPhase.STOPPING
         ]
-        if any(run.step.lasting for run in runs):
+        if state.executor_id in held or any(run.step.lasting for run in runs):
             continue
         load = sum(compute_need(run.step).cpu for run in runs)
         ranked.append((load, state.executor_id))
--- a/peridotspoke/workloads/evacuation.py
+++ b/peridotspoke/workloads/evacuation.py
@@ -1,6 +1,7 @@
 """Decides which runs to stop on executors that are being emptied."""
 
 from peridotspoke.workloads.placement import choose_executor
+from peridotspoke.workloads.places import drop_old_places, hold_place
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus
 from peridotspoke.workloads.runs import RunPhase, compute_need
 from peridotspoke.workloads.scheduling import make_offers
@@ -67,7 +68,8 @@
 def plan_evacuation(ledger, now):
     """Yield the runs to stop now on executors that are draining or withdrawn.
 
-    A run is stopped only if another executor has capacity for it. Long-running runs
+    A run is stopped only if another executor has capacity for it, which is held for a
+    long-running one. Long-running runs
     are stopped within their step's availability budget, or regardless of it if their
     executor has announced that it will leave. Checkpointing runs are stopped unless
     they end soon. Other runs continue to their end unless their executor leaves
@@ -82,6 +84,7 @@
     leaving = [state for state in ledger.executors.values() if _is_leaving(state)]
     if not leaving:
         return
+    drop_old_places(ledger, now)
     offers = list(make_offers(ledger, now).values())
     for state in leaving:
         for run in list(state.runs.values()):
@@ -95,6 +98,8 @@
             if offer is None:
                 continue
             offer.reserve(need, group)
+            if run.step.lasting:
+                hold_place(ledger, run, offer.executor_id, now)
             yield run
 
 
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -41,6 +41,8 @@
     durations : DurationModel
     failed_on : dict of TaskKey to set of str
         Executors on which a task failed or stalled.
+    held_places : dict of TaskKey to HeldPlace
+        Capacity that is kept for long-running tasks that are being moved.
     copied_runs : set of tuple of (TaskKey, int)
         Runs, by task and run number, that were given up so that a copy could start.
     taken_over_at : float
@@ -57,6 +59,7 @@
         self.requested_reports = set()
         self.durations = DurationModel()
         self.failed_on = {}
+        self.held_places = {}
         self.copied_runs = set()
         self.rules = rules
         self.taken_over_at = now
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -5,6 +5,7 @@
 """
 
 from peridotspoke.workloads.placement import Offer, choose_executor, find_gang
+from peridotspoke.workloads.places import drop_old_places, release_place
 from peridotspoke.workloads.readywork import list_step_work, open_due_occurrences
 from peridotspoke.workloads.runs import compute_need
 
@@ -14,6 +15,8 @@
 def make_offers(ledger, now):
     """Return the free resources of each executor that takes new runs.
 
+    Places that are held for tasks that are being moved are not free.
+
     Parameters
     ----------
     ledger : PoolLedger
@@ -44,6 +47,9 @@
             offer.counts[group] = offer.counts.get(group, 0) + 1
             offer.lasting += run.step.lasting
         offers[state.executor_id] = offer
+    for key, place in ledger.held_places.items():
+        if place.executor_id in offers:
+            offers[place.executor_id].reserve(place.need, _make_group_key(key))
     return offers
 
 
@@ -68,6 +74,7 @@
         The new runs, which start once they are stored.
     """
     open_due_occurrences(ledger, wall)
+    drop_old_places(ledger, now)
     work = list_step_work(ledger, wall)
     if not work:
         return []
@@ -76,8 +83,11 @@
     for item in work:
         step = item.progress.job.steps[item.step_number]
         need = compute_need(step)
+        tasks = _list_held_first(ledger, item.tasks)
         if any(_covers(need, unplaced) for unplaced in unplaced_needs):
-            continue
+            tasks = [task for task in tasks if task.key in ledger.held_places]
+            if not tasks:
+                continue
         granted = None
         if item.progress.job.terms.advised and tickets is not None:
             granted = tickets(item, tuple(offers))
@@ -86,9 +96,9 @@
         if step.gang:
             planned += _plan_gang(ledger, item, offers, now, granted)
             continue
-        runs = list(_plan_tasks(ledger, item, offers, now, granted))
+        runs = list(_plan_tasks(ledger, item, tasks, offers, now, granted))
         planned += runs
-        if len(runs) < len(item.tasks) and _fits_by_size_alone(step, granted):
+        if len(runs) < len(tasks) and _fits_by_size_alone(step, granted):
             unplaced_needs.append(need)
     return planned
 
@@ -107,15 +117,29 @@
     return not (step.requires or step.most_per_executor or granted is not None)
 
 
-def _plan_tasks(ledger, item, offers, now, granted):
+def _list_held_first(ledger, tasks):
+    """Return the tasks for which a place is held, and then the others."""
+    return sorted(tasks, key=lambda task: task.key not in ledger.held_places)
+
+
+def _plan_tasks(ledger, item, tasks, offers, now, granted):
+    """Yield a run for each of an item's tasks up to one that fits nowhere.
+
+    A task may use the place that is held for it, or a better one.
+    """
     step = item.progress.job.steps[item.step_number]
     need = compute_need(step)
-    for task in item.tasks:
+    for task in tasks:
         group = _make_group_key(task.key)
+        held = release_place(ledger, task.key, offers)
         avoid = ledger.failed_on.get(task.key, frozenset())
         offer = choose_executor(offers.values(), step, need, group, avoid, granted)
         if offer is None:
-            return
+            if held is None:
+                return
+            held.reserve(need, group)
+            continue
+        ledger.held_places.pop(task.key, None)
         offer.reserve(need, group)
         offer.lasting += step.lasting
         ticket = granted[offer.executor_id] if granted else ""
