End the wait for earlier owners once an executor has answered

Callers saw a task that lasts stand for up to 12.75 s (RULES, LOST, allows 9 s) where its executor left within 12.75 s of a hand-over of its pool, although the new owner had polled the executor in between.

Cause: the time for which an earlier owner may go on extending leases was merged into the executor's lease end as the pool was taken over, and stayed there.

The executor has checked the new owner's fence when it answers, so that it refuses what earlier owners send. Runs that nothing has confirmed wait as before.

--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -363,6 +363,7 @@
         * SLOW_CLOCK_FACTOR,
         margin=(SLOW_CLOCK_FACTOR - 1.0) * run_lease,
         restart_excess=max(0.0, longest_lease - run_lease),
+        run_lease=run_lease,
     )
 
 
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -96,6 +96,7 @@
             state.foreign.clear()
             state.reported_at = None
             state.lease_end += self.rules.restart_excess
+            state.inherited_end += self.rules.restart_excess
             for run in list(state.runs.values()):
                 self._handle_run_after_restart(run, now)
         state.incarnation = incarnation
@@ -205,28 +206,56 @@
             Monotonic seconds.
         """
         for state in list(self.executors.values()):
-            lease_end = state.lease_end + self.rules.margin
-            if now <= lease_end:
+            if now <= state.lease_end + self.rules.margin:
                 continue
             if not state.reachable or state.entry is None:
-                has_longest_ended = now > lease_end + self.rules.restart_excess
-                self._release_lapsed(state, has_longest_ended, now)
+                self._release_lapsed(state, now)
             if state.entry is None and not state.runs:
                 del self.executors[state.executor_id]
 
-    def _release_lapsed(self, state, has_longest_ended, now):
-        """Release the runs of an executor whose recorded leases have expired.
+    def limit_former_leases(self, state, now):
+        """Record how long leases may last on an executor that reports at first.
 
-        A run that no incarnation has confirmed may be on a later one, where its lease
-        can last longer; it is released if `has_longest_ended`. The time that inherited
-        runs are given covers that.
+        The executor has checked this owner's fence, so that it refuses what earlier
+        owners send from now on. Their last extension may have come just before, on
+        the clock of an earlier incarnation, and so have given the longest lease.
+
+        Parameters
+        ----------
+        state : ExecutorState
+        now : float
+            Monotonic seconds.
         """
+        phases = {run.phase for run in state.runs.values()}
+        is_first = state.reported_at is None or RunPhase.INHERITED in phases
+        longest_end = self.taken_over_at + self.rules.inherited_lease
+        if state.has_inherited and is_first and now < longest_end:
+            lease_end = min(longest_end, now + self.rules.run_lease)
+            lease_end += self.rules.restart_excess
+            state.lease_end = max(state.lease_end, lease_end)
+
+    def _release_lapsed(self, state, now):
         lapsed = [
             run
             for run in state.runs.values()
-            if run.is_confirmed or run.phase is RunPhase.INHERITED or has_longest_ended
+            if now > self._compute_run_end(state, run) + self.rules.margin
         ]
         if lapsed and not state.reachable:
             self.note("leases-expired", executor=state.executor_id)
         for run in lapsed:
             self.requeue(run, now, "lease expired")
+
+    def _compute_run_end(self, state, run):
+        """Return the time at which the lease of a run has ended, monotonic seconds.
+
+        Earlier owners may extend the leases of runs that no report or answer has
+        confirmed. A start of this owner that is not confirmed may also be on a later
+        incarnation, where its lease can last longer; the time that inherited runs are
+        given covers that.
+        """
+        if run.is_confirmed:
+            return state.lease_end
+        longest = max(state.lease_end, state.inherited_end)
+        if run.phase is RunPhase.INHERITED:
+            return longest
+        return longest + self.rules.restart_excess
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -53,8 +53,8 @@
         if state is None:
             state = ExecutorState(task.executor, incarnation=task.incarnation)
             self.executors[task.executor] = state
-        lease_end = self.taken_over_at + self.rules.inherited_lease
-        state.lease_end = max(state.lease_end, lease_end)
+        inherited_end = self.taken_over_at + self.rules.inherited_lease
+        state.inherited_end = max(state.inherited_end, inherited_end)
         step = progress.job.steps[task.key.step]
         state.runs[task.key] = Run(
             task,
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -54,6 +54,7 @@
             if end.number > state.cursor:
                 state.cursor = end.number
                 self._handle_ended_run(state, end, now, wall)
+        self.limit_former_leases(state, now)
         listed = {(reported.key, reported.run): reported for reported in report.running}
         self._match_listed_runs(state, listed, asked_at, now)
         self._handle_unlisted_runs(state, listed, asked_at, now)
--- a/peridotspoke/workloads/ledgertypes.py
+++ b/peridotspoke/workloads/ledgertypes.py
@@ -24,11 +24,14 @@
         By how long, seconds, a lease can exceed its recorded end where the order was
         carried out by a later incarnation than the owner knew: the clock of each
         incarnation starts anew, and an executor only limits the length of a lease.
+    run_lease : float, optional
+        Duration, seconds, of each lease that an owner grants; by default unknown.
     """
 
     inherited_lease: float
     margin: float
     restart_excess: float = 0.0
+    run_lease: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -121,7 +121,10 @@
     incarnation : int
         Start of the executor's present incarnation, Unix milliseconds; 0 if unknown.
     lease_end : float
-        Time after which every lease that was granted to its runs has expired.
+        Time after which every lease has expired that this owner granted, or that
+        confirmed runs have from earlier owners.
+    inherited_end : float
+        Time after which every lease that earlier owners granted has expired.
     reported_at : float or None
         When the latest report that this owner received was requested; None before
         the first.
@@ -154,6 +157,7 @@
     last_entry: ExecutorEntry | None = None
     incarnation: int = 0
     lease_end: float = 0.0
+    inherited_end: float = float("-inf")
     reported_at: float | None = None
     cursor: int = 0
     acknowledged: int = 0
@@ -166,6 +170,11 @@
     penalty: float = 0.0
     penalized_at: float = 0.0
 
+    @property
+    def has_inherited(self):
+        """Whether an earlier owner assigned it runs that were not known to be over."""
+        return self.inherited_end > float("-inf")
+
     @property
     def is_draining(self):
         """Whether the executor gets no new runs."""
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -31,6 +31,7 @@
     inherited_lease=(LEASE_TTL_S + HOLD_ALONE) * CLOCK_FACTOR,
     margin=0.1,
     restart_excess=MAX_LEASE_S * CLOCK_FACTOR + CALL_S - LEASE_TTL_S,
+    run_lease=LEASE_TTL_S,
 )
 RESTART_S = 0.1  # time that a restart takes at least
 
--- a/peridotspoke/workloads/tests/weakenedowners.py
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -52,6 +52,13 @@
         super().__init__(pool, fence, short_rules, now, note)
 
 
+class LateExtensionIgnoringLedger(PoolLedger):
+    """Forgets what an earlier owner extended just before this one's first answer."""
+
+    def limit_former_leases(self, state, now):
+        return None
+
+
 class EarlyAcknowledgingLedger(PoolLedger):
     """Acknowledges ended runs before their effect is stored."""
 
@@ -163,6 +170,7 @@
     Weakening("leases are not awaited", 1, ledger=LeaseIgnoringLedger),
     Weakening("inherited runs are dropped", 1, ledger=InheritedRunDroppingLedger),
     Weakening("inherited leases are short", 17, ledger=ShortInheritanceLedger),
+    Weakening("late extensions are ignored", 17, ledger=LateExtensionIgnoringLedger),
     Weakening(
         "ends are acknowledged before storage", 2, ledger=EarlyAcknowledgingLedger
     ),
