State the leases that are left when an owner stops

Class: knowledge about the end of a permission that is lost at each hand-over.

Now an owner that stops extends no lease any more and then stores how long those that it granted, or awaited itself, still last, conditional on its record. A claim names the revision of the statement and removes it, so that it is always the one of the owner just before. The reader ages it by its own steady clock from when it first sees it, which is after the writing; no wall clock, no margin that adds up. Without a statement (lost owner, lost answer, unreadable) the wait is as before. Lost owners whose successor stops are in the statement with what is left of their time.

Two safeguards more are taken out: stopped owners that go on extending, statements without earlier owners' leases; both are found.

--- a/peridotspoke/nodes/keys.py
+++ b/peridotspoke/nodes/keys.py
@@ -16,6 +16,7 @@
     "key_cancellation",
     "key_identity",
     "key_job",
+    "key_lease_statement",
     "key_node",
     "key_orders",
     "key_owner",
@@ -91,6 +92,11 @@
     return JobKey(prefix.removeprefix(JOBS_PREFIX), job_id, kind)
 
 
+def key_lease_statement(unit):
+    """Return the key of the statement that a unit's owner leaves when it stops."""
+    return f"{WORK_PREFIX}leases/{unit}"
+
+
 def key_node(name):
     """Return the key of a live node's record, which is attached to the node's lease."""
     return f"{WORK_PREFIX}node/{name}"
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -80,6 +80,7 @@
         self._codec = codec
         self._supervisors = {}
         self._followers = {}
+        self._pool_supervisors = {}
         self._tasks = set()
         self._following_entries = False
         parts.ownership = Ownership(
@@ -90,6 +91,7 @@
             self._list_units,
             self._start_supervisor,
             self._stop_supervisor,
+            self._list_lease_waits,
         )
 
     def start(self):
@@ -135,6 +137,7 @@
                 self._follow_jobs(holding, jobs)
             )
             supervisor = PoolSupervisor(self._parts, holding, jobs)
+            self._pool_supervisors[holding.unit] = supervisor
         self._supervisors[holding.unit] = self._spawn(
             self._supervise(holding, supervisor)
         )
@@ -149,8 +152,13 @@
             )
             self._parts.ownership.give_up(holding, "its supervisor failed")
 
+    def _list_lease_waits(self, holding):
+        supervisor = self._pool_supervisors.get(holding.unit)
+        return {} if supervisor is None else supervisor.list_lease_waits()
+
     def _stop_supervisor(self, holding):
         self._parts.view.jobs.pop(holding.unit, None)
+        self._pool_supervisors.pop(holding.unit, None)
         for tasks in (self._supervisors, self._followers):
             task = tasks.pop(holding.unit, None)
             if task is not None:
--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from peridotspoke.exceptions import (
     AnswerLostError,
@@ -17,7 +17,14 @@
 )
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.capacity import rank_claimants
-from peridotspoke.nodes.keys import OWNER_PREFIX, key_node, key_owner, split_key
+from peridotspoke.nodes.keys import (
+    OWNER_PREFIX,
+    key_lease_statement,
+    key_node,
+    key_owner,
+    split_key,
+)
+from peridotspoke.nodes.statements import StatementReader, store_statements
 from peridotspoke.nodes.view import (
     NodeRecord,
     OwnerRecord,
@@ -50,12 +57,16 @@
         When the ownership was gained, in monotonic seconds.
     previous : str, optional
         Name of the last known owner before this node.
+    lease_ends : dict of str to float, optional
+        When the leases of executors have ended, in monotonic seconds, as the owner
+        before this node stated when it stopped.
     """
 
     unit: str
     fence: int
     since: float
     previous: str = ""
+    lease_ends: dict[str, float] = field(default_factory=dict)
 
 
 class Ownership:
@@ -72,6 +83,9 @@
         Returns the names of all units that need an owner.
     on_gained, on_lost : callable
         Called with a `Holding`.
+    list_lease_waits : callable, optional
+        Called with a `Holding` as the process stops, before `on_lost`. Returns the
+        seconds, by executor, after which the leases that were granted have ended.
 
     Attributes
     ----------
@@ -81,7 +95,17 @@
         The units that this node owns, by name.
     """
 
-    def __init__(self, settings, store, view, clock, list_units, on_gained, on_lost):
+    def __init__(
+        self,
+        settings,
+        store,
+        view,
+        clock,
+        list_units,
+        on_gained,
+        on_lost,
+        list_lease_waits=lambda holding: {},
+    ):
         self.incarnation = uuid.uuid4().hex
         self.holdings = {}
         self._settings = settings
@@ -91,6 +115,8 @@
         self._list_units = list_units
         self._on_gained = on_gained
         self._on_lost = on_lost
+        self._list_lease_waits = list_lease_waits
+        self._statements = StatementReader()
         self._lease = None
         self._last_contact_at = clock.read_monotonic()
         self._granted_at = float("-inf")
@@ -111,10 +137,14 @@
     def may_extend_leases(self):
         """Return whether this node may still extend the leases of executors' runs.
 
-        False once the store has been unreachable for `extension_limit` seconds.
+        False once the store has been unreachable for `extension_limit` seconds, and
+        while the process is stopping, so that the statement of its leases holds.
         """
         now = self._clock.read_monotonic()
-        return now < self._last_contact_at + self._settings.timing.extension_limit
+        return (
+            not self._stopping
+            and now < self._last_contact_at + self._settings.timing.extension_limit
+        )
 
     def is_held(self, holding):
         """Return whether this node still owns the unit under this holding."""
@@ -159,12 +189,18 @@
             renewal_task.cancel()
 
     async def release_all(self):
-        """Release all units before the process stops, by revoking the lease."""
+        """Release all units before the process stops, by revoking the lease.
+
+        The leases that are left are stated before, for the next owners.
+        """
         self._stopping = True
         lease, self._lease = self._lease, None
+        waits = {}
         for holding in list(self.holdings.values()):
+            waits[holding.unit, holding.fence] = self._list_lease_waits(holding)
             self.give_up(holding, "the process is stopping")
         if lease is not None:
+            await store_statements(self._store, waits)
             try:
                 await self._store.revoke_lease(lease)
             except PlatformError as error:
@@ -266,6 +302,7 @@
         if not self._view.work_loaded or self._stopping:
             return
         now = self._clock.read_monotonic()
+        self._statements.note(self._view.statements, now)
         for unit in self._list_units():
             owner, create_revision = self._view.owners.get(unit, (None, 0))
             holding = self.holdings.get(unit)
@@ -331,13 +368,17 @@
             log_event("unit-not-freed", "WARNING", unit=unit, error=error)
 
     async def _claim(self, unit):
-        lease = self._lease
+        """Claim a unit; the last owner's statement must be the known one, and goes."""
+        revision, lease_ends = self._statements.find(unit)
+        statement_key = key_lease_statement(unit)
         previous = self._view.last_owners.get(unit, "")
         key = key_owner(unit)
         record = OwnerRecord(self._settings.name, self.incarnation)
-        put = Put(key, encode_value(record), lease.lease_id)
+        put = Put(key, encode_value(record), self._lease.lease_id)
+        conditions = (Condition(key, 0), Condition(statement_key, revision))
+        removed = (statement_key,) if revision else ()
         try:
-            result = await self._store.commit(Transaction((Condition(key, 0),), (put,)))
+            result = await self._store.commit(Transaction(conditions, (put,), removed))
         except LeaseExpiredError as error:
             log_event("claim-refused", "WARNING", unit=unit, error=error)
             return
@@ -345,13 +386,14 @@
             log_event("claim-unknown", "WARNING", unit=unit, error=error)
             return
         if result.succeeded and self._lease is not None and not self._stopping:
-            self._add_holding(unit, result.revision, previous)
+            self._add_holding(unit, result.revision, previous, lease_ends)
 
-    def _add_holding(self, unit, fence, previous=""):
+    def _add_holding(self, unit, fence, previous="", lease_ends=None):
         if unit in self.holdings:
             return
         now = self._clock.read_monotonic()
-        holding = self.holdings[unit] = Holding(unit, fence, now, previous)
+        holding = Holding(unit, fence, now, previous, lease_ends or {})
+        self.holdings[unit] = holding
         self._unowned_since.pop(unit, None)
         log_event("ownership-gained", unit=unit, fence=fence)
         self._on_gained(holding)
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -80,6 +80,7 @@
             node.clock.read_monotonic(),
             self._log,
         )
+        self._ledger.expect_lease_ends(holding.lease_ends)
         self._tickets = TicketCache(
             node.advice, node.clock, self._tasks.spawn, self._find_advice_rules
         )
@@ -95,6 +96,10 @@
         """The name of the pool."""
         return self._holding.unit
 
+    def list_lease_waits(self):
+        """Return for how many seconds leases may still last, by executor."""
+        return self._ledger.list_lease_waits(self._node.clock.read_monotonic())
+
     async def run(self):
         """Run scheduling rounds until cancelled.
 
--- a/peridotspoke/nodes/tests/test_ownership.py
+++ b/peridotspoke/nodes/tests/test_ownership.py
@@ -6,7 +6,7 @@
 import pytest
 
 from peridotspoke.exceptions import AnswerLostError
-from peridotspoke.nodes.keys import key_owner
+from peridotspoke.nodes.keys import key_lease_statement, key_owner
 from peridotspoke.nodes.ownership import (
     ORDER_MARGIN,
     RENEWAL_RETRY_DELAY,
@@ -15,7 +15,7 @@
     Ownership,
 )
 from peridotspoke.nodes.tests.stores import InMemoryStore, make_parts, make_settings
-from peridotspoke.store import FollowedRecords
+from peridotspoke.store import FollowedRecords, Put, Transaction
 
 
 class NodeDouble:
@@ -27,6 +27,7 @@
             self.parts.settings, processors=size[0], link=size[1]
         )
         self.gained, self.lost = [], []
+        self.waits = {}
         self.ownership = Ownership(
             self.parts.settings,
             store,
@@ -35,6 +36,7 @@
             lambda: list(units),
             self.gained.append,
             self.lost.append,
+            lambda holding: dict(self.waits),
         )
 
     async def check_owners(self, seconds=2.0):
@@ -52,7 +54,9 @@
         """Update the view from the store."""
         records = self.parts.store.records
         view = self.parts.view
-        gone = {f"work/owner/{unit}" for unit in view.owners} - records.keys()
+        known = {f"work/owner/{unit}" for unit in view.owners}
+        known |= {f"work/leases/{unit}" for unit in view.statements}
+        gone = known - records.keys()
         followed = FollowedRecords(
             records, frozenset({*records, *gone}), 0.0, self.parts.store.revision
         )
@@ -170,3 +174,76 @@
             node.parts.clock.advance(0.1)
     owners = [node.parts.settings.name for node in nodes for _ in node.gained]
     assert sorted(owners) == ["large-0", "large-1", "large-2"]
+
+
+async def hand_over(former, *others):
+    """Let a node stop, and the others see it and claim its unit."""
+    await former.ownership.release_all()
+    for other in others:
+        await other.check_owners()
+
+
+async def test_the_next_owner_knows_how_long_the_leases_of_one_that_stopped_last():
+    """It would otherwise wait anew for as long as any owner may hold alone."""
+    store = InMemoryStore()
+    first, second = NodeDouble("n1", store), NodeDouble("n2", store)
+    for node in (first, second):
+        await node.acquire_lease()
+        await node.check_owners()
+    first.waits = {"e1": 4.0}
+    seen_at = second.parts.clock.read_monotonic()
+    await hand_over(first, second)
+    assert second.gained[0].lease_ends == {"e1": seen_at + 4.0}
+    assert not first.ownership.may_extend_leases()
+
+
+async def test_a_statement_does_not_outlast_the_owner_that_came_after_it():
+    """The one that came between was lost without a word, and may extend leases."""
+    store = InMemoryStore()
+    first, second, third = (NodeDouble(name, store) for name in ("n1", "n2", "n3"))
+    for node in (first, second, third):
+        await node.acquire_lease()
+        await node.check_owners()
+    first.waits = {"e1": 4.0}
+    await hand_over(first, second)
+    third.update_view()
+    store.end_lease(second.ownership._lease.lease_id)
+    await third.check_owners()
+    assert third.gained[0].lease_ends == {}
+
+
+async def test_a_claim_fails_while_the_last_owners_statement_is_not_known():
+    """A view that lags may name the one of an owner before it, or none."""
+    store = InMemoryStore()
+    first, second = NodeDouble("n1", store), NodeDouble("n2", store)
+    for node in (first, second):
+        await node.acquire_lease()
+        await node.check_owners()
+    first.waits = {"e1": 4.0}
+    await first.ownership.release_all()
+    await second.ownership._claim("pool")
+    assert second.gained == []
+
+
+async def test_an_owner_whose_statement_is_not_stored_still_ends_its_lease():
+    """The next owners wait for longer, but need not wait for the lease."""
+    store = InMemoryStore()
+    node = NodeDouble("n1", store)
+    await node.acquire_lease()
+    await node.check_owners()
+    node.waits = {"e1": 4.0}
+    store.faults = ["unavailable"]
+    await node.ownership.release_all()
+    assert key_owner("pool") not in store.records
+
+
+async def test_an_unreadable_statement_does_not_keep_a_unit_without_an_owner():
+    """It may come from another version; the next owner waits for the longest time."""
+    store = InMemoryStore()
+    node = NodeDouble("n1", store)
+    await node.acquire_lease()
+    key = key_lease_statement("pool")
+    await store.commit(Transaction((), (Put(key, b"?"),)))
+    await node.check_owners()
+    assert node.gained[0].lease_ends == {}
+    assert key not in store.records
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -14,6 +14,7 @@
 from peridotspoke.workloads.executors import ExecutorCondition
 
 __all__ = [
+    "LeaseStatement",
     "NodeRecord",
     "OwnerRecord",
     "QueueCounts",
@@ -57,6 +58,22 @@
     incarnation: str
 
 
+class LeaseStatement(msgspec.Struct, frozen=True):
+    """What a unit's owner says when it stops: it extends no lease any more.
+
+    Parameters
+    ----------
+    fence : int
+        Its fencing token.
+    waits : dict of str to float
+        Seconds, from the writing, after which the leases of an executor have ended, by
+        executor.
+    """
+
+    fence: int
+    waits: dict[str, float]
+
+
 class Withdrawal(msgspec.Struct, frozen=True):
     """An executor whose work is to be removed; `empty` says whether it is."""
 
@@ -111,6 +128,8 @@
         was seen.
     withdrawals : dict of str to tuple
         The `Withdrawal` by machine, each with the revision of its record.
+    statements : dict of str to tuple
+        The `LeaseStatement` by unit, each with the revision of its record.
     entries : dict of str to ExecutorEntry
     revision : int
         The revision up to which the records of the work prefix are complete.
@@ -132,6 +151,7 @@
         self.pools = {}
         self.counts = {}
         self.withdrawals = {}
+        self.statements = {}
         self.entries = {}
         self._kept_until = {}
         self.revision = 0
@@ -252,6 +272,9 @@
         elif kind == "withdrawal":
             decoded = record and (decode_value(record, Withdrawal), record.revision)
             _set_or_remove(self.withdrawals, name, decoded)
+        elif kind == "leases":
+            decoded = record and (_decode_statement(record), record.revision)
+            _set_or_remove(self.statements, name, decoded)
 
     def find_waiting(self, pool, now):
         """Return the counts published by a pool's current owner, and their age.
@@ -304,6 +327,18 @@
         records[name] = value
 
 
+def _decode_statement(record):
+    """Return a record's `LeaseStatement`, one that says nothing if it is unreadable.
+
+    A claim has to name the record's revision, whatever the record says.
+    """
+    try:
+        return decode_value(record, LeaseStatement)
+    except RecordError as error:
+        log_event("record-unreadable", "ERROR", key=record.key, error=error)
+        return LeaseStatement(0, {})
+
+
 def encode_value(value):
     """Return the JSON encoding of one of this module's records."""
     return msgspec.json.encode(value)
--- a/peridotspoke/platform/tests/test_whole_path.py
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -175,6 +175,27 @@
     assert sum(len(executor.starts) for executor in platform.executors) == 1
 
 
+async def test_a_node_that_stops_tells_its_successor_how_long_its_leases_last(platform):
+    """The successor waits no longer for them, nor does it start the task again."""
+    for executor in platform.executors:
+        executor.duration = 1.6
+    first = await platform.start_node("n1")
+    await submit(first, steps=[{"count": 1, "cpu": 500}])
+    async with asyncio.timeout(20):
+        while not any(executor.starts for executor in platform.executors):
+            await asyncio.sleep(0.02)
+    second = await platform.start_node("n2")
+    await platform.nodes["n1"][0].release_units()
+    ownership = platform.nodes["n2"][2].ownership
+    async with asyncio.timeout(20):
+        while "pool" not in ownership.holdings:
+            await asyncio.sleep(0.02)
+    (used,) = [item.executor_id for item in platform.executors if item.starts]
+    assert list(ownership.holdings["pool"].lease_ends) == [used]
+    await wait_for_state(second, "completed")
+    assert sum(len(executor.starts) for executor in platform.executors) == 1
+
+
 async def test_a_cancelled_job_stops_its_running_tasks(platform):
     """Each of its tasks is stopped on its executor."""
     for executor in platform.executors:
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -213,6 +213,30 @@
             if state.entry is None and not state.runs:
                 del self.executors[state.executor_id]
 
+    def list_lease_waits(self, now):
+        """Return how long the leases of this owner and earlier ones may still last.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        dict of str to float
+            Seconds by executor, for each that may have runs, without the margin for a
+            slow clock. They hold only if this owner extends no lease from now on. An
+            owner that has taken no jobs in yet repeats what it was told.
+        """
+        waits = {}
+        if not self.jobs:
+            waits = {name: end - now for name, end in self.stated_ends.items()}
+        for state in self.executors.values():
+            ends = [self._compute_run_end(state, run) for run in state.runs.values()]
+            if ends:
+                waits[state.executor_id] = max(ends) - now
+        return waits
+
     def limit_former_leases(self, state, now):
         """Record how long leases may last on an executor that reports at first.
 
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -44,16 +44,31 @@
         if progress is not None and progress.outcome is JobOutcome.OPEN:
             self.end_job(progress, JobOutcome.CANCELLED, wall)
 
+    def expect_lease_ends(self, stated_ends):
+        """Take the last owner's statement of when its executors' leases end.
+
+        This is to be called before jobs are added.
+
+        Parameters
+        ----------
+        stated_ends : dict of str to float
+            Monotonic seconds by executor.
+        """
+        self.stated_ends = dict(stated_ends)
+
     def _add_inherited_run(self, progress, task):
         """Add the run of a task that an earlier owner assigned.
 
-        Its lease is taken to last as long as the earlier owner can have extended it.
+        Its lease is taken to last as long as the last owner stated when it stopped, or
+        else as long as an earlier owner can have extended it.
         """
         state = self.executors.get(task.executor)
         if state is None:
             state = ExecutorState(task.executor, incarnation=task.incarnation)
             self.executors[task.executor] = state
-        inherited_end = self.taken_over_at + self.rules.inherited_lease
+        longest_end = self.taken_over_at + self.rules.inherited_lease
+        stated_end = self.stated_ends.get(task.executor, longest_end)
+        inherited_end = min(longest_end, stated_end)
         state.inherited_end = max(state.inherited_end, inherited_end)
         step = progress.job.steps[task.key.step]
         state.runs[task.key] = Run(
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -45,6 +45,8 @@
         Runs, by task and run number, that were given up so that a copy could start.
     taken_over_at : float
         Monotonic time at which the pool was taken over, seconds.
+    stated_ends : dict of str to float
+        By executor, when every lease has ended by the last owner's statement, seconds.
     """
 
     def __init__(self, pool, fence, rules, now, note=None):
@@ -60,6 +62,7 @@
         self.copied_runs = set()
         self.rules = rules
         self.taken_over_at = now
+        self.stated_ends = {}
         self.note = note or (lambda event, **fields: None)
 
     def mark_changed(self, job_id):
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -200,17 +200,13 @@
 
 
 class ModelOwner:
-    """An owner of the pool, with its ledger and the `CommitTracker` of its writes.
-
-    Its time `contact_at` is that of its takeover, in seconds.
-    """
+    """An owner of the pool, with its ledger and the `CommitTracker` of its writes."""
 
     def __init__(self, world, fence):
         self.world = world
         self.fence = fence
         self.ledger = world.make_ledger("pool", fence, RULES, world.now)
         self.tracker = world.make_tracker()
-        self.contact_at = world.now
         self.answered_at = {}
 
     def plan(self):
@@ -283,8 +279,8 @@
         Seconds.
     owner : ModelOwner
         The latest owner.
-    retired : ModelOwner or None
-        The owner before it.
+    retired : list of tuple
+        Former owners that may extend leases, each with the time until it does.
     stored : bytes or None
         Stored progress of the job.
     fence : int
@@ -315,6 +311,8 @@
         Whether a former owner sends no order once it may not.
     limits_cursor : bool
         Whether owners let an executor forget ends only while it has not restarted.
+    stops_extending : bool
+        Whether an owner that has stated its leases extends none any more.
     """
 
     def __init__(self, job, executors=2):
@@ -328,15 +326,38 @@
         self.make_ledger = PoolLedger
         self.make_tracker = CommitTracker
         self.checks_fence = self.raises_fence = self.checks_permission = True
-        self.limits_cursor = True
-        self.owner, self.retired = None, None
+        self.limits_cursor = self.stops_extending = True
+        self.owner, self.retired = None, []
         self.take_over()
 
     def take_over(self):
-        """Let a new owner with a higher fence begin from what is stored."""
-        self.retired = self.owner
+        """Let a new owner with a higher fence begin from what is stored.
+
+        The former one may not know of it yet, and go on extending leases.
+        """
+        if self.owner is not None:
+            self.retired.append((self.owner, self.now + HOLD_ALONE))
+        self._begin_ownership({})
+
+    def hand_over(self):
+        """Let the owner stop and state the leases that are left; the next begins."""
+        waits = self.owner.ledger.list_lease_waits(self.now)
+        if not self.stops_extending:
+            self.retired.append((self.owner, self.now + HOLD_ALONE))
+        self._begin_ownership({name: self.now + wait for name, wait in waits.items()})
+
+    def extend_as_former_owner(self, index):
+        """Let a former owner extend the lease of an executor, if one may."""
+        retired = [owner for owner, until in self.retired if self.now < until]
+        if retired:
+            count = len(self.executors)
+            owner = retired[index // count % len(retired)]
+            owner.look(self.executors[index % count], extend=True)
+
+    def _begin_ownership(self, stated_ends):
         self.fence += 1 if self.raises_fence or not self.fence else 0
         self.owner = ModelOwner(self, self.fence)
+        self.owner.ledger.expect_lease_ends(stated_ends)
         for executor in self.executors:
             self.owner.ledger.see_entry(self.describe(executor), self.now)
         record = self.stored and Record("progress", self.stored, 1)
--- a/peridotspoke/workloads/tests/ownershipwalks.py
+++ b/peridotspoke/workloads/tests/ownershipwalks.py
@@ -12,7 +12,6 @@
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.tests.ledgers import make_job
 from peridotspoke.workloads.tests.ownershipmodel import (
-    HOLD_ALONE,
     ViolationError,
     World,
 )
@@ -68,8 +67,7 @@
 
 
 def extend_as_former_owner(world, index):
-    if world.retired and world.now < world.owner.contact_at + HOLD_ALONE:
-        world.retired.look(pick(world.executors, index), extend=True)
+    world.extend_as_former_owner(index)
 
 
 def deliver_commit(world, index):
@@ -119,6 +117,10 @@
     world.take_over()
 
 
+def hand_over(world, index):
+    world.hand_over()
+
+
 def restart_executor(world, index):
     pick(world.executors, index).restart()
 
@@ -145,8 +147,9 @@
     pass_time,
     take_over,
 )
+STOP_KINDS = (hand_over,)
 RESTART_KINDS = (restart_executor, see_entries)
-KINDS = {kind.__name__: kind for kind in (*STEADY_KINDS, *RESTART_KINDS)}
+KINDS = {kind.__name__: kind for kind in (*STEADY_KINDS, *STOP_KINDS, *RESTART_KINDS)}
 
 
 def pick(items, index):
@@ -154,7 +157,7 @@
     return items[index % len(items)]
 
 
-def draw_walk(source, restarts):
+def draw_walk(source, restarts, stops=True, focus=()):
     """Draw a walk.
 
     Parameters
@@ -162,6 +165,10 @@
     source : random.Random
     restarts : bool
         Whether executors may restart.
+    stops : bool, optional
+        Whether owners may stop and state their leases.
+    focus : tuple of str, optional
+        Names of the kinds of action to draw from; by default a random part of all.
 
     Returns
     -------
@@ -170,8 +177,12 @@
     actions : tuple of Action
     """
     steps = ONE_TASK if source.random() < ONE_TASK_SHARE else TWO_STEPS
-    kinds = [*STEADY_KINDS, *(RESTART_KINDS if restarts else ())]
-    chosen = [kind for kind in kinds if source.random() < KIND_SHARE] or kinds
+    kinds = [*STEADY_KINDS, *(STOP_KINDS if stops else ())]
+    kinds += RESTART_KINDS if restarts else ()
+    if focus:
+        chosen = [KINDS[name] for name in focus]
+    else:
+        chosen = [kind for kind in kinds if source.random() < KIND_SHARE] or kinds
     actions = tuple(
         Action(source.choice(chosen).__name__, source.randrange(MAX_INDEX))
         for _ in range(source.choice(ACTIONS))
@@ -223,8 +234,10 @@
         a rule.
     """
     source = random.Random(seed)
+    stops = weakening is None or weakening.stops
+    focus = () if weakening is None else weakening.focus
     for _ in range(walks):
-        steps, actions = draw_walk(source, restarts)
+        steps, actions = draw_walk(source, restarts, stops, focus)
         try:
             play_walk(steps, actions, weakening)
         except ViolationError as error:
--- a/peridotspoke/workloads/tests/test_ownership_machine.py
+++ b/peridotspoke/workloads/tests/test_ownership_machine.py
@@ -24,7 +24,6 @@
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.tests.ledgers import make_job
 from peridotspoke.workloads.tests.ownershipmodel import (
-    HOLD_ALONE,
     ViolationError,
     World,
 )
@@ -82,13 +81,10 @@
         executors = self.world.executors
         self.world.owner.look(executors[index % len(executors)], extend)
 
-    @precondition(lambda self: self.world.retired is not None)
+    @precondition(lambda self: self.world.retired)
     @rule(index=INDEX)
     def extend_as_former_owner(self, index):
-        world = self.world
-        if world.now < world.owner.contact_at + HOLD_ALONE:
-            executors = world.executors
-            world.retired.look(executors[index % len(executors)], extend=True)
+        self.world.extend_as_former_owner(index)
 
     @precondition(lambda self: self.world.commits)
     @rule(index=INDEX)
@@ -142,6 +138,10 @@
     def take_over(self):
         self.world.take_over()
 
+    @rule()
+    def hand_over(self):
+        self.world.hand_over()
+
     def teardown(self):
         """Let the owner, and then its successor, finish what the history began."""
         self.world.settle()
@@ -244,6 +244,22 @@
     world.deliver_order(0)
 
 
+def extend_after_statement(world):
+    """Let an owner that has stated its leases extend one that its successor awaits."""
+    first, second = world.executors
+    deliver_fresh_report(world, first)
+    world.owner.plan()
+    world.deliver_commit(0)
+    while world.orders:
+        world.deliver_order(0)
+    world.hand_over()
+    world.owner.ledger.note_unreachable(first.name, "cut", world.now)
+    world.pass_time(4.0)
+    world.extend_as_former_owner(0)
+    world.pass_time(4.0)
+    world.work([second])
+
+
 @pytest.mark.parametrize(
     ("scenario", "safeguard"),
     [(deliver_late_write, "checks_fence"), (deliver_late_start, "raises_fence")],
@@ -258,3 +274,12 @@
     setattr(world, safeguard, False)
     with pytest.raises(ViolationError):
         scenario(world)
+
+
+def test_a_stopped_owner_does_no_harm_only_because_it_extends_no_lease():
+    """Its successor waits just as long as it stated."""
+    extend_after_statement(World(make_job(*STEPS)))
+    world = World(make_job(*STEPS))
+    world.stops_extending = False
+    with pytest.raises(ViolationError):
+        extend_after_statement(world)
--- a/peridotspoke/workloads/tests/weakenedowners.py
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -52,6 +52,15 @@
         super().__init__(pool, fence, short_rules, now, note)
 
 
+class EarlierOwnerForgettingLedger(PoolLedger):
+    """States its own leases, but not those that earlier owners may still extend."""
+
+    def list_lease_waits(self, now):
+        for state in self.executors.values():
+            state.inherited_end = float("-inf")
+        return super().list_lease_waits(now)
+
+
 class LateExtensionIgnoringLedger(PoolLedger):
     """Forgets what an earlier owner extended just before this one's first answer."""
 
@@ -141,7 +150,12 @@
         Class of each new owner's ledger.
     tracker : type, optional
         Class of each new owner's tracker of writes.
+    stops : bool, optional
+        Whether owners stop and state their leases in the walks that show it.
+    focus : tuple of str, optional
+        Kinds of action of the walks, where those of all kinds hardly ever show it.
     checks_fence, raises_fence, checks_permission, limits_cursor : bool, optional
+    stops_extending : bool, optional
         As in `World`.
     """
 
@@ -154,6 +168,9 @@
     raises_fence: bool = True
     checks_permission: bool = True
     limits_cursor: bool = True
+    stops_extending: bool = True
+    stops: bool = False
+    focus: tuple = ()
 
     def apply(self, world):
         """Take the safeguard out of a `World`, from its next owner on."""
@@ -163,6 +180,7 @@
         world.raises_fence = self.raises_fence
         world.checks_permission = self.checks_permission
         world.limits_cursor = self.limits_cursor
+        world.stops_extending = self.stops_extending
 
 
 WEAKENED_OWNERS = (
@@ -170,11 +188,44 @@
     Weakening("leases are not awaited", 1, ledger=LeaseIgnoringLedger),
     Weakening("inherited runs are dropped", 1, ledger=InheritedRunDroppingLedger),
     Weakening("inherited leases are short", 17, ledger=ShortInheritanceLedger),
+    Weakening(
+        "stopped owners extend leases",
+        2,
+        stops_extending=False,
+        focus=(
+            "work_with_all",
+            "work_with_one",
+            "extend_as_former_owner",
+            "lose_contact",
+            "pass_time",
+            "hand_over",
+        ),
+    ),
+    Weakening(
+        "statements forget earlier owners",
+        2,
+        ledger=EarlierOwnerForgettingLedger,
+        stops=True,
+    ),
     Weakening("late extensions are ignored", 17, ledger=LateExtensionIgnoringLedger),
     Weakening(
         "ends are acknowledged before storage", 2, ledger=EarlyAcknowledgingLedger
     ),
-    Weakening("ends are acknowledged during storage", 15, tracker=HastyTracker),
+    Weakening(
+        "ends are acknowledged during storage",
+        2,
+        tracker=HastyTracker,
+        focus=(
+            "work_with_all",
+            "work_with_one",
+            "plan",
+            "request_report",
+            "deliver_report",
+            "deliver_commit",
+            "finish_run",
+            "take_over",
+        ),
+    ),
     Weakening("released runs start", 4, ledger=EarlyStartingLedger),
     Weakening("reports from before a start count", 5, ledger=StaleReportTrustingLedger),
     Weakening("restarts end every run", 1, True, ledger=RestartTrustingLedger),
