End the wait for an owner's leases once its process is known to have ended

What users saw: a task that lasts stood for 14 to 17 s with room for it (LOST) after its executor was lost and its pool's owner was killed, or only lost its lease in the store for a moment. Cause: a new owner that hears nothing of its predecessor takes it to extend leases without the store for 7.5 s more, from each hand-over.

Each claim now leaves the owner's process in the unit's statement, in the transaction of the claim. A successor that sees another process registered under that name and address knows that the predecessor extends nothing any more, and waits for one lease from that sight, or for as long as the predecessor said that those before it may take. A process that regains a pool uses what it knows of its own leases. Registrations of processes are conditional, so that a late one can't replace a newer one.

--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -6,17 +6,18 @@
 
 import asyncio
 import uuid
-from dataclasses import dataclass, field
 
 from peridotspoke.exceptions import (
     AnswerLostError,
     LeaseExpiredError,
+    OperationConflictError,
     PlatformError,
     PlatformUnavailableError,
     RecordError,
 )
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.capacity import rank_claimants
+from peridotspoke.nodes.holdings import Holding
 from peridotspoke.nodes.keys import (
     OWNER_PREFIX,
     key_lease_statement,
@@ -24,10 +25,16 @@
     key_owner,
     split_key,
 )
-from peridotspoke.nodes.statements import StatementReader, store_statements
+from peridotspoke.nodes.statements import (
+    KnownStatement,
+    StatementReader,
+    store_statements,
+)
 from peridotspoke.nodes.view import (
+    LeaseStatement,
     NodeRecord,
     OwnerRecord,
+    ProcessRecord,
     decode_value,
     encode_value,
 )
@@ -44,31 +51,6 @@
 ORDER_MARGIN = 0.1  # seconds before the lease's end from which no orders are sent
 
 
-@dataclass(frozen=True, slots=True)
-class Holding:
-    """One period in which this node owns a unit.
-
-    Parameters
-    ----------
-    unit : str
-    fence : int
-        The fencing token: the revision at which the owner record was created.
-    since : float
-        When the ownership was gained, in monotonic seconds.
-    previous : str, optional
-        Name of the last known owner before this node.
-    lease_ends : dict of str to float, optional
-        When the leases of executors have ended, in monotonic seconds, as the owner
-        before this node stated when it stopped.
-    """
-
-    unit: str
-    fence: int
-    since: float
-    previous: str = ""
-    lease_ends: dict[str, float] = field(default_factory=dict)
-
-
 class Ownership:
     """Renews the node's lease, and claims and releases units under it.
 
@@ -116,7 +98,7 @@
         self._on_gained = on_gained
         self._on_lost = on_lost
         self._list_lease_waits = list_lease_waits
-        self._statements = StatementReader()
+        self._statements = StatementReader(self.incarnation)
         self._lease = None
         self._last_contact_at = clock.read_monotonic()
         self._granted_at = float("-inf")
@@ -164,6 +146,8 @@
         """
         if self.holdings.get(holding.unit) is not holding:
             return
+        waits = self._list_lease_waits(holding)
+        self._statements.keep_own(holding.fence, waits, self._clock.read_monotonic())
         del self.holdings[holding.unit]
         self._released_fences.add(holding.fence)
         log_event("ownership-lost", unit=holding.unit, fence=holding.fence, why=reason)
@@ -267,8 +251,15 @@
             settings.processors,
             settings.link,
         )
-        put = Put(key_node(record.name), encode_value(record), lease.lease_id)
-        await self._store.commit(Transaction((), (put,)))
+        key = key_node(record.name)
+        found = await self._store.read(key)
+        known = Condition(key, found.revision if found is not None else 0)
+        put = Put(key, encode_value(record), lease.lease_id)
+        result = await self._store.commit(Transaction((known,), (put,)))
+        if not result.succeeded:
+            raise OperationConflictError(
+                "another write has replaced the node's record", step="register"
+            )
         if self._stopping:
             await self._store.revoke_lease(lease)
             return
@@ -368,17 +359,22 @@
             log_event("unit-not-freed", "WARNING", unit=unit, error=error)
 
     async def _claim(self, unit):
-        """Claim a unit; the last owner's statement must be the known one, and goes."""
-        revision, lease_ends = self._statements.find(unit)
+        """Claim a unit if the last owner's statement is the known one; replace that."""
+        lease, settings = self._lease, self._settings
+        found = self._statements.find(unit, self._view.last_fences.get(unit, 0))
         statement_key = key_lease_statement(unit)
         previous = self._view.last_owners.get(unit, "")
         key = key_owner(unit)
-        record = OwnerRecord(self._settings.name, self.incarnation)
-        put = Put(key, encode_value(record), self._lease.lease_id)
-        conditions = (Condition(key, 0), Condition(statement_key, revision))
-        removed = (statement_key,) if revision else ()
+        record = OwnerRecord(settings.name, self.incarnation)
+        process = ProcessRecord(settings.name, self.incarnation, settings.front)
+        statement = encode_value(LeaseStatement(0, {}, process))
+        puts = (
+            Put(key, encode_value(record), lease.lease_id),
+            Put(statement_key, statement),
+        )
+        conditions = (Condition(key, 0), Condition(statement_key, found.revision))
         try:
-            result = await self._store.commit(Transaction(conditions, (put,), removed))
+            result = await self._store.commit(Transaction(conditions, puts))
         except LeaseExpiredError as error:
             log_event("claim-refused", "WARNING", unit=unit, error=error)
             return
@@ -386,14 +382,15 @@
             log_event("claim-unknown", "WARNING", unit=unit, error=error)
             return
         if result.succeeded and self._lease is not None and not self._stopping:
-            self._add_holding(unit, result.revision, previous, lease_ends)
+            self._add_holding(unit, result.revision, previous, found)
 
-    def _add_holding(self, unit, fence, previous="", lease_ends=None):
+    def _add_holding(self, unit, fence, previous="", found=KnownStatement()):
         if unit in self.holdings:
             return
         now = self._clock.read_monotonic()
-        holding = Holding(unit, fence, now, previous, lease_ends or {})
-        self.holdings[unit] = holding
+        holding = self.holdings[unit] = Holding(
+            unit, fence, now, previous, found.lease_ends, found.predecessor
+        )
         self._unowned_since.pop(unit, None)
         log_event("ownership-gained", unit=unit, fence=fence)
         self._on_gained(holding)
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -195,7 +195,9 @@
         owner = Condition(key_owner(self._pool), self._holding.fence)
         age = self._jobs.find_age(self._node.clock.read_monotonic())
         waiting = dict(self._jobs.count_waiting())
-        counts = QueueCounts(self._holding.fence, waiting, age)
+        counts = QueueCounts(
+            self._holding.fence, waiting, age, self._compute_earlier_leases()
+        )
         puts = (
             Put(key_pool_demand(self._pool), encode_value(demand)),
             Put(key_queue_counts(self._pool), encode_value(counts)),
@@ -206,6 +208,11 @@
             self._last_demand = None
             log_event("demand-not-stored", "WARNING", pool=self._pool, error=error)
 
+    def _compute_earlier_leases(self):
+        """Return the seconds after which the leases of earlier owners have ended."""
+        now = self._node.clock.read_monotonic()
+        return max(0.0, self._ledger.former_lease_end + self._ledger.rules.margin - now)
+
     def remove_old_jobs(self, now):
         """Start to remove the records of jobs that callers can no longer ask for.
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -25,6 +25,7 @@
     StopAnswered,
 )
 from peridotspoke.nodes.poolrecords import PoolRecords
+from peridotspoke.nodes.predecessors import InheritedLeases
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
 from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.tickets import TicketCache
@@ -81,6 +82,7 @@
             self._log,
         )
         self._ledger.expect_lease_ends(holding.lease_ends)
+        self._inherited_leases = InheritedLeases(node, holding, self._ledger)
         self._tickets = TicketCache(
             node.advice, node.clock, self._tasks.spawn, self._find_advice_rules
         )
@@ -118,6 +120,7 @@
             view.changes.subscribe(self._collect_changed_entries),
             jobs.changes.subscribe(self._collect_changed_jobs),
         )
+        self._inherited_leases.begin()
         try:
             self._changed_jobs.update(jobs.views)
             self._changed_entries.update(view.entries)
@@ -185,6 +188,7 @@
     def _run_round(self):
         self._apply_changes()
         now = self._node.clock.read_monotonic()
+        self._inherited_leases.update(now)
         self._ledger.expire_leases(now)
         self._ledger.requeue_speculative(now)
         self._records.apply_withdrawals()
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -17,6 +17,7 @@
     "LeaseStatement",
     "NodeRecord",
     "OwnerRecord",
+    "ProcessRecord",
     "QueueCounts",
     "StoreView",
     "Withdrawal",
@@ -58,20 +59,32 @@
     incarnation: str
 
 
+class ProcessRecord(msgspec.Struct, frozen=True):
+    """A process of a node; no two live ones share an address."""
+
+    name: str
+    incarnation: str
+    address: str
+
+
 class LeaseStatement(msgspec.Struct, frozen=True):
-    """What a unit's owner says when it stops: it extends no lease any more.
+    """What a unit's last owner said of the leases that it grants.
 
     Parameters
     ----------
     fence : int
-        Its fencing token.
+        Its fencing token; 0 in the statement of an owner that has not stopped, whose
+        record has the owner's fencing token for its revision.
     waits : dict of str to float
         Seconds, from the writing, after which the leases of an executor have ended, by
-        executor.
+        executor; empty unless the owner has stopped and extends no lease any more.
+    owner : ProcessRecord, optional
+        Set while the owner has not stopped.
     """
 
     fence: int
     waits: dict[str, float]
+    owner: ProcessRecord | None = None
 
 
 class Withdrawal(msgspec.Struct, frozen=True):
@@ -95,11 +108,15 @@
         By queue name.
     age : float
         Seconds since the owner's records were known to be complete.
+    earlier_leases : float or None
+        Seconds from the writing after which all leases that earlier owners granted
+        have ended; None if the owner does not say.
     """
 
     fence: int
     waiting: dict[str, int]
     age: float = 0.0
+    earlier_leases: float | None = None
 
 
 class StoreView:
@@ -120,6 +137,8 @@
         which is the owner's fencing token.
     last_owners : dict of str to str
         The name of the node that was last known to own a unit, by unit.
+    last_fences : dict of str to int
+        The fencing token of the owner that was last seen to own a unit, by unit.
     nodes : dict of str to NodeRecord
         The live nodes by name.
     pools : dict of str to PoolDemand
@@ -147,6 +166,7 @@
         self.jobs = {}
         self.owners = {}
         self.last_owners = {}
+        self.last_fences = {}
         self.nodes = {}
         self.pools = {}
         self.counts = {}
@@ -258,6 +278,7 @@
             _set_or_remove(self.owners, name, decoded)
             if decoded:
                 self.last_owners[name] = decoded[0].name
+                self.last_fences[name] = decoded[1]
         elif kind == "node":
             _set_or_remove(
                 self.nodes, name, record and decode_value(record, NodeRecord)
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -97,6 +97,7 @@
             state.reported_at = None
             state.lease_end += self.rules.restart_excess
             state.inherited_end += self.rules.restart_excess
+            state.restart_excess += self.rules.restart_excess
             for run in list(state.runs.values()):
                 self._handle_run_after_restart(run, now)
         state.incarnation = incarnation
@@ -237,6 +238,19 @@
                 waits[state.executor_id] = max(ends) - now
         return waits
 
+    def limit_inherited_leases(self, lease_end):
+        """Record that no lease which earlier owners granted lasts longer.
+
+        Parameters
+        ----------
+        lease_end : float
+            Monotonic seconds.
+        """
+        self.former_lease_end = min(self.former_lease_end, lease_end)
+        for state in self.executors.values():
+            longest = lease_end + state.restart_excess
+            state.inherited_end = min(state.inherited_end, longest)
+
     def limit_former_leases(self, state, now):
         """Record how long leases may last on an executor that reports at first.
 
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -66,9 +66,8 @@
         if state is None:
             state = ExecutorState(task.executor, incarnation=task.incarnation)
             self.executors[task.executor] = state
-        longest_end = self.taken_over_at + self.rules.inherited_lease
-        stated_end = self.stated_ends.get(task.executor, longest_end)
-        inherited_end = min(longest_end, stated_end)
+        stated_end = self.stated_ends.get(task.executor, self.former_lease_end)
+        inherited_end = min(self.former_lease_end, stated_end)
         state.inherited_end = max(state.inherited_end, inherited_end)
         step = progress.job.steps[task.key.step]
         state.runs[task.key] = Run(
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -47,6 +47,8 @@
         Runs, by task and run number, that were given up so that a copy could start.
     taken_over_at : float
         Monotonic time at which the pool was taken over, seconds.
+    former_lease_end : float
+        Monotonic time at which all leases that earlier owners granted have ended.
     stated_ends : dict of str to float
         By executor, when every lease has ended by the last owner's statement, seconds.
     """
@@ -65,6 +67,7 @@
         self.copied_runs = set()
         self.rules = rules
         self.taken_over_at = now
+        self.former_lease_end = now + rules.inherited_lease
         self.stated_ends = {}
         self.note = note or (lambda event, **fields: None)
 
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -125,6 +125,9 @@
         confirmed runs have from earlier owners.
     inherited_end : float
         Time after which every lease that earlier owners granted has expired.
+    restart_excess : float
+        By how much the executor's restarts under this owner may have prolonged these
+        leases, seconds.
     reported_at : float or None
         When the latest report that this owner received was requested; None before
         the first.
@@ -158,6 +161,7 @@
     incarnation: int = 0
     lease_end: float = 0.0
     inherited_end: float = float("-inf")
+    restart_excess: float = 0.0
     reported_at: float | None = None
     cursor: int = 0
     acknowledged: int = 0
