End the calls that hang on present connections as the store returns

Cause: cancel_stale_calls ended calls on replaced connections only. Those that were sent after the last time-out stand on the present set. The other way round, it ended all calls on replaced connections, also one that was sent after the return on a set that an older call's time-out replaced before the first answer.

Why it works: each request without a response is kept with when it was sent. At the first answer those are ended that were sent more than 0.1 s before the answered one (is_stale); each one's connection is reset by its own time-out, as for reads before. Replaced sets are retired at once only if nothing younger waits on them.

--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -43,7 +43,8 @@
     commits : TimedCommits
     cancel_stale_calls : callable, optional
         Called when the store serves again after an outage, to end the calls that have
-        been hanging since before.
+        been hanging since before, with the duration in seconds of the call that the
+        store has served.
     ownership : Ownership
     open_executor : callable
         Returns the `ExecutorCalls` for an executor's entry.
@@ -130,7 +131,7 @@
             if served:
                 self.regained_at = self.last_served_at
                 if self.cancel_stale_calls is not None:
-                    self.cancel_stale_calls()
+                    self.cancel_stale_calls(seconds)
             log_event(
                 "store-regained" if served else "store-lost",
                 "INFO" if served else "WARNING",
--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -1,9 +1,7 @@
 """HTTP client for JSON calls to one peer; the whole adapter uses it."""
 
 import asyncio
-import socket
-import struct
-from contextlib import asynccontextmanager, contextmanager, suppress
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 
 import aiohttp
@@ -11,17 +9,15 @@
 
 from peridotspoke.exceptions import AnswerLostError, PlatformUnavailableError
 from peridotspoke.logs import log_event
+from peridotspoke.platform.connections import ConnectionSet
 
 __all__ = ["HttpPeer", "HttpResponse", "ReadLimits", "decode_body"]
 
-KEEPALIVE_TIMEOUT = 60.0  # seconds until an idle connection is closed
 OLD_SESSION_GRACE = 5.0  # seconds until calls on replaced connections are cancelled
 MAX_RESPONSE_BYTES = 1_500_000  # a page of 1 MiB as base64 text, with its keys
 MIN_LINK_RATE = 125_000  # bytes per second that a node's link spares for a response
 MAX_BODY_TIME = MAX_RESPONSE_BYTES / MIN_LINK_RATE  # seconds
 HTTP_OK = 200
-# struct linger of socket(7): with a time of 0 s, close() resets the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,11 +44,14 @@
         From one chunk of the body to the next.
     body : float, optional
         From the response's headers to the end of its body.
+    waits : bool, optional
+        Whether the peer may wait on purpose before it responds.
     """
 
     first_byte: float
     idle: float
     body: float = MAX_BODY_TIME
+    waits: bool = False
 
 
 class HttpPeer:
@@ -106,15 +105,19 @@
         content_type = {"Content-Type": "application/json"} if data else {}
         connections = self._open_connections()
         with self._translate_errors(connections, f"{method} {path}"):
-            async with connections.calls.request(
-                method,
-                f"http://{self.address}{path}",
-                data=data,
-                headers={**content_type, **(headers or {})},
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout, connect=self._connect_timeout
-                ),
-            ) as response:
+            async with (
+                connections.track_call() as deadline,
+                connections.calls.request(
+                    method,
+                    f"http://{self.address}{path}",
+                    data=data,
+                    headers={**content_type, **(headers or {})},
+                    timeout=aiohttp.ClientTimeout(
+                        total=timeout, connect=self._connect_timeout
+                    ),
+                ) as response,
+            ):
+                connections.mark_begun(deadline)
                 return HttpResponse(response.status, await response.read())
 
     async def read(self, path, limits):
@@ -142,13 +145,13 @@
         connections = self._open_connections()
         with self._translate_errors(connections, f"GET {path}"):
             async with (
-                connections.track_read(limits.first_byte) as deadline,
+                connections.track_read(limits) as deadline,
                 connections.reads.get(
                     f"http://{self.address}{path}",
                     timeout=aiohttp.ClientTimeout(connect=self._connect_timeout),
                 ) as response,
             ):
-                connections.awaiting_response.discard(deadline)
+                connections.mark_begun(deadline)
                 return HttpResponse(
                     response.status, await _read_body(response, deadline, limits)
                 )
@@ -177,17 +180,28 @@
 
     def _open_connections(self):
         if self._connections is None:
-            self._connections = _ConnectionSet()
+            self._connections = ConnectionSet()
         return self._connections
 
-    def cancel_stale_calls(self):
-        """Cancel the calls that still wait on replaced connections.
+    def cancel_stale_calls(self, seconds=0.0):
+        """Cancel the calls without a response that were sent before the peer was back.
+
+        They may wait until they time out although the peer responds to later calls.
+        A read that the peer may answer late on purpose is cancelled on replaced
+        connections only.
 
-        They may wait until they time out although the peer responds on new
-        connections.
+        Parameters
+        ----------
+        seconds : float, optional
+            Duration of the call that had the first response, and has just ended.
         """
+        answered_sent_at = asyncio.get_running_loop().time() - seconds
+        if self._connections is not None:
+            self._connections.cancel_stale(answered_sent_at, spares_waiting=True)
         for connections in self._closing.values():
-            connections.stale_calls_cancelled.set()
+            connections.cancel_stale(answered_sent_at, spares_waiting=False)
+            if not connections.has_unanswered():
+                connections.stale_calls_cancelled.set()
 
     def _replace(self, failed):
         if self._connections is not failed:
@@ -198,89 +212,6 @@
         task.add_done_callback(self._closing.pop)
 
 
-class _ConnectionSet:
-    """Connections to one peer, opened between two replacements.
-
-    Reads and other calls have separate sessions: when the set is retired, calls are
-    cancelled while arriving reads may complete. `awaiting_response` holds the
-    `asyncio.Timeout` of each read whose response has not begun to arrive.
-    `stale_calls_cancelled` is set to retire replaced connections before their grace
-    time ends.
-    """
-
-    def __init__(self):
-        self.stale_calls_cancelled = asyncio.Event()
-        self.awaiting_response = set()
-        self._sessions = {}
-        self._active_reads = 0
-        self._is_retired = False
-
-    @property
-    def calls(self):
-        """The session for calls that may have an effect."""
-        return self._open("calls")
-
-    @property
-    def reads(self):
-        """The session for reads."""
-        return self._open("reads")
-
-    def _open(self, kind):
-        if kind not in self._sessions:
-            self._sessions[kind] = _open_session()
-        return self._sessions[kind]
-
-    @asynccontextmanager
-    async def track_read(self, timeout):
-        """Count a read as active and yield its `asyncio.Timeout`.
-
-        The timeout is at first `timeout` seconds from now; the reader extends it
-        while the response arrives.
-        """
-        self._active_reads += 1
-        try:
-            async with asyncio.timeout(timeout) as deadline:
-                self.awaiting_response.add(deadline)
-                yield deadline
-        finally:
-            self.awaiting_response.discard(deadline)
-            self._active_reads -= 1
-            if self._is_retired and not self._active_reads:
-                await self.close()
-
-    async def retire(self):
-        """Cancel all calls, and the reads whose response has not begun to arrive.
-
-        The connections of reads are closed once the last active read has ended.
-        """
-        self._is_retired = True
-        now = asyncio.get_running_loop().time()
-        for deadline in self.awaiting_response:
-            if not deadline.expired():
-                deadline.reschedule(now)
-        if not self._active_reads:
-            await self.close()
-        elif "calls" in self._sessions:
-            await self._sessions["calls"].close()
-
-    async def close(self):
-        """Close all connections."""
-        for session in self._sessions.values():
-            await session.close()
-
-
-def _open_session():
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        keepalive_timeout=KEEPALIVE_TIMEOUT,
-        use_dns_cache=False,
-        socket_factory=_make_socket,
-    )
-    return aiohttp.ClientSession(
-        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-    )
-
-
 async def _read_body(response, deadline, limits):
     """Return the body as bytes; extend `deadline` with each chunk that arrives."""
     loop = asyncio.get_running_loop()
@@ -293,18 +224,6 @@
     return b"".join(chunks)
 
 
-def _make_socket(address):
-    """Return a socket that discards undelivered data and resets when it is closed.
-
-    Otherwise the kernel would go on sending a request that a network partition held
-    back, and the peer could receive an order after its sender had timed out.
-    """
-    family, kind, protocol, *_ = address
-    opened = socket.socket(family, kind, protocol)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    return opened
-
-
 async def _close_later(connections):
     with suppress(TimeoutError):
         async with asyncio.timeout(OLD_SESSION_GRACE):
--- a/peridotspoke/platform/keyvalue.py
+++ b/peridotspoke/platform/keyvalue.py
@@ -270,9 +270,15 @@
             changes = tuple(_decode_event(event) for event in result.events)
             yield WatchBatch(changes, revision)
 
-    def cancel_stale_calls(self):
-        """Cancel calls that were sent before the store became reachable again."""
-        self._peer.cancel_stale_calls()
+    def cancel_stale_calls(self, seconds=0.0):
+        """Cancel calls that were sent before the store became reachable again.
+
+        Parameters
+        ----------
+        seconds : float, optional
+            Duration of the call that the store has served first.
+        """
+        self._peer.cancel_stale_calls(seconds)
 
     async def close(self):
         """Close all connections."""
@@ -287,7 +293,9 @@
         )
 
     async def _read(self, path, kind, first_byte=None):
-        limits = ReadLimits(first_byte or self._timeout, self._timeout)
+        limits = ReadLimits(
+            first_byte or self._timeout, self._timeout, waits=kind == "watch"
+        )
         return await self._receive(
             kind, self._peer.read(f"/peridotspoke/{path}", limits)
         )
