Count no failures of calls from before the store's return

What callers saw: the return ends the calls that hang; three of them together made the store count as lost again until the next answer, so that requests in between were refused, the grace period of the entries began anew and the second return ended calls once more.

Cause: each failure counted, also that of a call sent before the return.

Why it works: a failure counts only if its call was sent at or after the last return. Calls sent after it count as before (tested).

--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -105,6 +105,9 @@
     def record_store_call(self, kind, result, served, size=0, seconds=0.0):
         """Record a call to the store in the metrics and in the store's status.
 
+        A failure says nothing about the store if the call was sent before the store
+        last came back: the return itself ends such calls.
+
         Parameters
         ----------
         kind : str
@@ -122,10 +125,11 @@
         self.metrics.count("store_bytes", size, kind=kind)
         self.metrics.observe("store_call_seconds", seconds, kind=kind)
         had_store = self.has_store()
+        now = self.clock.read_monotonic()
         if served:
-            self.last_served_at = self.clock.read_monotonic()
+            self.last_served_at = now
             self.store_failures = 0
-        else:
+        elif now - seconds >= self.regained_at:
             self.store_failures += 1
         if had_store != self.has_store():
             if served:
