Repeat at once after the store's return what failed before it

What callers saw: followers' reads and commits of progress that failed in an outage were repeated up to 0.3 and 0.4 s after the store was back.

Cause: their backoff grows with the failures of the outage, and neither a return in the pause nor one just before it ended it.

The renewal's pause is 0.1 s however often it failed, and the demand is written again at the next round: both are as before.

Why it works: NodeParts.pause ends at the return; one that begins within 0.1 s of it lasts 0.03 s, so that a call that the return has ended is repeated at once, and a store that fails again is not asked in a loop.

--- a/peridotspoke/nodes/committing.py
+++ b/peridotspoke/nodes/committing.py
@@ -128,13 +128,16 @@
         The last known revision of each job's progress; updated by writes.
     chance : random.Random
         Source of the jitter of retries.
+    pause : callable, optional
+        Coroutine function that waits for a number of seconds before a retry.
     """
 
-    def __init__(self, commits, holding, revisions, chance):
+    def __init__(self, commits, holding, revisions, chance, pause=None):
         self._commits = commits
         self._holding = holding
         self._revisions = revisions
         self._chance = chance
+        self._pause = pause or asyncio.sleep
 
     async def write(self, values):
         """Store the progress of jobs, and return once it is stored.
@@ -161,7 +164,7 @@
                 log_event(
                     "progress-not-stored", "WARNING", error=error, jobs=len(values)
                 )
-                await asyncio.sleep(
+                await self._pause(
                     compute_backoff(COMMIT_BACKOFF, failures, self._chance)
                 )
                 continue
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -161,6 +161,7 @@
         return follow_prefix(
             parts.store,
             prefix,
+            sleep=parts.pause,
             rules=FOLLOWING_RULES,
             clock=parts.clock,
             chance=parts.chance,
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -1,8 +1,10 @@
 """Components shared by the tasks of a node, and the clock for its leases."""
 
+import asyncio
 import random
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from peridotspoke.clock import SystemClock
@@ -12,11 +14,34 @@
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
 
-__all__ = ["BoottimeClock", "NodeParts"]
+__all__ = ["BoottimeClock", "NodeParts", "compute_pause"]
 
 CONTACT_TIMEOUT = 2.0  # seconds without a served call until the store counts as lost
 ENTRY_GRACE_PERIOD = 2.3  # seconds after an outage in which executors renew entries
 MAX_FAILURES = 3  # consecutive failed calls until the store counts as lost
+RETURN_SPAN = 0.1  # seconds after the store's return in which retries are not put off
+RETURN_PAUSE = 0.03  # seconds from one retry to the next in that span
+
+
+def compute_pause(seconds, since_return):
+    """Return the seconds until a failed call to the store is repeated.
+
+    It answers the load of an outage's end: calls that failed many times by then. What
+    has failed before the return says nothing of the store's state after it.
+
+    Parameters
+    ----------
+    seconds : float
+        The pause by the number of failures.
+    since_return : float
+        Seconds since the store last served again after an outage.
+
+    Examples
+    --------
+    >>> compute_pause(0.4, since_return=0.01), compute_pause(0.4, since_return=3.0)
+    (0.03, 0.4)
+    """
+    return min(seconds, RETURN_PAUSE) if since_return < RETURN_SPAN else seconds
 
 
 class BoottimeClock(SystemClock):
@@ -58,6 +83,8 @@
         Number of calls that have failed since.
     regained_at : float
         When the store last served again after an outage, in monotonic seconds.
+    regained : asyncio.Event
+        Set, and replaced, as the store serves again after an outage.
     peers : tuple, optional
         Connections to the platform's services, closed as the node ends.
     """
@@ -77,6 +104,7 @@
     last_served_at: float = field(default=float("-inf"))
     store_failures: int = 0
     regained_at: float = field(default=float("-inf"))
+    regained: asyncio.Event = field(default_factory=asyncio.Event)
     peers: tuple = ()
 
     async def close_connections(self):
@@ -93,6 +121,19 @@
         age = self.clock.read_monotonic() - self.last_served_at
         return age < CONTACT_TIMEOUT and self.store_failures < MAX_FAILURES
 
+    async def pause(self, seconds):
+        """Wait before a failed call to the store is repeated; end at its return.
+
+        Parameters
+        ----------
+        seconds : float
+            The pause by the number of failures.
+        """
+        since_return = self.clock.read_monotonic() - self.regained_at
+        with suppress(TimeoutError):
+            async with asyncio.timeout(compute_pause(seconds, since_return)):
+                await self.regained.wait()
+
     def find_entry_grace_end(self):
         """Return the end of the grace period for entries after an outage, or None.
 
@@ -134,6 +175,8 @@
         if had_store != self.has_store():
             if served:
                 self.regained_at = self.last_served_at
+                self.regained.set()
+                self.regained = asyncio.Event()
                 if self.cancel_stale_calls is not None:
                     self.cancel_stale_calls(seconds)
             log_event(
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -84,7 +84,7 @@
             node.advice, node.clock, self._tasks.spawn, self._find_advice_rules
         )
         self._writer = ProgressWriter(
-            node.commits, holding, self._revisions, node.chance
+            node.commits, holding, self._revisions, node.chance, node.pause
         )
         self._records = PoolRecords(
             node, holding, jobs, self._ledger, self._tasks, self._writer.forget
