--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -169,6 +169,7 @@
         return follow_prefix(
             parts.store,
             prefix,
+            sleep=parts.pause,
             rules=FOLLOWING_RULES,
             clock=parts.clock,
             chance=parts.chance,
