Log the age of an outage with refusals, and count refusals by reason

Refusals now carry `outage` and `delay`, `refusals` counts them by reason, and a described demand tells the pool's listed, present and reachable executors.

Evidence: the three new tests of test_observing seen failing on the code before.

--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -12,6 +12,7 @@
     Counted,
     Invalid,
     RefusalCause,
+    Refused,
     Shown,
     Unknown,
     UnknownJob,
@@ -99,11 +100,11 @@
         if refusal is not None:
             if refusal.cause is RefusalCause.STORE_AWAY:
                 record_refused_job(self._node, job, refusal.retry_after)
-            return self._log("submit", job_id, refusal, reason=refusal.reason)
+            return self._log("submit", job_id, refusal)
         answer = await self._store_job(job, 0)
         if isinstance(answer, Accepted):
             self._node.refused_jobs.discard(job_id)
-        return self._log("submit", job_id, answer, reason=_get_reason(answer))
+        return self._log("submit", job_id, answer)
 
     async def _has_job(self, job_id):
         """Return whether a job is stored; False if the store can't be read."""
@@ -346,18 +347,17 @@
 
     def _log(self, step, job_id, answer, **fields):
         """Log and count an answer to a request about a job, and return it."""
+        if isinstance(answer, Refused):
+            fields |= {"delay": answer.retry_after, "outage": answer.outage}
         log_event(
             f"job-{step}",
             job=job_id,
             outcome=type(answer).__name__,
             revision=self._node.view.revision,
+            reason=getattr(answer, "reason", None),
             **fields,
         )
         self._node.metrics.count(
             "job_requests", step=step, outcome=type(answer).__name__
         )
         return answer
-
-
-def _get_reason(answer):
-    return getattr(answer, "reason", None)
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -23,7 +23,7 @@
 from peridotspoke.nodes.refusedwork import list_told
 from peridotspoke.nodes.view import QueueCounts, encode_value
 from peridotspoke.store import Condition, Put, Transaction
-from peridotspoke.workloads.demand import ArrivalRate, estimate_demand
+from peridotspoke.workloads.demand import ArrivalRate, count_executors, estimate_demand
 from peridotspoke.workloads.readywork import list_timings, sum_ready
 from peridotspoke.workloads.returning import estimate_arrival, sum_returning
 from peridotspoke.workloads.sizing import SizingRules
@@ -157,15 +157,18 @@
             return
         if "demand" not in self._tasks.running_names:
             self._last_demand, self._last_demand_at = demand, now
+            counts = count_executors(self._ledger)
             log_event(
                 "demand-described",
                 pool=self._pool,
                 cores=demand.cores,
                 late_cores=demand.late_cores,
+                **inputs,
                 spread=demand.spread,
                 wait=demand.wait,
-                executors=len(self._node.view.entries),
-                **inputs,
+                listed=counts.listed,
+                present=counts.present,
+                reachable=counts.reachable,
             )
             self._tasks.spawn_once("demand", self._store_demand(demand))
 
--- a/peridotspoke/nodes/refusals.py
+++ b/peridotspoke/nodes/refusals.py
@@ -9,7 +9,7 @@
 
 
 class Refusals:
-    """Makes the refusals of one node.
+    """Makes and counts the refusals of one node.
 
     Parameters
     ----------
@@ -40,6 +40,7 @@
             delay = compute_outage_delay(age, draw)
         else:
             delay = compute_outage_delay(age, draw, compute_patience(job))
+        self._node.metrics.count("refusals", reason=cause)
         return Refused(reason, delay, cause=cause, outage=age)
 
     def refuse_away(self, job=None):
@@ -49,6 +50,7 @@
     def refuse_for_room(self, wait):
         """Return a refusal because a pool has no room for `wait` seconds."""
         delay = wait * self._node.chance.uniform(1.0, RETRY_JITTER)
+        self._node.metrics.count("refusals", reason=RefusalCause.NO_ROOM)
         return Refused(
             "no room in time", delay, overloaded=True, cause=RefusalCause.NO_ROOM
         )
--- a/peridotspoke/nodes/tests/test_observing.py
+++ b/peridotspoke/nodes/tests/test_observing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import aclosing
+from dataclasses import replace
 
 import pytest
 from loguru import logger
@@ -9,8 +10,16 @@
 from peridotspoke.exceptions import AnswerLostError
 from peridotspoke.nodes.jobrequests import JobRequestHandler
 from peridotspoke.nodes.jobviews import PoolJobs
-from peridotspoke.nodes.tests.stores import make_parts
+from peridotspoke.nodes.ownership import Holding
+from peridotspoke.nodes.poolrecords import PoolRecords
+from peridotspoke.nodes.tasksets import TaskSet
+from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.store import FollowedRecords, Record, Snapshot, follow_prefix
+from peridotspoke.workloads.executors import ExecutorCondition
+from peridotspoke.workloads.jobs import Job, Step
+from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.ledgertypes import LedgerRules
+from peridotspoke.workloads.tests.ledgers import make_entry
 
 
 @pytest.fixture
@@ -87,3 +96,55 @@
     assert parts.metrics.get_quantile(
         "store_call_seconds", 1.0, kind="range"
     ) == pytest.approx(0.25, rel=0.02)
+
+
+def decode(body, job_id, queue, wall):
+    return Job(job_id, queue.name, queue.pool, "", (Step(1, estimate=2.0),))
+
+
+async def test_a_refusal_tells_the_outage_and_the_delay_and_is_counted_by_reason(lines):
+    """Callers sent away for the store and for lack of room can be told apart."""
+    parts = make_parts()
+    handler = JobRequestHandler(parts, decode)
+    for _ in range(3):
+        parts.record_store_call("commit", "AnswerLostError", served=False)
+    parts.clock.advance(2.5)
+    answer = await handler.submit("host", f"/q/{JOB}", b"")
+    refused = next(line for line in lines if "event=job-submit" in line)
+    assert 'reason="the store is away"' in refused
+    assert "outage=2.5" in refused
+    assert f"delay={answer.retry_after:.6g}" in refused
+    assert parts.metrics.get_count("refusals", reason="store-away") == 1
+
+
+async def test_every_refusal_is_counted_by_its_reason():
+    """Refusals of counts and for an old configuration as well."""
+    parts = make_parts()
+    handler = JobRequestHandler(parts, decode)
+    parts.clock.advance(parts.settings.bounds.rollout + 0.1)
+    await handler.show("host", "/q/")
+    await handler.submit("host", "/unknown/", b"")
+    assert parts.metrics.get_count("refusals", reason="configuration") == 2
+
+
+async def test_a_described_demand_counts_the_executors_of_its_pool_only(lines):
+    """One of the pool's four executors drains, one is withdrawn, one doesn't answer."""
+    parts = make_parts()
+    now = parts.clock.read_monotonic()
+    rules = LedgerRules(inherited_lease=12.0, margin=0.1)
+    ledger = PoolLedger("pool", 1, rules, now)
+    conditions = [ExecutorCondition.READY] * 3 + [ExecutorCondition.DRAINING]
+    for number, condition in enumerate(conditions):
+        ledger.see_entry(replace(make_entry(f"i{number}"), condition=condition), now)
+    ledger.set_withdrawn({"i0"})
+    ledger.note_unreachable("i1", "no answer", now)
+    for number in range(40):
+        parts.view.entries[f"i{number}"] = make_entry(f"i{number}")
+    tasks = TaskSet("pool")
+    records = PoolRecords(
+        parts, Holding("pool", 1, now), PoolJobs("pool"), ledger, tasks, print
+    )
+    records.update_demand(now)
+    described = next(line for line in lines if "event=demand-described" in line)
+    assert "listed=4 present=2 reachable=1" in described
+    tasks.cancel()
--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -13,7 +13,14 @@
 from peridotspoke.workloads.runs import RunPhase, compute_need
 from peridotspoke.workloads.sizing import SizingRules
 
-__all__ = ["ArrivalRate", "DemandHistory", "PoolDemand", "estimate_demand"]
+__all__ = [
+    "ArrivalRate",
+    "DemandHistory",
+    "ExecutorCounts",
+    "PoolDemand",
+    "count_executors",
+    "estimate_demand",
+]
 
 MIN_CAPACITY = 1.0  # processors
 MIN_SPAN = 0.2  # seconds over which the work of a job is spread
@@ -50,6 +57,25 @@
     wait: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ExecutorCounts:
+    """Numbers of a pool's executors.
+
+    Parameters
+    ----------
+    listed : int
+        Those with an entry.
+    present : int
+        Of these, those that are neither draining nor withdrawn.
+    reachable : int
+        Of these, those that answered the last call.
+    """
+
+    listed: int
+    present: int
+    reachable: int
+
+
 class ArrivalRate:
     """Measures and forecasts the rate of arriving work, processor-seconds per second.
 
@@ -214,6 +240,14 @@
     )
 
 
+def count_executors(ledger):
+    """Return the `ExecutorCounts` of a pool's ledger."""
+    listed = [state for state in ledger.executors.values() if state.entry is not None]
+    present = [state for state in listed if not state.is_draining]
+    reachable = sum(state.reachable for state in present)
+    return ExecutorCounts(len(listed), len(present), reachable)
+
+
 def _sum_capacity(ledger):
     return sum(
         state.entry.capacity.cpu / 1000
