Write no demand while the store is away

After an outage the first demand of a pool could come 0.6 s after the store's return: a write sent while it was away hung until its time-out of 0.8 s, and the next one waits for it. Calls on the connections in use are not ended at the return, only those on replaced ones.

While the store is away the demand is only logged now, and the first round after the return writes it. test_a_demand_is_stored_as_soon_as_the_store_is_back seen failing on the code before.

--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -73,6 +73,7 @@
         self._arrivals = ArrivalRate(SizingRules().window, lead)
         self._last_demand = None
         self._last_demand_at = float("-inf")
+        self._is_demand_sent = True
         self._last_estimate_at = float("-inf")
         self._last_removal_at = node.clock.read_monotonic()
 
@@ -141,6 +142,9 @@
     def update_demand(self, now):
         """Store the pool's demand for the fleet's owner if it has changed or is old.
 
+        While the store is away the demand is only logged: a write that hangs would hold
+        back the first one after the store's return.
+
         Parameters
         ----------
         now : float
@@ -152,25 +156,32 @@
             return
         self._last_estimate_at = now
         demand, inputs = self._estimate_demand(now)
+        has_store = self._node.has_store()
+        is_missed = has_store and not self._is_demand_sent
         is_recent = now - self._last_demand_at < MAX_DEMAND_INTERVAL
-        if is_recent and not _has_changed(self._last_demand, demand):
+        if is_recent and not is_missed and not _has_changed(self._last_demand, demand):
             return
         if "demand" not in self._tasks.running_names:
             self._last_demand, self._last_demand_at = demand, now
-            counts = count_executors(self._ledger)
-            log_event(
-                "demand-described",
-                pool=self._pool,
-                cores=demand.cores,
-                late_cores=demand.late_cores,
-                **inputs,
-                spread=demand.spread,
-                wait=demand.wait,
-                listed=counts.listed,
-                present=counts.present,
-                reachable=counts.reachable,
-            )
-            self._tasks.spawn_once("demand", self._store_demand(demand))
+            self._is_demand_sent = has_store
+            self._log_demand(demand, inputs)
+            if has_store:
+                self._tasks.spawn_once("demand", self._store_demand(demand))
+
+    def _log_demand(self, demand, inputs):
+        counts = count_executors(self._ledger)
+        log_event(
+            "demand-described",
+            pool=self._pool,
+            cores=demand.cores,
+            late_cores=demand.late_cores,
+            **inputs,
+            spread=demand.spread,
+            wait=demand.wait,
+            listed=counts.listed,
+            present=counts.present,
+            reachable=counts.reachable,
+        )
 
     def _estimate_demand(self, now):
         """Return the `PoolDemand` and the inputs that the log names, by name."""
--- a/peridotspoke/nodes/tests/test_poolrecords.py
+++ b/peridotspoke/nodes/tests/test_poolrecords.py
@@ -1,13 +1,17 @@
 """Tests of the demand that a pool's owner stores for the fleet's owner."""
 
+import asyncio
+
 import pytest
 
 from peridotspoke.nodes import poolrecords
 from peridotspoke.nodes.jobviews import PoolJobs
+from peridotspoke.nodes.keys import key_owner, key_pool_demand
 from peridotspoke.nodes.ownership import Holding
 from peridotspoke.nodes.poolrecords import ESTIMATE_INTERVAL, PoolRecords
 from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.tests.stores import JOB, make_parts
+from peridotspoke.store import Put, Transaction
 from peridotspoke.workloads.jobs import Job, Need, Step
 from peridotspoke.workloads.ledger import PoolLedger
 from peridotspoke.workloads.ledgertypes import LedgerRules
@@ -57,3 +61,29 @@
         records.update_demand(100.0 + number / 100)
     seconds = rounds / 100
     assert 1 < len(estimates) <= seconds / ESTIMATE_INTERVAL + 1
+
+
+async def test_a_demand_is_stored_as_soon_as_the_store_is_back(records, monkeypatch):
+    """A write that was sent during the outage hangs until after the store's return."""
+    parts = records._node
+    store, commit = parts.store, parts.store.commit
+    owner = await commit(Transaction((), (Put(key_owner("pool"), b"n1"),)))
+    records._holding = Holding("pool", owner.revision, 0.0)
+
+    async def hang(transaction, timeout=None):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(store, "commit", hang)
+    for _ in range(3):
+        parts.record_store_call("watch", "AnswerLostError", served=False)
+    parts.clock.advance(5.0)
+    records.update_demand(parts.clock.read_monotonic())
+    await asyncio.sleep(0)
+    monkeypatch.setattr(store, "commit", commit)
+    parts.clock.advance(0.2)
+    parts.record_store_call("watch", "200", served=True)
+    records.update_demand(parts.clock.read_monotonic())
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert key_pool_demand("pool") in store.records
+    records._tasks.cancel()
--- a/peridotspoke/nodes/tests/test_refusedwork.py
+++ b/peridotspoke/nodes/tests/test_refusedwork.py
@@ -94,6 +94,7 @@
     async def publish(self):
         """Read the records, and return the demand that is stored next."""
         store, now = self.parts.store, self.parts.clock.read_monotonic()
+        self.parts.record_store_call("watch", "200", served=True)
         records = {
             key: record
             for key, record in store.records.items()
