Count at once what a pool's owner refused itself

The owner now counts its own refusals directly, until they expire. What a node refused is kept after it is told, so that nothing is missed between the two.

test_what_the_owner_refused_itself_counts_at_once seen failing without that in its first form (not told yet); the told form came with the change.

--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -200,11 +200,14 @@
         return demand, {"ready": ready, "rate": rate, "returning": returning}
 
     def _sum_returning(self, now):
-        """Return the processors for refused jobs that are about to come back."""
-        if not self._node.view.refused:
-            return 0.0
+        """Return the processors for refused jobs that are about to come back.
+
+        What this node refused itself counts before its record has been read again.
+        """
         told = list_told(self._node.view, self._pool)
-        return sum_returning(told, self._jobs.views, now)
+        refused = self._node.refused_jobs.list_current(now)
+        own = (job for job in refused if job.pool == self._pool)
+        return sum_returning((*told, *own), self._jobs.views, now)
 
     def _sum_attainable(self):
         """Return the number of processors that the pool could get from the fleet.
--- a/peridotspoke/nodes/refusedwork.py
+++ b/peridotspoke/nodes/refusedwork.py
@@ -78,7 +78,7 @@
         now = node.clock.read_monotonic()
         if not node.has_store():
             return
-        if node.refused_jobs and now >= self._told_at + MIN_TELL_INTERVAL:
+        if node.refused_jobs.has_untold and now >= self._told_at + MIN_TELL_INTERVAL:
             lease = node.ownership.lease_id
             if lease and lease != self._ended_lease:
                 await self._tell(lease, now)
@@ -88,7 +88,7 @@
     async def _tell(self, lease, now):
         jobs = self._node.refused_jobs.list_current(now)
         if not jobs:
-            self._node.refused_jobs.clear()
+            self._node.refused_jobs.mark_told()
             return
         record = RefusedRecord()
         for job in jobs:
@@ -102,7 +102,7 @@
         except LeaseExpiredError:
             self._ended_lease = lease
             return
-        self._node.refused_jobs.clear()
+        self._node.refused_jobs.mark_told()
         self._told_at, self._told_until = now, max(job.until for job in jobs)
         log_event(
             "refused-told",
--- a/peridotspoke/nodes/tests/test_refusedwork.py
+++ b/peridotspoke/nodes/tests/test_refusedwork.py
@@ -249,3 +249,18 @@
         demands.append(await owner.publish())
     cores = [demand.cores for demand in demands]
     assert 10 * CORES > cores[0] > cores[1] > cores[2] > cores[3]
+
+
+@pytest.mark.parametrize("is_told", [False, True])
+async def test_what_the_owner_refused_itself_counts_at_once(store, is_told):
+    """The first demand does not wait for its record to be written and read again."""
+    owner = await Owner.claim(store)
+    entry = Entry("n1", store)
+    entry.parts.refused_jobs = owner.parts.refused_jobs
+    await refuse_peak([entry], jobs=5)
+    if is_told:
+        await entry.regain_store()
+        del store.records[key_refused("n1")]
+    owner.parts.clock.advance(OUTAGE)
+    demand = await owner.publish()
+    assert demand.cores == pytest.approx(5 * CORES, rel=0.01)
--- a/peridotspoke/workloads/returning.py
+++ b/peridotspoke/workloads/returning.py
@@ -93,6 +93,11 @@
     ----------
     most : int, optional
 
+    Attributes
+    ----------
+    has_untold : bool
+        Whether any was recorded since the last call of `mark_told`.
+
     Examples
     --------
     >>> jobs = RefusedJobs(most=2)
@@ -100,19 +105,16 @@
     ...     jobs.record(ReturningJob(job_id, "pool", 1.0, 2.0, until))
     >>> [job.job_id for job in jobs.list_current(now=5.5)]
     ['a']
-    >>> len(jobs)
-    2
     """
 
     def __init__(self, most=MAX_REFUSED_JOBS):
+        self.has_untold = False
         self._most = most
         self._jobs = {}
 
-    def __len__(self):
-        return len(self._jobs)
-
     def record(self, job):
         """Record a `ReturningJob`."""
+        self.has_untold = True
         self._jobs.pop(job.job_id, None)
         self._jobs[job.job_id] = job
         if len(self._jobs) > self._most:
@@ -123,12 +125,14 @@
         self._jobs.pop(job_id, None)
 
     def list_current(self, now):
-        """Return the jobs whose callers may still come back, as a tuple."""
-        return tuple(job for job in self._jobs.values() if job.until > now)
-
-    def clear(self):
-        """Forget all jobs."""
-        self._jobs.clear()
+        """Return the jobs whose callers may still come back, and forget the others."""
+        for job in [job for job in self._jobs.values() if job.until <= now]:
+            del self._jobs[job.job_id]
+        return tuple(self._jobs.values())
+
+    def mark_told(self):
+        """Note that the jobs have been told; they are kept until they expire."""
+        self.has_untold = False
 
 
 def estimate_arrival(job, durations, rules=SizingRules()):
