--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -13,6 +13,7 @@
 from peridotspoke.nodes.commits import TimedCommits
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
+from peridotspoke.workloads.returning import RefusedJobs
 
 __all__ = ["BoottimeClock", "NodeParts", "compute_pause"]
 
@@ -85,6 +86,8 @@
         When the store last served again after an outage, in monotonic seconds.
     regained : asyncio.Event
         Set, and replaced, as the store serves again after an outage.
+    refused_jobs : RefusedJobs
+        The jobs that were refused while the store was away, until they are told.
     peers : tuple, optional
         Connections to the platform's services, closed as the node ends.
     """
@@ -105,6 +108,7 @@
     store_failures: int = 0
     regained_at: float = field(default=float("-inf"))
     regained: asyncio.Event = field(default_factory=asyncio.Event)
+    refused_jobs: RefusedJobs = field(default_factory=RefusedJobs)
     peers: tuple = ()
 
     async def close_connections(self):
@@ -134,6 +138,15 @@
             async with asyncio.timeout(compute_pause(seconds, since_return)):
                 await self.regained.wait()
 
+    def find_outage_age(self):
+        """Return the seconds since the store last served a call of this node.
+
+        0 before it has served any, since nothing is known of an outage then.
+        """
+        if self.last_served_at == float("-inf"):
+            return 0.0
+        return self.clock.read_monotonic() - self.last_served_at
+
     def find_entry_grace_end(self):
         """Return the end of the grace period for entries after an outage, or None.
 
--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -21,7 +21,14 @@
 from peridotspoke.workloads.runs import RunPhase, compute_need
 from peridotspoke.workloads.sizing import SizingRules
 
-__all__ = ["ArrivalRate", "DemandHistory", "PoolDemand", "estimate_demand"]
+__all__ = [
+    "ArrivalRate",
+    "DemandHistory",
+    "ExecutorCounts",
+    "PoolDemand",
+    "count_executors",
+    "estimate_demand",
+]
 
 MIN_CAPACITY = 1.0  # processors
 MIN_SPAN = 0.2  # seconds over which the work of a job is spread
@@ -62,6 +69,25 @@
     wait: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ExecutorCounts:
+    """Numbers of a pool's executors.
+
+    Parameters
+    ----------
+    listed : int
+        Those with an entry.
+    present : int
+        Of these, those that are neither draining nor withdrawn.
+    reachable : int
+        Of these, those that answered the last call.
+    """
+
+    listed: int
+    present: int
+    reachable: int
+
+
 class ArrivalRate:
     """Measures and forecasts the rate of arriving work, processor-seconds per second.
 
@@ -168,7 +194,15 @@
         return max(need for _, need in self._needs)
 
 
-def estimate_demand(ledger, timings, ready, rate, attainable=0.0, rules=SizingRules()):
+def estimate_demand(
+    ledger,
+    timings,
+    ready,
+    rate,
+    attainable=0.0,
+    rules=SizingRules(),
+    returning=0.0,
+):
     """Return the `PoolDemand` of a pool.
 
     The work of a job is spread over the critical path of its unfinished steps and a
@@ -188,6 +222,9 @@
     attainable : float, optional
         Processors that the pool could get from the whole fleet.
     rules : SizingRules, optional
+    returning : float, optional
+        Processors for refused jobs that are about to come back. They add to those for
+        open jobs, not to the rate, whose forecast rises as the jobs come back.
     """
     on_time = late = unfinished = 0.0
     for timing in timings:
@@ -198,8 +235,10 @@
         else:
             late += timing.remaining_work / rules.late_horizon
     running = _sum_running(ledger)
-    finite = max(running.cores, min(ready, on_time), rate)
-    late_finite = max(finite, min(ready, on_time + late))
+    open_cores = min(ready, on_time)
+    without_returning = max(running.cores, open_cores, rate)
+    finite = max(without_returning, open_cores + returning)
+    late_finite = finite + max(0.0, min(ready, on_time + late) - without_returning)
     cores, all_cores = _compute_cores(ledger, running, (finite, late_finite))
     return PoolDemand(
         cores=cores,
@@ -217,6 +256,14 @@
     )
 
 
+def count_executors(ledger):
+    """Return the `ExecutorCounts` of a pool's ledger."""
+    listed = [state for state in ledger.executors.values() if state.entry is not None]
+    present = [state for state in listed if not state.is_draining]
+    reachable = sum(state.reachable for state in present)
+    return ExecutorCounts(len(listed), len(present), reachable)
+
+
 def _sum_capacity(ledger):
     return sum(
         state.entry.capacity.cpu / 1000
