Run the programs when they are started as modules

What operators saw: `python -m peridotspoke.programs.story JOB LOG` printed nothing and exited with 0. Cause: seven programs defined `main` and no guard called it.

--- a/peridotspoke/programs/audit.py
+++ b/peridotspoke/programs/audit.py
@@ -150,3 +150,7 @@
             for name, (run, summary) in commands.items()
         },
     )
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/control.py
+++ b/peridotspoke/programs/control.py
@@ -129,3 +129,7 @@
         "peridotspoke-control",
         make_command("control", ControlSettings, _run, "Keep pools supplied."),
     )
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/entry.py
+++ b/peridotspoke/programs/entry.py
@@ -262,3 +262,7 @@
         "peridotspoke-entry",
         make_command("entry", EntrySettings, _run, "Answer callers."),
     )
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/publish.py
+++ b/peridotspoke/programs/publish.py
@@ -215,3 +215,7 @@
             for name, (run, summary) in commands.items()
         },
     )
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/standin.py
+++ b/peridotspoke/programs/standin.py
@@ -41,3 +41,7 @@
             ),
         },
     )
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/story.py
+++ b/peridotspoke/programs/story.py
@@ -103,3 +103,7 @@
 def main():
     """Run the command line."""
     run_commands("peridotspoke-story", show_story)
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotspoke/programs/trial.py
+++ b/peridotspoke/programs/trial.py
@@ -170,3 +170,7 @@
             )
         },
     )
+
+
+if __name__ == "__main__":
+    main()
