Keep the starts of tasks that last among the essential log lines

What operators saw: a busy pool's owner leaves out ordinary lines, thousands of `run-ordered` among them, so that nobody could tell whether a task that lasts ran again after its last `run-over`; no line told that a start had taken effect. Cause: the sink's rate didn't tell the few such starts from those of short tasks. Now `run-ordered` bears `lasting=True` for them, which makes it essential, and `run-confirmed` (task, run, executor, by=answer or report) follows once, never for short tasks.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -17,7 +17,9 @@
 
     A line is essential if it explains a refusal or a stop: it is a warning or worse,
     or its event is in `essential_events` or begins with ``job-`` without the outcome
-    ``Accepted``. All other lines are ordinary.
+    ``Accepted``. So is a line with `essential_mark`: it concerns a task that lasts, of
+    which there are few, and each of its starts may be asked for. All other lines are
+    ordinary.
 
     Parameters
     ----------
@@ -31,6 +33,8 @@
         Further lines buffered if they are essential.
     essential_events : frozenset of str
         Events whose lines are essential and thus not limited by the rate.
+    essential_mark : str
+        A field and its value; lines that have it are essential whatever the event.
     """
 
     rate: float = 400.0
@@ -43,6 +47,7 @@
             "job-ended",
             "run-stopping",
             "run-over",
+            "run-confirmed",
             "start-refused",
             "ownership-gained",
             "ownership-lost",
@@ -50,6 +55,7 @@
             "store-regained",
         }
     )
+    essential_mark: str = " lasting=True"
 
 
 class BoundedSink:
@@ -109,7 +115,7 @@
 
     def _is_essential(self, text):
         event = text.partition(" ")[0].removeprefix("event=")
-        if event in self._rules.essential_events:
+        if event in self._rules.essential_events or self._rules.essential_mark in text:
             return True
         return event.startswith("job-") and "outcome=Accepted" not in text
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -283,6 +283,7 @@
                 run=run.number,
                 executor=run.executor_id,
                 fence=self._holding.fence,
+                lasting=run.step.lasting or None,
             )
             self._tasks.spawn(session[0].start(run))
 
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -77,7 +77,7 @@
             run.progressed_at = now
             run.first_percent = reported.percent
         run.start_unconfirmed = False
-        run.is_confirmed = True
+        self._confirm(run, "report")
         if run.phase in (RunPhase.STARTING, RunPhase.INHERITED):
             run.phase = RunPhase.RUNNING
         if (
@@ -93,6 +93,22 @@
         if run.progress.outcome is not JobOutcome.OPEN:
             self.stop_run(run, "job ended")
 
+    def _confirm(self, run, source):
+        """Record which incarnation carries out a run, and log it for a lasting task.
+
+        Tasks that last are few and start seldom, so that these lines stay few under
+        any load.
+        """
+        if run.step.lasting and not run.is_confirmed:
+            self.note(
+                "run-confirmed",
+                task=run.key,
+                run=run.number,
+                executor=run.executor_id,
+                by=source,
+            )
+        run.is_confirmed = True
+
     def _handle_unlisted_runs(self, state, listed, asked_at, now):
         """Release the runs that have certainly ended, as a report does not list them.
 
@@ -226,7 +242,8 @@
         state = self.executors[run.executor_id]
         if refusal is None:
             run.start_unconfirmed = False
-            run.is_confirmed |= by_known_incarnation
+            if by_known_incarnation:
+                self._confirm(run, "answer")
             run.started_at = run.started_at or now
             run.progressed_at = now
             if run.phase is RunPhase.STARTING:
--- /dev/null
+++ b/peridotspoke/workloads/tests/test_notes.py
@@ -0,0 +1,66 @@
+"""Tests of the events that a ledger logs.
+
+The load pattern: a pool whose owner starts hundreds of short tasks a second, while a
+few tasks that last stand, and someone asks the logs why.
+"""
+
+import pytest
+
+from peridotspoke.workloads.jobs import Need, Step
+from peridotspoke.workloads.tests.ledgers import (
+    add_job,
+    make_ledger,
+    plan,
+    report,
+    store,
+)
+
+LASTING = Step(1, Need(1000, 100), lasting=True)
+SHORT = Step(1, Need(1000, 100))
+
+
+class Notes(list):
+    """Collects the events that a ledger notes, as tuples of name and fields."""
+
+    def __call__(self, event, **fields):
+        self.append((event, fields))
+
+    def find(self, event):
+        """Return the fields of each event of this name."""
+        return [fields for name, fields in self if name == event]
+
+
+def make_noted_ledger(*names):
+    ledger = make_ledger(*names)
+    ledger.note = Notes()
+    return ledger
+
+
+def order(ledger, now=0.0):
+    plan(ledger, now)
+    (run,) = store(ledger)
+    return run
+
+
+@pytest.mark.parametrize("source", ["answer", "report"])
+def test_the_confirmation_of_a_run_that_lasts_is_logged_once(source):
+    """Whether a task stood after its run was ordered couldn't be told."""
+    ledger = make_noted_ledger("e1")
+    add_job(ledger, LASTING)
+    run = order(ledger)
+    by_known_incarnation = source == "answer"
+    ledger.apply_start_answer(run, None, 0.1, by_known_incarnation)
+    report(ledger, "e1", 1.0, running=[run])
+    report(ledger, "e1", 2.0, running=[run])
+    expected = {"task": run.key, "run": 1, "executor": "e1", "by": source}
+    assert ledger.note.find("run-confirmed") == [expected]
+
+
+def test_the_confirmation_of_a_short_run_is_not_logged():
+    """Hundreds a second would drown the lines that explain something."""
+    ledger = make_noted_ledger("e1")
+    add_job(ledger, SHORT)
+    run = order(ledger)
+    ledger.apply_start_answer(run, None, 0.1, True)
+    report(ledger, "e1", 1.0, running=[run])
+    assert ledger.note.find("run-confirmed") == []
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -59,6 +59,19 @@
     assert text.count("start ") == 3
 
 
+def test_rate_limit_spares_the_starts_of_tasks_that_last(pipe):
+    """A pool's owner that starts hundreds of short tasks a second left them out."""
+    reader, writer = pipe
+    sink = BoundedSink(writer, ManualClock(), SinkRules(rate=1.0, burst=3.0))
+    for number in range(10):
+        sink.put(f"short {number}\n", INFO, "event=run-ordered fence=7")
+        sink.put(f"lasts {number}\n", INFO, "event=run-ordered fence=7 lasting=True")
+        sink.put(f"stands {number}\n", INFO, "event=run-confirmed run=1")
+    text = read_all(reader)
+    assert text.count("lasts ") == text.count("stands ") == 10
+    assert text.count("short ") == 3
+
+
 def test_configured_logs_are_rate_limited_by_the_sink(pipe):
     """The logging library passes each message with its level and event."""
     reader, writer = pipe
