Name the executor and the lease in run-over, and count inherited runs

What operators saw: `run-over reason="lease expired"` told neither the executor nor why the run was held so long, so that a wait for the leases that an earlier owner can have granted (12.7 s) looked like one for a lease of this owner. `run-over` now names `executor`, and for an expired lease `held_until` (UTC) and `bound=own|inherited`; `job-taken` tells how many runs were `inherited`. The bound is read from the lease's end itself: a rule that shortens it later is seen as `own`. How events read moves to nodes/poolevents.py.

--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -24,6 +24,11 @@
     StartLost,
     StopAnswered,
 )
+from peridotspoke.nodes.poolevents import (
+    count_assigned,
+    describe_step,
+    format_fields,
+)
 from peridotspoke.nodes.poolrecords import PoolRecords
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
 from peridotspoke.nodes.tasksets import TaskSet
@@ -126,11 +131,8 @@
             self._tasks.cancel()
 
     def _log(self, event, **fields):
-        """Log an event with the pool's name; `task` is a `TaskKey`, if given."""
-        key = fields.pop("task", None)
-        if key is not None:
-            fields = {"job": key.job_id, "task": _format_task_key(key), **fields}
-        log_event(event, pool=self.pool, **fields)
+        """Log an event of the ledger with the pool's name."""
+        log_event(event, pool=self.pool, **format_fields(fields, self._node.clock))
 
     def _collect_changed_entries(self, changed):
         self._changed_entries |= changed.get("entry", set())
@@ -232,7 +234,8 @@
                 job=job_id,
                 revision=job_view.revision,
                 queue=job_view.job.queue,
-                steps=" ".join(_describe_step(step) for step in job_view.job.steps),
+                inherited=count_assigned(progress),
+                steps=" ".join(describe_step(step) for step in job_view.job.steps),
             )
             self._ledger.add_job(progress)
             self._records.record_arrival(job_view.job)
@@ -365,23 +368,3 @@
         margin=(SLOW_CLOCK_FACTOR - 1.0) * run_lease,
         restart_excess=max(0.0, longest_lease - run_lease),
     )
-
-
-def _format_task_key(key):
-    return f"{key.occurrence}.{key.step}.{key.index}"
-
-
-def _describe_step(step):
-    """Return a step's summary for the log, with its need in thousandths of a core."""
-    marks = (
-        ("gang", step.gang),
-        ("lasting", step.lasting),
-        ("fills", step.fills),
-        ("saves", step.checkpointing),
-        ("copies", step.speculative),
-        (f"target={step.target:g}", step.target),
-        (f"miss={step.may_miss}", step.may_miss),
-        (f"apart={step.most_per_executor}", step.most_per_executor),
-    )
-    shown = "".join(f",{mark}" for mark, is_set in marks if is_set)
-    return f"{step.count}x{step.need.cpu}m@{step.estimate:g}s{shown}"
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -96,6 +96,7 @@
             state.foreign.clear()
             state.reported_at = None
             state.lease_end += self.rules.restart_excess
+            state.inherited_until += self.rules.restart_excess
             for run in list(state.runs.values()):
                 self._handle_run_after_restart(run, now)
         state.incarnation = incarnation
@@ -229,4 +230,4 @@
         if lapsed and not state.reachable:
             self.note("leases-expired", executor=state.executor_id)
         for run in lapsed:
-            self.requeue(run, now, "lease expired")
+            self.requeue(run, now, "lease expired", **self.describe_hold(state))
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -55,6 +55,7 @@
             self.executors[task.executor] = state
         lease_end = self.taken_over_at + self.rules.inherited_lease
         state.lease_end = max(state.lease_end, lease_end)
+        state.inherited_until = lease_end
         step = progress.job.steps[task.key.step]
         state.runs[task.key] = Run(
             task,
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -234,7 +234,26 @@
         if self.is_current(run):
             del self.executors[run.executor_id].runs[run.key]
 
-    def requeue(self, run, now, reason):
+    def describe_hold(self, state):
+        """Return the log's fields about the lease that held an executor's runs.
+
+        Parameters
+        ----------
+        state : ExecutorState
+
+        Returns
+        -------
+        dict of str to object
+            ``held_until``, monotonic seconds, and ``bound``: ``inherited`` if the
+            lease is one that an earlier owner can have granted, else ``own``.
+        """
+        is_inherited = state.lease_end == state.inherited_until
+        return {
+            "held_until": state.lease_end + self.rules.margin,
+            "bound": "inherited" if is_inherited else "own",
+        }
+
+    def requeue(self, run, now, reason, **fields):
         """Release a run and let its task wait for another run.
 
         The run must have certainly ended, unless the step allows copies.
@@ -246,9 +265,18 @@
             Monotonic seconds.
         reason : str
             Logged.
+        **fields
+            Logged as well.
         """
         self.release(run)
-        self.note("run-over", task=run.key, run=run.number, reason=reason)
+        self.note(
+            "run-over",
+            task=run.key,
+            run=run.number,
+            executor=run.executor_id,
+            reason=reason,
+            **fields,
+        )
         self._mark_waiting(run)
 
     def _mark_waiting(self, run):
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -122,6 +122,9 @@
         Start of the executor's present incarnation, Unix milliseconds; 0 if unknown.
     lease_end : float
         Time after which every lease that was granted to its runs has expired.
+    inherited_until : float
+        End of the leases that an earlier owner can have granted; `lease_end` is equal
+        to it as long as no lease of this owner lasts longer.
     reported_at : float or None
         When the latest report that this owner received was requested; None before
         the first.
@@ -154,6 +157,7 @@
     last_entry: ExecutorEntry | None = None
     incarnation: int = 0
     lease_end: float = 0.0
+    inherited_until: float = float("-inf")
     reported_at: float | None = None
     cursor: int = 0
     acknowledged: int = 0
--- a/peridotspoke/workloads/tests/test_notes.py
+++ b/peridotspoke/workloads/tests/test_notes.py
@@ -8,6 +8,7 @@
 
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.tests.ledgers import (
+    RULES,
     add_job,
     make_ledger,
     plan,
@@ -64,3 +65,30 @@
     ledger.apply_start_answer(run, None, 0.1, True)
     report(ledger, "e1", 1.0, running=[run])
     assert ledger.note.find("run-confirmed") == []
+
+
+@pytest.mark.parametrize("bound", ["own", "inherited"])
+def test_a_run_given_up_for_its_lease_names_the_executor_and_the_lease(bound):
+    """A wait for the lease of an earlier owner looked like one for this owner's."""
+    ledger = make_noted_ledger("e1")
+    progress = add_job(ledger, LASTING)
+    run = order(ledger)
+    if bound == "own":
+        ledger.extend_lease("e1", 5.0)
+    else:
+        ledger._add_inherited_run(progress, run.task)
+        ledger.extend_lease("e1", 5.0)
+    ledger.apply_start_answer(run, None, 0.1, True)
+    ledger.lose_entry("e1")
+    ledger.note_unreachable("e1", "no answer", 1.0)
+    ledger.expire_leases(20.0)
+    (over,) = ledger.note.find("run-over")
+    held_until = 5.0 if bound == "own" else RULES.inherited_lease
+    assert over == {
+        "task": run.key,
+        "run": 1,
+        "executor": "e1",
+        "reason": "lease expired",
+        "held_until": held_until + RULES.margin,
+        "bound": bound,
+    }
