Name the queue in the lines about requests for a job

What operators saw: `job-submit`, `job-show` and `job-cancel` named only the job, so that the queue whose callers were refused could be told only where the job's owner had taken it. Evidence: the new check of test_observing.py failed on the handler before and passes now.

--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -83,7 +83,7 @@
         if not is_job_id(job_id):
             return Invalid("expected an ID of 16 hexadecimal digits")
         if self._lookup.find(queue.pool, job_id) is not None:
-            return self._log("submit", job_id, Accepted(), source="view")
+            return self._log("submit", queue, job_id, Accepted(), source="view")
         if len(body) > self._node.view.configuration.max_body_size:
             return Invalid("the body is too large")
         now = self._node.clock.read_wall()
@@ -91,14 +91,14 @@
             job = self._decode_submission(body, job_id, queue, now)
             check_job(job)
         except RequestError as error:
-            return self._log("submit", job_id, Invalid(str(error)))
+            return self._log("submit", queue, job_id, Invalid(str(error)))
         refusal = self._check_room(job)
         if refusal is not None and await self._has_job(job_id):
-            return self._log("submit", job_id, Accepted(), source="store")
+            return self._log("submit", queue, job_id, Accepted(), source="store")
         if refusal is not None:
-            return self._log("submit", job_id, refusal, reason=refusal.reason)
+            return self._log("submit", queue, job_id, refusal, reason=refusal.reason)
         answer = await self._store_job(job, 0)
-        return self._log("submit", job_id, answer, reason=_get_reason(answer))
+        return self._log("submit", queue, job_id, answer, reason=_get_reason(answer))
 
     async def _has_job(self, job_id):
         """Return whether a job is stored; False if the store can't be read."""
@@ -155,7 +155,7 @@
             return await self._count(queue)
         job_view = await self._look_up(queue.pool, job_id)
         if not isinstance(job_view, JobView):
-            return self._log("show", job_id, job_view)
+            return self._log("show", queue, job_id, job_view)
         return Shown(job_view.state)
 
     async def cancel(self, host, path):
@@ -176,10 +176,10 @@
         queue, job_id = found
         job_view = await self._look_up(queue.pool, job_id)
         if not isinstance(job_view, JobView):
-            return self._log("cancel", job_id, job_view)
+            return self._log("cancel", queue, job_id, job_view)
         if not job_view.is_open:
-            return self._log("cancel", job_id, Accepted(), state=job_view.state)
-        return self._log("cancel", job_id, await self._store_cancel(job_view))
+            return self._log("cancel", queue, job_id, Accepted(), state=job_view.state)
+        return self._log("cancel", queue, job_id, await self._store_cancel(job_view))
 
     def _find_queue(self, host, path):
         """Return the queue and the rest of the path, or the answer without a queue."""
@@ -334,11 +334,12 @@
         if jobs is not None:
             jobs.mark_cancelled(job_id)
 
-    def _log(self, step, job_id, answer, **fields):
+    def _log(self, step, queue, job_id, answer, **fields):
         """Log and count an answer to a request about a job, and return it."""
         log_event(
             f"job-{step}",
             job=job_id,
+            queue=queue.name,
             outcome=type(answer).__name__,
             revision=self._node.view.revision,
             **fields,
--- a/peridotspoke/nodes/tests/test_observing.py
+++ b/peridotspoke/nodes/tests/test_observing.py
@@ -9,8 +9,9 @@
 from peridotspoke.exceptions import AnswerLostError
 from peridotspoke.nodes.jobrequests import JobRequestHandler
 from peridotspoke.nodes.jobviews import PoolJobs
-from peridotspoke.nodes.tests.stores import make_parts
+from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.store import FollowedRecords, Record, Snapshot, follow_prefix
+from peridotspoke.workloads.jobs import Job, Step
 
 
 @pytest.fixture
@@ -87,3 +88,27 @@
     assert parts.metrics.get_quantile(
         "store_call_seconds", 1.0, kind="range"
     ) == pytest.approx(0.25, rel=0.02)
+
+
+async def test_the_answers_about_a_job_name_its_queue(lines):
+    """Which queue's callers were refused could be told only from the job's owner."""
+    parts = make_parts()
+    follow_empty_jobs(parts)
+    handler = JobRequestHandler(parts, make_job)
+    await handler.submit("host", f"/q/{JOB}", b"")
+    await handler.show("host", "/q/0123456789abcdef")
+    await handler.cancel("host", f"/q/{JOB}")
+    told = [line for line in lines if "event=job-" in line]
+    steps = [line.partition("event=job-")[2].split()[0] for line in told]
+    assert steps == ["submit", "show", "cancel"]
+    assert all(" queue=queue " in line for line in told)
+
+
+def follow_empty_jobs(parts):
+    now = parts.clock.read_monotonic()
+    jobs = parts.view.jobs["pool"] = PoolJobs("pool")
+    jobs.apply_records(FollowedRecords({}, frozenset(), now, parts.store.revision))
+
+
+def make_job(body, job_id, queue, wall):
+    return Job(job_id, queue.name, queue.pool, "spec", (Step(1),), accepted_at=wall)
