Tell in a job's story which of its executors were listed, and who waited

What operators saw: the story lacked `executor-listed` and `executor-unlisted` of the job's executors, so that nobody could tell why a run had to wait for its lease. `leases-expired` was told already. Evidence: the new check of test_story.py failed before and passes now.

--- a/peridotspoke/programs/story.py
+++ b/peridotspoke/programs/story.py
@@ -12,6 +12,8 @@
 PAIR_PATTERN = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 RELATED_EVENTS = frozenset(
     {
+        "executor-listed",
+        "executor-unlisted",
         "executor-unreachable",
         "executor-reachable",
         "executor-reborn",
@@ -21,6 +23,7 @@
         "ownership-lost",
         "store-lost",
         "store-regained",
+        "task-waiting",
         "fenced",
     }
 )
@@ -79,6 +82,8 @@
         return pairs["executor"] in executors
     if "unit" in pairs:
         return pairs["unit"] in pools
+    if pairs["event"] == "task-waiting":
+        return pairs.get("pool") in pools
     return pairs["event"].startswith("store-")
 
 
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -28,3 +28,21 @@
 def test_unknown_job_has_no_lines():
     """The command exits with an error if no line is found."""
     assert collect_story(FIRST_LOG.splitlines(), "ffffffffffffffff") == []
+
+
+def test_the_story_tells_why_a_task_that_lasts_stood():
+    """What befell its executors, and what the pool said of tasks that wait."""
+    told = [
+        f"time=10 event=job-taken pool=p job={JOB} inherited=1",
+        "time=11 event=executor-listed pool=p executor=i-1 condition=ready",
+        f"time=12 event=run-confirmed pool=p job={JOB} task=0.0.0 run=2 executor=i-1",
+        "time=13 event=executor-unlisted pool=p executor=i-1 runs=1",
+        "time=14 event=task-waiting pool=p tasks=3 job=ffffffffffffffff reason=memory",
+        "time=15 event=leases-expired pool=p executor=i-1",
+        f"time=16 event=run-over pool=p job={JOB} task=0.0.0 run=2 executor=i-1",
+    ]
+    others = [
+        "time=11 event=executor-listed pool=p executor=i-2 condition=ready",
+        "time=14 event=task-waiting pool=q tasks=3 job=ffffffffffffffff reason=memory",
+    ]
+    assert collect_story([*others, *told], JOB) == told
