Tell in pool-sized how many machines take work

What operators saw: `present` counts machines whose executors drain or are withdrawn, so that a pool without room for its tasks looked as if it had all its machines. `taking` counts those with a listed executor that takes new runs. Evidence: the new check of test_fleet.py failed before and passes now.

--- a/peridotspoke/nodes/fleet.py
+++ b/peridotspoke/nodes/fleet.py
@@ -20,6 +20,7 @@
 from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.view import wait_until
 from peridotspoke.workloads.demand import DemandHistory
+from peridotspoke.workloads.executors import ExecutorCondition
 from peridotspoke.workloads.machines import MachineState
 from peridotspoke.workloads.maintenance import plan_wave
 from peridotspoke.workloads.sizing import SizingRules, plan_moves
@@ -185,6 +186,7 @@
             if machine.state is MachineState.UP
             and machine.name not in self._orders.moving
         )
+        taking = self._count_taking()
         for pool, demand in demands.items():
             log_event(
                 "pool-sized",
@@ -193,11 +195,28 @@
                 late=demand.late_cores,
                 held=recent_peaks[pool],
                 present=present[pool],
+                taking=taking[pool],
                 coming=coming[pool],
                 gained=gained[pool],
                 list_age=now - self._listed_at,
             )
 
+    def _count_taking(self):
+        """Return a Counter by pool of the machines whose executors take new work.
+
+        Executors that drain, are withdrawn or are not listed take none.
+        """
+        view = self._node.view
+        withdrawn = self._list_withdrawn()
+        return Counter(
+            machine.pool
+            for name, machine in self._machines.items()
+            if name not in withdrawn
+            and (entry := view.entries.get(machine.executor_id)) is not None
+            and entry.pool == machine.pool
+            and entry.condition is ExecutorCondition.READY
+        )
+
     def _read_demands(self):
         spare = self._list_spare()
         configuration = self._node.view.configuration
--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from loguru import logger
 
 from peridotspoke.exceptions import AnswerLostError
 from peridotspoke.nodes.fleet import FLEET, RESIZE_REASON, FleetSupervisor
@@ -19,6 +20,7 @@
     WorkPool,
 )
 from peridotspoke.workloads.demand import PoolDemand
+from peridotspoke.workloads.executors import ExecutorCondition
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.machines import Machine, MachineState
 from peridotspoke.workloads.sizing import SizingRules
@@ -165,6 +167,22 @@
     assert fleet.machines.orders == []
 
 
+async def test_the_size_of_a_pool_tells_how_many_machines_take_work(fleet):
+    """A pool whose executors drain looked as if it had all its machines."""
+    entries = fleet.parts.view.entries
+    entries["i-m1"] = make_entry("i-m1", condition=ExecutorCondition.DRAINING)
+    entries["i-m2"] = make_entry("i-m2")
+    entries["i-m3"] = make_entry("i-m3")
+    await fleet.withdraw("m3")
+    fleet.set_demand(128.0)
+    lines = []
+    sink = logger.add(lambda text: lines.append(str(text)), format="{message}")
+    await run_round(fleet)
+    logger.remove(sink)
+    (line,) = [line for line in lines if "event=pool-sized" in line]
+    assert "present=3 taking=1" in line
+
+
 async def run_round(fleet):
     """Run one round and wait until its orders are sent."""
     await fleet.supervisor._run_round()
