Tell once a second which tasks that last wait, and why

What operators saw: a task that lasts stood for many seconds and no line told so, nor whether the lease of an earlier run, memory, anti-affinity or a ticket kept it. Load pattern: a few such tasks stand beside much short work, so the line is one a second for the pool, with the count, the longest wait, one example and its reason, after a wait of 0.5 s; the gauge `lasting_tasks_waiting` by pool and reason goes with it, and falls to 0 with the ownership.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -48,6 +48,7 @@
             "run-stopping",
             "run-over",
             "run-confirmed",
+            "task-waiting",
             "start-refused",
             "ownership-gained",
             "ownership-lost",
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -25,6 +25,7 @@
     StopAnswered,
 )
 from peridotspoke.nodes.poolevents import (
+    WaitingReport,
     count_assigned,
     describe_step,
     format_fields,
@@ -95,6 +96,10 @@
             node, holding, jobs, self._ledger, self._tasks, self._writer.forget
         )
 
+        self._waiting = WaitingReport(
+            self._ledger, self._tickets.list_granted, node.metrics, self._log
+        )
+
     @property
     def pool(self):
         """The name of the pool."""
@@ -128,6 +133,7 @@
         finally:
             for subscription in subscriptions:
                 subscription.dispose()
+            self._waiting.clear()
             self._tasks.cancel()
 
     def _log(self, event, **fields):
@@ -194,6 +200,7 @@
         self._update_sessions()
         self._send_stops()
         self._send_report_requests()
+        self._waiting.update(now)
         self._records.update_demand(now)
         self._records.remove_old_jobs(now)
         self._store_progress(now)
--- a/peridotspoke/nodes/tests/test_tickets.py
+++ b/peridotspoke/nodes/tests/test_tickets.py
@@ -63,3 +63,17 @@
     cache.find(work, ("e1",))
     await asyncio.sleep(0)
     assert len(advice.calls) == 2
+
+
+async def test_the_executors_with_a_ticket_are_listed_until_it_expires():
+    """Whether a task waits for its ticket is asked without a further call."""
+    advice, clock, cache, work = make_cache()
+    group = work.tasks[0].key[:3]
+    assert cache.list_granted(group) == set()
+    cache.find(work, ("e1", "e2"))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert cache.list_granted(group) == {"e1"}
+    clock.advance(3.0)
+    assert cache.list_granted(group) == set()
+    assert len(advice.calls) == 1
--- a/peridotspoke/nodes/tickets.py
+++ b/peridotspoke/nodes/tickets.py
@@ -71,6 +71,24 @@
             self._request(work, step_tickets, missing[:MAX_EXECUTORS_PER_CALL])
         return step_tickets.tickets or None
 
+    def list_granted(self, step_key):
+        """Return the set of executors with a ticket of a step that is still valid.
+
+        Parameters
+        ----------
+        step_key : tuple of (str, int, int)
+            Job ID, occurrence and number of the step.
+
+        Returns
+        -------
+        set of str
+        """
+        found = self._steps.get(step_key)
+        now = self._clock.read_monotonic()
+        if found is None or now > found.expires_at - EXPIRY_MARGIN:
+            return set()
+        return set(found.tickets)
+
     def remove_job(self, job_id):
         """Remove the tickets of a job that has ended."""
         self._steps = {
