--- a/peridotspoke/nodes/tests/test_observing.py
+++ b/peridotspoke/nodes/tests/test_observing.py
@@ -148,3 +148,27 @@
     described = next(line for line in lines if "event=demand-described" in line)
     assert "listed=4 present=2 reachable=1" in described
     tasks.cancel()
+
+
+async def test_the_answers_about_a_job_name_its_queue(lines):
+    """Which queue's callers were refused could be told only from the job's owner."""
+    parts = make_parts()
+    follow_empty_jobs(parts)
+    handler = JobRequestHandler(parts, make_job)
+    await handler.submit("host", f"/q/{JOB}", b"")
+    await handler.show("host", "/q/0123456789abcdef")
+    await handler.cancel("host", f"/q/{JOB}")
+    told = [line for line in lines if "event=job-" in line]
+    steps = [line.partition("event=job-")[2].split()[0] for line in told]
+    assert steps == ["submit", "show", "cancel"]
+    assert all(" queue=queue " in line for line in told)
+
+
+def follow_empty_jobs(parts):
+    now = parts.clock.read_monotonic()
+    jobs = parts.view.jobs["pool"] = PoolJobs("pool")
+    jobs.apply_records(FollowedRecords({}, frozenset(), now, parts.store.revision))
+
+
+def make_job(body, job_id, queue, wall):
+    return Job(job_id, queue.name, queue.pool, "spec", (Step(1),), accepted_at=wall)
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -281,7 +281,7 @@
         if lapsed and not state.reachable:
             self.note("leases-expired", executor=state.executor_id)
         for run in lapsed:
-            self.requeue(run, now, "lease expired")
+            self.requeue(run, now, "lease expired", **self._describe_hold(state, run))
 
     def _compute_run_end(self, state, run):
         """Return the time at which the lease of a run has ended, monotonic seconds.
@@ -297,3 +297,15 @@
         if run.phase is RunPhase.INHERITED:
             return longest
         return longest + self.rules.restart_excess
+
+    def _describe_hold(self, state, run):
+        """Return the log's fields about the lease that held a run.
+
+        They are ``held_until``, monotonic seconds, and ``bound``: ``inherited`` if the
+        lease is one that an earlier owner can have granted, else ``own``.
+        """
+        is_inherited = not run.is_confirmed and state.inherited_end >= state.lease_end
+        return {
+            "held_until": self._compute_run_end(state, run) + self.rules.margin,
+            "bound": "inherited" if is_inherited else "own",
+        }
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -243,7 +243,7 @@
         if self.is_current(run):
             del self.executors[run.executor_id].runs[run.key]
 
-    def requeue(self, run, now, reason):
+    def requeue(self, run, now, reason, **fields):
         """Release a run and let its task wait for another run.
 
         The run must have certainly ended, unless the step allows copies.
@@ -255,9 +255,18 @@
             Monotonic seconds.
         reason : str
             Logged.
+        **fields
+            Logged as well.
         """
         self.release(run)
-        self.note("run-over", task=run.key, run=run.number, reason=reason)
+        self.note(
+            "run-over",
+            task=run.key,
+            run=run.number,
+            executor=run.executor_id,
+            reason=reason,
+            **fields,
+        )
         self._mark_waiting(run)
 
     def _mark_waiting(self, run):
