Draw no constants of the loaded modules in the random searches

Cause: the searches are derandomized, but Hypothesis also draws constants of whichever modules of the project are loaded, so that the examples depend on the tests that the same worker has run before.

--- a/conftest.py
+++ b/conftest.py
@@ -5,7 +5,11 @@
 
 import pytest
 from hypothesis import settings
+from hypothesis.internal.conjecture.providers import Constants, HypothesisProvider
 
+# A search also draws constants of the modules that are loaded: its examples would
+# depend on the tests that the same worker has run before.
+HypothesisProvider._local_constants = Constants()
 settings.register_profile("fixed", derandomize=True, deadline=None)
 settings.load_profile("fixed")
 
