--- a/peridotspoke/nodes/capacity.py
+++ b/peridotspoke/nodes/capacity.py
@@ -29,7 +29,7 @@
 
     Examples
     --------
-    >>> from peridotspoke.nodes.view import NodeRecord
+    >>> from peridotspoke.nodes.records import NodeRecord
     >>> compute_capacity(NodeRecord("n1", "1", processors=2.0, link=100.0))
     4.0
     >>> compute_capacity(NodeRecord("n2", "1", processors=0.5, link=5.0))
@@ -66,7 +66,7 @@
 
     Examples
     --------
-    >>> from peridotspoke.nodes.view import NodeRecord
+    >>> from peridotspoke.nodes.records import NodeRecord
     >>> small = NodeRecord("small", "1", processors=0.5, link=5.0)
     >>> large = NodeRecord("large", "1", processors=2.0, link=100.0)
     >>> nodes = {"small": small, "large": large}
--- a/peridotspoke/nodes/fleetrecords.py
+++ b/peridotspoke/nodes/fleetrecords.py
@@ -7,7 +7,7 @@
 
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import key_orders, key_owner, key_wave, key_withdrawal
-from peridotspoke.nodes.view import Withdrawal, encode_value
+from peridotspoke.nodes.records import Withdrawal, encode_value
 from peridotspoke.store import Condition, Put, Transaction
 
 __all__ = ["FleetRecords", "OrderRecord", "RecentOrder", "WaveRecord"]
--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -25,12 +25,7 @@
     key_owner,
     split_key,
 )
-from peridotspoke.nodes.statements import (
-    KnownStatement,
-    StatementReader,
-    store_statements,
-)
-from peridotspoke.nodes.view import (
+from peridotspoke.nodes.records import (
     LeaseStatement,
     NodeRecord,
     OwnerRecord,
@@ -38,6 +33,11 @@
     decode_value,
     encode_value,
 )
+from peridotspoke.nodes.statements import (
+    KnownStatement,
+    StatementReader,
+    store_statements,
+)
 from peridotspoke.store import Condition, Lease, Put, Transaction
 
 __all__ = ["Holding", "Ownership"]
@@ -66,8 +66,8 @@
     on_gained, on_lost : callable
         Called with a `Holding`.
     list_lease_waits : callable, optional
-        Called with a `Holding` as the process stops, before `on_lost`. Returns the
-        seconds, by executor, after which the leases that were granted have ended.
+        Called with a `Holding` just before it is lost. Returns the seconds, by
+        executor, after which the leases that were granted have ended.
 
     Attributes
     ----------
@@ -369,12 +369,11 @@
         found = self._statements.find(unit, self._view.last_fences.get(unit, 0))
         statement_key = key_lease_statement(unit)
         previous = self._view.last_owners.get(unit, "")
-        key = key_owner(unit)
-        record = OwnerRecord(settings.name, self.incarnation)
+        key, owner = key_owner(unit), OwnerRecord(settings.name, self.incarnation)
         process = ProcessRecord(settings.name, self.incarnation, settings.front)
         statement = encode_value(LeaseStatement(0, {}, process))
         puts = (
-            Put(key, encode_value(record), lease.lease_id),
+            Put(key, encode_value(owner), lease.lease_id),
             Put(statement_key, statement),
         )
         conditions = (Condition(key, 0), Condition(statement_key, found.revision))
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -20,8 +20,8 @@
     key_queue_counts,
     key_withdrawal,
 )
+from peridotspoke.nodes.records import QueueCounts, encode_value
 from peridotspoke.nodes.refusedwork import list_told
-from peridotspoke.nodes.view import QueueCounts, encode_value
 from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.demand import ArrivalRate, count_executors, estimate_demand
 from peridotspoke.workloads.readywork import list_timings, sum_ready
--- a/peridotspoke/nodes/predecessors.py
+++ b/peridotspoke/nodes/predecessors.py
@@ -76,7 +76,7 @@
 
     Examples
     --------
-    >>> from peridotspoke.nodes.view import ProcessRecord, QueueCounts
+    >>> from peridotspoke.nodes.records import ProcessRecord, QueueCounts
     >>> predecessor = Predecessor(ProcessRecord("n1", "i1", "127.0.0.1:1"), fence=7)
     >>> counts = QueueCounts(7, {}, earlier_leases=0.0)
     >>> find_lease_bound(predecessor, counts, since=10.0, now=10.5, run_lease=5.0)
--- a/peridotspoke/nodes/refusedwork.py
+++ b/peridotspoke/nodes/refusedwork.py
@@ -6,7 +6,7 @@
 from peridotspoke.exceptions import LeaseExpiredError, PlatformError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import key_refused
-from peridotspoke.nodes.view import RefusedRecord, encode_value
+from peridotspoke.nodes.records import RefusedRecord, encode_value
 from peridotspoke.store import Put, Transaction
 from peridotspoke.workloads.returning import ReturningJob, estimate_arrival
 
--- a/peridotspoke/nodes/statements.py
+++ b/peridotspoke/nodes/statements.py
@@ -15,7 +15,7 @@
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import key_lease_statement, key_owner
 from peridotspoke.nodes.predecessors import Predecessor
-from peridotspoke.nodes.view import LeaseStatement, encode_value
+from peridotspoke.nodes.records import LeaseStatement, encode_value
 from peridotspoke.store import Condition, Put, Transaction
 
 __all__ = [
--- a/peridotspoke/nodes/tests/test_capacity.py
+++ b/peridotspoke/nodes/tests/test_capacity.py
@@ -6,7 +6,7 @@
 
 from peridotspoke.hashing import choose_member
 from peridotspoke.nodes.capacity import rank_claimants
-from peridotspoke.nodes.view import NodeRecord
+from peridotspoke.nodes.records import NodeRecord
 
 UNITS = ["~fleet", "p1", "p2", "p3", "p4", "p5"]
 
--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -11,8 +11,8 @@
 from peridotspoke.nodes.fleetrecords import OrderRecord, RecentOrder, WaveRecord
 from peridotspoke.nodes.keys import WORK_PREFIX, key_orders, key_owner, key_withdrawal
 from peridotspoke.nodes.ownership import Holding
+from peridotspoke.nodes.records import Withdrawal, encode_value
 from peridotspoke.nodes.tests.stores import make_parts
-from peridotspoke.nodes.view import Withdrawal, encode_value
 from peridotspoke.store import FollowedRecords, Put, Transaction
 from peridotspoke.workloads.configuration import (
     Configuration,
--- a/peridotspoke/nodes/tests/test_jobrequests.py
+++ b/peridotspoke/nodes/tests/test_jobrequests.py
@@ -23,8 +23,8 @@
     prefix_jobs,
 )
 from peridotspoke.nodes.lookups import TOMBSTONE
+from peridotspoke.nodes.records import OwnerRecord, QueueCounts, encode_value
 from peridotspoke.nodes.tests.stores import JOB, make_parts
-from peridotspoke.nodes.view import OwnerRecord, QueueCounts, encode_value
 from peridotspoke.store import FollowedRecords, Put, Record, Transaction
 from peridotspoke.workloads.configuration import Configuration, WorkPool
 from peridotspoke.workloads.demand import PoolDemand
--- a/peridotspoke/nodes/tests/test_ownership.py
+++ b/peridotspoke/nodes/tests/test_ownership.py
@@ -14,8 +14,8 @@
     RENEWALS_PER_LEASE,
     Ownership,
 )
+from peridotspoke.nodes.records import LeaseStatement, decode_value
 from peridotspoke.nodes.tests.stores import InMemoryStore, make_parts, make_settings
-from peridotspoke.nodes.view import LeaseStatement, decode_value
 from peridotspoke.store import FollowedRecords, Put, Transaction
 
 
--- a/peridotspoke/nodes/tests/test_predecessors.py
+++ b/peridotspoke/nodes/tests/test_predecessors.py
@@ -9,8 +9,8 @@
     find_lease_bound,
     has_ended,
 )
+from peridotspoke.nodes.records import NodeRecord, ProcessRecord, QueueCounts
 from peridotspoke.nodes.tests.stores import make_parts
-from peridotspoke.nodes.view import NodeRecord, ProcessRecord, QueueCounts
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import TaskStatus
--- a/peridotspoke/nodes/tests/test_refusedwork.py
+++ b/peridotspoke/nodes/tests/test_refusedwork.py
@@ -12,10 +12,10 @@
 from peridotspoke.nodes.keys import WORK_PREFIX, key_owner, key_pool_demand, key_refused
 from peridotspoke.nodes.ownership import Holding
 from peridotspoke.nodes.poolrecords import PoolRecords
+from peridotspoke.nodes.records import OwnerRecord, decode_value, encode_value
 from peridotspoke.nodes.refusedwork import RefusedTeller
 from peridotspoke.nodes.tasksets import TaskSet
 from peridotspoke.nodes.tests.stores import InMemoryStore, make_parts
-from peridotspoke.nodes.view import OwnerRecord, decode_value, encode_value
 from peridotspoke.store import FollowedRecords, Put, Transaction
 from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.jobs import Job, Need, QueueTerms, Step
--- a/peridotspoke/nodes/tests/test_view.py
+++ b/peridotspoke/nodes/tests/test_view.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from peridotspoke.nodes.records import NodeRecord, decode_value
 from peridotspoke.nodes.settings import DEFAULT_LINK, DEFAULT_PROCESSORS
 from peridotspoke.nodes.tests.stores import make_parts
-from peridotspoke.nodes.view import NodeRecord, decode_value
 from peridotspoke.store import FollowedRecords, Record
 from peridotspoke.workloads.executors import ExecutorCondition, ExecutorEntry
 from peridotspoke.workloads.jobs import Need
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -2,137 +2,25 @@
 
 import asyncio
 
-import msgspec
 from reactivex.subject import Subject
 
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import split_key
-from peridotspoke.nodes.settings import DEFAULT_LINK, DEFAULT_PROCESSORS
+from peridotspoke.nodes.records import (
+    LeaseStatement,
+    NodeRecord,
+    OwnerRecord,
+    QueueCounts,
+    RefusedRecord,
+    Withdrawal,
+    decode_value,
+)
 from peridotspoke.workloads.configuration import Configuration
 from peridotspoke.workloads.demand import PoolDemand
 from peridotspoke.workloads.executors import ExecutorCondition
 
-__all__ = [
-    "LeaseStatement",
-    "NodeRecord",
-    "OwnerRecord",
-    "ProcessRecord",
-    "QueueCounts",
-    "RefusedRecord",
-    "StoreView",
-    "Withdrawal",
-    "decode_value",
-    "encode_value",
-    "wait_until",
-]
-
-
-class NodeRecord(msgspec.Struct, frozen=True):
-    """A live node.
-
-    Parameters
-    ----------
-    name : str
-    incarnation : str
-        Differs for each start of the node's process.
-    zone : str
-    address : str
-        Where the node serves callers; no two live processes share an address.
-    processors : float
-        Processors of its instance.
-    link : float
-        Bandwidth of its instance's network link, in Mbit/s.
-    """
-
-    name: str
-    incarnation: str
-    zone: str = ""
-    address: str = ""
-    processors: float = DEFAULT_PROCESSORS
-    link: float = DEFAULT_LINK
-
-
-class OwnerRecord(msgspec.Struct, frozen=True):
-    """The owner of a unit."""
-
-    name: str
-    incarnation: str
-
-
-class ProcessRecord(msgspec.Struct, frozen=True):
-    """A process of a node; no two live ones share an address."""
-
-    name: str
-    incarnation: str
-    address: str
-
-
-class LeaseStatement(msgspec.Struct, frozen=True):
-    """What a unit's last owner said of the leases that it grants.
-
-    Parameters
-    ----------
-    fence : int
-        Its fencing token; 0 in the statement of an owner that has not stopped, whose
-        record has the owner's fencing token for its revision.
-    waits : dict of str to float
-        Seconds, from the writing, after which the leases of an executor have ended, by
-        executor; empty unless the owner has stopped and extends no lease any more.
-    owner : ProcessRecord, optional
-        Set while the owner has not stopped.
-    """
-
-    fence: int
-    waits: dict[str, float]
-    owner: ProcessRecord | None = None
-
-
-class Withdrawal(msgspec.Struct, frozen=True):
-    """An executor whose work is to be removed; `empty` says whether it is."""
-
-    executor_id: str
-    pool: str
-    reason: str
-    fence: int
-    empty: bool = False
-
-
-class QueueCounts(msgspec.Struct, frozen=True):
-    """The numbers of jobs that wait for their first start, published by a pool's owner.
-
-    Parameters
-    ----------
-    fence : int
-        The fencing token of the owner.
-    waiting : dict of str to int
-        By queue name.
-    age : float
-        Seconds since the owner's records were known to be complete.
-    earlier_leases : float or None
-        Seconds from the writing after which all leases that earlier owners granted
-        have ended; None if the owner does not say.
-    """
-
-    fence: int
-    waiting: dict[str, int]
-    age: float = 0.0
-    earlier_leases: float | None = None
-
-
-class RefusedRecord(msgspec.Struct, frozen=True):
-    """The jobs that a node refused while the store was away.
-
-    Parameters
-    ----------
-    pools : dict of str to dict
-        By pool and identity of the job: the processors to be expected of it, and for
-        how many seconds from the writing its caller may come back.
-    """
-
-    pools: dict[str, dict[str, tuple[float, float]]] = msgspec.field(
-        default_factory=dict
-    )
+__all__ = ["StoreView", "wait_until"]
 
 
 class StoreView:
@@ -381,27 +269,3 @@
     except RecordError as error:
         log_event("record-unreadable", "ERROR", key=record.key, error=error)
         return LeaseStatement(0, {})
-
-
-def encode_value(value):
-    """Return the JSON encoding of one of this module's records."""
-    return msgspec.json.encode(value)
-
-
-def decode_value(record, value_class):
-    """Return the value of a `Record` as one of this module's records.
-
-    Parameters
-    ----------
-    record : Record
-    value_class : type
-
-    Raises
-    ------
-    RecordError
-        If the value does not have the form of `value_class`.
-    """
-    try:
-        return msgspec.json.decode(record.value, type=value_class)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise RecordError(str(error), step="decode record", peer=record.key) from error
