--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 
 from peridotspoke.nodes.committing import MAX_JOBS_PER_COMMIT, CommitTracker
+from peridotspoke.nodes.predecessors import Predecessor, find_lease_bound
+from peridotspoke.nodes.view import ProcessRecord, QueueCounts
 from peridotspoke.store import Record
 from peridotspoke.workloads.executors import (
     EndedRun,
@@ -208,6 +210,35 @@
         self.ledger = world.make_ledger("pool", fence, RULES, world.now)
         self.tracker = world.make_tracker()
         self.answered_at = {}
+        self.taken_over_at = world.now
+        self.predecessor = None
+        self.counts = None
+
+    def describe_leases(self):
+        """Return the `QueueCounts` that this owner publishes, as `PoolRecords` does."""
+        ledger, world = self.ledger, self.world
+        wait = ledger.former_lease_end + RULES.margin - world.now
+        is_known = world.states_earlier and self.fence > world.first_fence
+        earlier = max(0.0, wait) if is_known else 0.0
+        return QueueCounts(self.fence, {}, earlier_leases=earlier)
+
+    def learn_of_end(self):
+        """Limit the inherited leases if the owner before this one has been killed."""
+        former = self.predecessor
+        if former is None or former not in self.world.killed:
+            return
+        self.predecessor = None
+        process = ProcessRecord("n1", "i1", "")
+        world = self.world
+        seen_at = world.now if world.counts_from_sight else self.taken_over_at
+        bound = find_lease_bound(
+            Predecessor(process, former.fence),
+            self.counts,
+            self.taken_over_at,
+            seen_at,
+            RULES.run_lease,
+        )
+        self.ledger.limit_inherited_leases(bound)
 
     def plan(self):
         """Plan runs, begin to store the changes and acknowledge what is stored."""
@@ -313,6 +344,14 @@
         Whether owners let an executor forget ends only while it has not restarted.
     stops_extending : bool
         Whether an owner that has stated its leases extends none any more.
+    killed : list of ModelOwner
+        Former owners whose process has been killed.
+    counts_from_sight : bool
+        Whether the wait for a killed owner's leases counts from when its end is seen.
+    states_earlier : bool
+        Whether owners say how long the leases of those before them may last.
+    first_fence : int
+        Fence of the first owner, before which no lease was granted.
     """
 
     def __init__(self, job, executors=2):
@@ -327,7 +366,9 @@
         self.make_tracker = CommitTracker
         self.checks_fence = self.raises_fence = self.checks_permission = True
         self.limits_cursor = self.stops_extending = True
-        self.owner, self.retired = None, []
+        self.counts_from_sight = self.states_earlier = True
+        self.first_fence = 1
+        self.owner, self.retired, self.killed = None, [], []
         self.take_over()
 
     def take_over(self):
@@ -335,9 +376,19 @@
 
         The former one may not know of it yet, and go on extending leases.
         """
-        if self.owner is not None:
-            self.retired.append((self.owner, self.now + HOLD_ALONE))
+        former = self.owner
+        if former is not None:
+            self.retired.append((former, self.now + HOLD_ALONE))
         self._begin_ownership({})
+        if former is not None and self.raises_fence:
+            self.owner.predecessor = former
+            self.owner.counts = former.describe_leases()
+
+    def kill_former_owner(self, index):
+        """Kill a former owner, which extends no lease any more."""
+        if self.retired:
+            owner, _ = self.retired.pop(index % len(self.retired))
+            self.killed.append(owner)
 
     def hand_over(self):
         """Let the owner stop and state the leases that are left; the next begins."""
--- a/peridotspoke/workloads/tests/ownershipwalks.py
+++ b/peridotspoke/workloads/tests/ownershipwalks.py
@@ -121,6 +121,24 @@
     world.hand_over()
 
 
+def kill_former_owner(world, index):
+    world.kill_former_owner(index)
+
+
+def learn_of_end(world, index):
+    world.owner.learn_of_end()
+
+
+def take_over_cut_off(world, index):
+    world.take_over()
+    lose_contact(world, index)
+
+
+def kill_with_notice(world, index):
+    world.kill_former_owner(index)
+    world.owner.learn_of_end()
+
+
 def restart_executor(world, index):
     pick(world.executors, index).restart()
 
@@ -148,8 +166,12 @@
     take_over,
 )
 STOP_KINDS = (hand_over,)
+KILL_KINDS = (kill_former_owner, learn_of_end, take_over_cut_off, kill_with_notice)
 RESTART_KINDS = (restart_executor, see_entries)
-KINDS = {kind.__name__: kind for kind in (*STEADY_KINDS, *STOP_KINDS, *RESTART_KINDS)}
+KINDS = {
+    kind.__name__: kind
+    for kind in (*STEADY_KINDS, *STOP_KINDS, *KILL_KINDS, *RESTART_KINDS)
+}
 
 
 def pick(items, index):
@@ -177,7 +199,7 @@
     actions : tuple of Action
     """
     steps = ONE_TASK if source.random() < ONE_TASK_SHARE else TWO_STEPS
-    kinds = [*STEADY_KINDS, *(STOP_KINDS if stops else ())]
+    kinds = [*STEADY_KINDS, *((*STOP_KINDS, *KILL_KINDS) if stops else ())]
     kinds += RESTART_KINDS if restarts else ()
     if focus:
         chosen = [KINDS[name] for name in focus]
@@ -209,6 +231,7 @@
     if weakening is not None:
         weakening.apply(world)
         world.take_over()
+        world.first_fence = world.fence
     for action in actions:
         KINDS[action.kind](world, action.index)
     world.settle()
--- a/peridotspoke/workloads/tests/weakenedowners.py
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -155,7 +155,7 @@
     focus : tuple of str, optional
         Kinds of action of the walks, where those of all kinds hardly ever show it.
     checks_fence, raises_fence, checks_permission, limits_cursor : bool, optional
-    stops_extending : bool, optional
+    stops_extending, counts_from_sight, states_earlier : bool, optional
         As in `World`.
     """
 
@@ -169,6 +169,8 @@
     checks_permission: bool = True
     limits_cursor: bool = True
     stops_extending: bool = True
+    counts_from_sight: bool = True
+    states_earlier: bool = True
     stops: bool = False
     focus: tuple = ()
 
@@ -181,8 +183,18 @@
         world.checks_permission = self.checks_permission
         world.limits_cursor = self.limits_cursor
         world.stops_extending = self.stops_extending
+        world.counts_from_sight = self.counts_from_sight
+        world.states_earlier = self.states_earlier
 
 
+KILL_FOCUS = (
+    "work_with_one",
+    "take_over_cut_off",
+    "extend_as_former_owner",
+    "kill_with_notice",
+    "pass_time",
+)
+
 WEAKENED_OWNERS = (
     Weakening("a start without answer is retried", 1, ledger=LostStartRetryingLedger),
     Weakening("leases are not awaited", 1, ledger=LeaseIgnoringLedger),
@@ -207,6 +219,18 @@
         ledger=EarlierOwnerForgettingLedger,
         stops=True,
     ),
+    Weakening(
+        "the wait for a killed owner counts from the takeover",
+        1,
+        counts_from_sight=False,
+        focus=KILL_FOCUS,
+    ),
+    Weakening(
+        "owners before a killed one are forgotten",
+        1,
+        states_earlier=False,
+        focus=KILL_FOCUS,
+    ),
     Weakening("late extensions are ignored", 17, ledger=LateExtensionIgnoringLedger),
     Weakening(
         "ends are acknowledged before storage", 2, ledger=EarlyAcknowledgingLedger
