--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -356,6 +356,11 @@
         task = self._sessions.pop(executor_id)[1]
         task.cancel()
 
+    def _may_extend_leases(self):
+        """Return whether leases may be extended: not once the pool is given up."""
+        ownership = self._node.ownership
+        return ownership.is_held(self._holding) and ownership.may_extend_leases()
+
     def _open_session(self, state):
         session = ExecutorSession(
             state,
@@ -364,7 +369,7 @@
             self._rules,
             self._node.clock,
             self._node.ownership.may_order,
-            self._node.ownership.may_extend_leases,
+            self._may_extend_leases,
             self._queue.put_nowait,
             self._ledger.extend_lease,
         )
