Await the longest lease of a killed owner's starts

Evidence: a killed owner's start on a restarted executor is awaited; it failed before and passed with the old wait of 12.75 s.

--- a/peridotspoke/nodes/predecessors.py
+++ b/peridotspoke/nodes/predecessors.py
@@ -52,7 +52,7 @@
     )
 
 
-def find_lease_bound(predecessor, counts, since, now, run_lease):
+def find_lease_bound(predecessor, counts, since, now, longest_lease):
     """Return when the leases of all earlier owners have ended, or None if unknown.
 
     Parameters
@@ -65,8 +65,9 @@
         When the pool was taken over, monotonic seconds.
     now : float
         Monotonic seconds.
-    run_lease : float
-        Duration of the leases that an owner grants, seconds.
+    longest_lease : float
+        Longest lease that a start of the predecessor can have got, seconds: a later
+        incarnation of the executor may have carried it out, whose clock starts anew.
 
     Returns
     -------
@@ -79,14 +80,14 @@
     >>> from peridotspoke.nodes.records import ProcessRecord, QueueCounts
     >>> predecessor = Predecessor(ProcessRecord("n1", "i1", "127.0.0.1:1"), fence=7)
     >>> counts = QueueCounts(7, {}, earlier_leases=0.0)
-    >>> find_lease_bound(predecessor, counts, since=10.0, now=10.5, run_lease=5.0)
-    15.5
+    >>> find_lease_bound(predecessor, counts, since=10.0, now=10.5, longest_lease=7.0)
+    17.5
     """
     if counts is None or counts.fence != predecessor.fence:
         return None
     if counts.earlier_leases is None:
         return None
-    return max(now + run_lease, since + counts.earlier_leases)
+    return max(now + longest_lease, since + counts.earlier_leases)
 
 
 class InheritedLeases:
@@ -128,12 +129,13 @@
         ):
             return
         self._is_open = False
+        rules = self._ledger.rules
         bound = find_lease_bound(
             predecessor,
             self._counts,
             self._holding.since,
             now,
-            self._ledger.rules.run_lease,
+            rules.run_lease + rules.restart_excess,
         )
         if bound is not None:
             self._ledger.limit_inherited_leases(bound)
--- a/peridotspoke/nodes/tests/test_predecessors.py
+++ b/peridotspoke/nodes/tests/test_predecessors.py
@@ -18,8 +18,12 @@
 
 ADDRESS = "127.0.0.1:1"
 RUN_LEASE = 5.0  # seconds
+LONGEST_LEASE = 7.0  # seconds, where a later incarnation carried a start out
 RULES = LedgerRules(
-    inherited_lease=12.75, margin=0.1, restart_excess=2.0, run_lease=RUN_LEASE
+    inherited_lease=12.75,
+    margin=0.1,
+    restart_excess=LONGEST_LEASE - RUN_LEASE,
+    run_lease=RUN_LEASE,
 )
 LASTING = Step(1, Need(1000, 100), lasting=True)
 PREDECESSOR = Predecessor(ProcessRecord("n1", "i1", ADDRESS), fence=7)
@@ -52,14 +56,14 @@
         (None, None),
         (QueueCounts(6, {}, earlier_leases=0.0), None),
         (QueueCounts(7, {}), None),
-        (QueueCounts(7, {}, earlier_leases=0.0), 12.0 + RUN_LEASE),
+        (QueueCounts(7, {}, earlier_leases=0.0), 12.0 + LONGEST_LEASE),
         (QueueCounts(7, {}, earlier_leases=9.0), 10.0 + 9.0),
     ],
     ids=["no counts", "of another owner", "of an older version", "settled", "not yet"],
 )
 def test_leases_of_owners_before_the_ended_one_are_awaited_too(counts, expected):
     """Only the ended owner knows how long those may last."""
-    bound = find_lease_bound(PREDECESSOR, counts, 10.0, 12.0, RUN_LEASE)
+    bound = find_lease_bound(PREDECESSOR, counts, 10.0, 12.0, LONGEST_LEASE)
     assert bound == expected
 
 
@@ -91,9 +95,9 @@
     pass_time(ledger, leases, 101.0)
     parts.view.nodes["n1"] = NodeRecord("n1", "i2", address=ADDRESS)
     pass_time(ledger, leases, 102.0)
-    pass_time(ledger, leases, 102.0 + RUN_LEASE + RULES.margin)
+    pass_time(ledger, leases, 102.0 + LONGEST_LEASE + RULES.margin)
     assert run.task.status is TaskStatus.ASSIGNED
-    pass_time(ledger, leases, 102.0 + RUN_LEASE + RULES.margin + 0.01)
+    pass_time(ledger, leases, 102.0 + LONGEST_LEASE + RULES.margin + 0.01)
     assert run.task.status is TaskStatus.WAITING
 
 
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -9,7 +9,7 @@
 
 from peridotspoke.nodes.committing import MAX_JOBS_PER_COMMIT, CommitTracker
 from peridotspoke.nodes.predecessors import Predecessor, find_lease_bound
-from peridotspoke.nodes.view import ProcessRecord, QueueCounts
+from peridotspoke.nodes.records import ProcessRecord, QueueCounts
 from peridotspoke.store import Record
 from peridotspoke.workloads.executors import (
     EndedRun,
@@ -236,7 +236,7 @@
             self.counts,
             self.taken_over_at,
             seen_at,
-            RULES.run_lease,
+            RULES.run_lease + RULES.restart_excess,
         )
         self.ledger.limit_inherited_leases(bound)
 
