Size no pool by the memory of tasks that no executor has room for

Such a task now counts by its processors, and the mix of finite work by the processors that the rate of arriving work counts.

--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -13,9 +13,9 @@
 from peridotspoke.workloads.room import (
     compute_binding_cores,
     count_whole_executors,
-    list_lasting_tasks,
     measure_finite_mix,
     measure_shape,
+    sum_lasting,
     sum_needs,
 )
 from peridotspoke.workloads.runs import RunPhase, compute_need
@@ -289,9 +289,7 @@
         By case, with what the long-running tasks take.
     """
     shape, mix = measure_shape(ledger), measure_finite_mix(ledger)
-    lasting = sum_needs(
-        (compute_need(step), 1) for _, step in list_lasting_tasks(ledger)
-    )
+    lasting = sum_lasting(ledger)
     return [
         compute_binding_cores(lasting + mix.scale(cores).widen(running), shape)
         for cores in finite_cores
--- a/peridotspoke/workloads/room.py
+++ b/peridotspoke/workloads/room.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.placement import Offer, fits
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus
 from peridotspoke.workloads.runs import compute_need
@@ -15,9 +16,11 @@
     "Amounts",
     "compute_binding_cores",
     "count_whole_executors",
+    "limit_need",
     "list_lasting_tasks",
     "measure_finite_mix",
     "measure_shape",
+    "sum_lasting",
     "sum_needs",
 ]
 
@@ -130,6 +133,8 @@
 def measure_finite_mix(ledger):
     """Return the amounts that open finite jobs take for each of their processors.
 
+    The processors of tasks that fill count here, as in the rate of arriving work.
+
     Parameters
     ----------
     ledger : PoolLedger
@@ -139,8 +144,9 @@
     Amounts
         Of one processor's work; 0 for the other resources without such jobs.
     """
+    sizes = _list_sizes(ledger)
     total = sum_needs(
-        (compute_need(step), step.count)
+        (limit_need(step.need, sizes), step.count)
         for progress in ledger.jobs.values()
         if progress.outcome is JobOutcome.OPEN and not progress.job.is_long_running
         for step in progress.job.steps
@@ -148,6 +154,40 @@
     return total.scale(1.0 / total.cores) if total.cores else Amounts(1.0)
 
 
+def sum_lasting(ledger):
+    """Return the `Amounts` that the unfinished long-running tasks take."""
+    sizes = _list_sizes(ledger)
+    return sum_needs(
+        (limit_need(compute_need(step), sizes), 1)
+        for _, step in list_lasting_tasks(ledger)
+    )
+
+
+def limit_need(need, sizes):
+    """Return a need, or its processors alone if no executor has room for all of it.
+
+    No number of machines like those of the pool gives such a task room.
+
+    Parameters
+    ----------
+    need : Need
+    sizes : iterable of (Need, tuple)
+        Capacities and labels of the pool's executors; if empty, the need is kept.
+
+    Examples
+    --------
+    >>> from peridotspoke.workloads.jobs import Need
+    >>> limit_need(Need(1000, 90_000), [(Need(8000, 64_000), ())])
+    Need(cpu=1000, memory=0, accelerators=0)
+    """
+    if not sizes or any(
+        capacity.memory >= need.memory and capacity.accelerators >= need.accelerators
+        for capacity, _ in sizes
+    ):
+        return need
+    return Need(need.cpu, 0, 0)
+
+
 def list_lasting_tasks(ledger):
     """Yield each unfinished long-running task of the open jobs and its `Step`."""
     for progress in ledger.jobs.values():
