Hold no place on an executor that does not answer

Found in review: with the place of one task on an unreachable executor, the tasks after it were not planned for up to 6 s, though their places could be used. The test failed before.

--- a/peridotspoke/workloads/places.py
+++ b/peridotspoke/workloads/places.py
@@ -91,7 +91,7 @@
     if run.progress.outcome is not JobOutcome.OPEN:
         return False
     state = ledger.executors.get(place.executor_id)
-    if state is None or state.is_draining:
+    if state is None or state.is_draining or not state.reachable:
         return False
     if run.task.status is TaskStatus.WAITING:
         return True
