--- a/peridotspoke/nodes/fleetorders.py
+++ b/peridotspoke/nodes/fleetorders.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass
 
+from msgspec import structs
+
 from peridotspoke.exceptions import (
     AnswerLostError,
     PlatformError,
@@ -95,9 +97,10 @@
         record : OrderRecord
         """
         now = self._node.clock.read_monotonic()
-        is_own = record.holder == self._node.settings.name
-        settling = OWN_SETTLING_TIME if is_own else self._holder_change
-        for name, order in record.orders.items():
+        for name, stored in record.orders.items():
+            order = structs.replace(stored, holder=stored.holder or record.holder)
+            is_own = order.holder == self._node.settings.name
+            settling = OWN_SETTLING_TIME if is_own else self._holder_change
             self._orders[name] = _Order(order, now)
             self._blocked_until[name] = now + settling
             if order.wave:
--- a/peridotspoke/nodes/fleetrecords.py
+++ b/peridotspoke/nodes/fleetrecords.py
@@ -41,11 +41,14 @@
         The wave of a maintenance order, 0 for a move.
     pool : str
         The new pool of a move, empty for maintenance.
+    holder : str
+        Name of the node that gave the order, where a later holder's record repeats it.
     """
 
     executor_id: str
     wave: int = 0
     pool: str = ""
+    holder: str = ""
 
 
 class OrderRecord(msgspec.Struct, frozen=True):
@@ -54,7 +57,7 @@
     Parameters
     ----------
     holder : str
-        Name of the node that gave the orders.
+        Name of the node that stored the record, and gave the orders without a holder.
     orders : dict of str to RecentOrder
         By machine.
     """
