Use no statement of leases from before an owner that was not seen

Found in review: an owner of an older build replaces no statement; if its record comes and goes within one batch of the watch, its predecessor's statement was taken for its own. Not covered: the same while the prefix is read again (upgrades only). The test failed before.

--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -112,9 +112,10 @@
         for key in followed.changed:
             kind, name = split_key(key)
             try:
-                self._apply(
-                    kind, name, followed.records.get(key), followed.confirmed_at
-                )
+                record = followed.records.get(key)
+                if kind == "owner" and record is None:
+                    self._note_owner_gone(name, followed.revision)
+                self._apply(kind, name, record, followed.confirmed_at)
             except RecordError as error:
                 log_event("record-unreadable", "ERROR", key=key, error=error)
                 continue
@@ -123,6 +124,11 @@
         self.work_loaded = True
         self.changes.on_next(changed)
 
+    def _note_owner_gone(self, unit, revision):
+        """Note that a unit had an owner up to a revision of which nothing was seen."""
+        if unit not in self.owners:
+            self.last_fences[unit] = max(self.last_fences.get(unit, 0), revision)
+
     def apply_entries(self, followed, decode, kept_until=None):
         """Apply the changed entries of executors.
 
