--- a/peridotspoke/nodes/tests/test_fleet_holders.py
+++ b/peridotspoke/nodes/tests/test_fleet_holders.py
@@ -1,9 +1,9 @@
-"""Tests of a reviewer: the wait between two holders of the fleet (issue 26)."""
+"""Tests of the wait between two holders of the fleet."""
 
 from peridotspoke.nodes.fleetrecords import OrderRecord, RecentOrder
 from peridotspoke.nodes.keys import key_orders
+from peridotspoke.nodes.records import encode_value
 from peridotspoke.nodes.tests.test_fleet import FleetDouble, run_round
-from peridotspoke.nodes.view import encode_value
 
 
 async def test_a_holder_that_regains_the_fleet_still_waits_for_anothers_order():
--- a/peridotspoke/nodes/tests/test_former_leases.py
+++ b/peridotspoke/nodes/tests/test_former_leases.py
@@ -1,4 +1,4 @@
-"""Tests of a reviewer: leases that outlast what an owner says of them (issue 26)."""
+"""Tests of leases that outlast what an owner says of them."""
 
 import asyncio
 from contextlib import suppress
--- a/peridotspoke/nodes/tests/test_statements.py
+++ b/peridotspoke/nodes/tests/test_statements.py
@@ -1,7 +1,8 @@
-"""Tests of a reviewer: statements that an owner of an older build outlives."""
+"""Tests of statements that an owner of an older build outlives."""
 
+from peridotspoke.nodes.records import LeaseStatement, encode_value
 from peridotspoke.nodes.statements import StatementReader
-from peridotspoke.nodes.view import LeaseStatement, StoreView, encode_value
+from peridotspoke.nodes.view import StoreView
 from peridotspoke.store import FollowedRecords, Record
 
 
--- a/peridotspoke/workloads/tests/test_unplaceable_tasks.py
+++ b/peridotspoke/workloads/tests/test_unplaceable_tasks.py
@@ -1,4 +1,4 @@
-"""Tests of a reviewer: sizes and places that go wrong (issue 26)."""
+"""Tests of tasks that fit no executor, and of places that can not be used."""
 
 from peridotspoke.workloads.demand import estimate_demand
 from peridotspoke.workloads.jobs import Need, Step
