--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,56 @@
+"""The store is down while over 500 tasks of one executor end; some run again."""
+
+import asyncio
+
+from review.common.site import Site, has_trouble, play
+
+OUTAGE = 4.5  # seconds; `platform_down` with `silent` lasts as long in the site files
+JOBS, TASKS = 8, 100
+COUNT = JOBS * TASKS
+SUBMISSION_INTERVAL = 0.25  # seconds
+DURATION = 5_000  # milliseconds of work of each task
+CPU, MEMORY = 20, 30  # thousandths of a core, MB
+
+
+async def main():
+    """Play the case."""
+    async with Site("review/2", {"taller": [{"rack": "r1-1"}] * 4}) as site:
+        await site.start_nodes()
+        await asyncio.sleep(3.0)
+        jobs = []
+        for _ in range(JOBS):
+            jobs.append(
+                await site.submit(
+                    "taller",
+                    [
+                        {
+                            "count": TASKS,
+                            "cpu": CPU,
+                            "memMb": MEMORY,
+                            "estimateMs": DURATION,
+                        }
+                    ],
+                    {"ms": DURATION, "cpu": CPU, "mem": MEMORY},
+                )
+            )
+            await asyncio.sleep(SUBMISSION_INTERVAL)
+        await site.wait_until(
+            lambda: sum(len(item.life.running) for item in site.executors) == COUNT,
+            limit=4.0,
+        )
+        site.record("store", "goes down, silent" if has_trouble() else "stays up")
+        if has_trouble():
+            await site.store.be_silent(OUTAGE)
+        else:
+            await asyncio.sleep(OUTAGE)
+        site.record("store", "is back")
+        await asyncio.sleep(10.0)
+        for job_id in jobs:
+            await site.wait_for("taller", job_id, {"completed"}, 4.0)
+        faults = list(site.find_twice())
+        starts = len(site.list_runs())
+        site.record("judge", f"{COUNT} tasks, {starts} starts")
+        return site.conclude("TWICE", faults)
+
+
+play(main)
