Add the stand-ins of the review's scripts

Cause: a script needs a platform, executors and clients that follow the users' pages. Change: a store, executors with gangs, crashes and cuts, and a site that starts the nodes by the deploy file's command.

--- a/review/common/executor.py
+++ b/review/common/executor.py
@@ -114,6 +114,7 @@
         self.address = ""
         self.life = self._new_life()
         self.past_ends = []
+        self.down = False
         self._store, self._record = store, record
         self._seq, self._beaten_at = 0, 0.0
         self._runner = self._site = None
@@ -126,15 +127,16 @@
         """Record what happened here."""
         self._record(f"executor {self.name}", text)
 
-    async def open(self):
-        """Listen on a free port and enter the store."""
+    async def open(self, phase=0.0):
+        """Listen on a free port and enter the store; a beat follows at a phase."""
         server = web.Server(self.handle, access_log=None)
-        self._runner = web.ServerRunner(server)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.5)
         await self._runner.setup()
         await self._listen(0)
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
         self.beat()
+        self._beaten_at -= phase * HEARTBEAT
 
     async def _listen(self, port):
         self._site = web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True)
@@ -187,6 +189,27 @@
         await self._listen(int(self.address.rpartition(":")[2]))
         self.beat()
 
+    async def crash(self):
+        """Lose all that runs here, and answer nothing until the restart."""
+        self.log("crashes")
+        self.down = self.cut = True
+        for task in list(self.life.running):
+            if task in self.life.running:
+                self.end(task, "crashed")
+        await self._site.stop()
+        for transport in list(self._transports):
+            transport.abort()
+
+    async def restart(self, kind=None):
+        """Begin a new life under the same identity, maybe of another kind."""
+        self.past_ends += self.life.ends
+        self.life = self._new_life()
+        self.kind = kind or self.kind
+        self.down = self.cut = False
+        self.log(f"is back in a new life, kind {self.kind}")
+        self.beat()
+        await self._listen(int(self.address.rpartition(":")[2]))
+
     async def run(self):
         """Advance tasks, leases and beats until cancelled."""
         while True:
@@ -206,10 +229,11 @@
 
     def _advance(self):
         now, life = time.monotonic(), self.life
-        if life.running and self._clock() > life.lease_ms:
-            self.log("the lease has run out")
+        if self._clock() > life.lease_ms:
             for end in life.ends:
                 end.lapsed = end.lapsed or not end.noted
+            if life.running:
+                self.log("the lease has run out")
             for task in list(life.running):
                 if task in life.running:
                     self.end(task, "lapsed")
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -99,6 +99,7 @@
         self._tasks, self._runners, self._processes = [], [], []
         self._node_count, self._max_attempts = nodes, max_attempts
         self._session = self._temporary = None
+        self._settings_files = []
         self.store = Store()
         self.fronts = []
         gangs = Gangs()
@@ -122,8 +123,8 @@
             connector=aiohttp.TCPConnector(limit=0),
             timeout=aiohttp.ClientTimeout(total=3.0),
         )
-        for executor in self.executors:
-            await executor.open()
+        for number, executor in enumerate(self.executors):
+            await executor.open(number / len(self.executors))
             self._tasks.append(asyncio.ensure_future(executor.run()))
         self.store.put("op/config", msgspec.json.encode(self._make_config()))
         return self
@@ -175,8 +176,6 @@
         """Start the nodes by the command of the deploy file, until all are ready."""
         store = await self._serve(self.store.handle)
         cloud = await self._serve(self._list_machines)
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        command = deploy["roles"]["node"]["run"].split()
         subnet = f"127.{random.randint(2, 250)}.{random.randint(2, 250)}"
         for number in range(1, self._node_count + 1):
             host = f"{subnet}.{number}"
@@ -187,27 +186,35 @@
             )
             path = Path(self._temporary.name) / f"node-{number}.conf"
             path.write_text(settings, encoding="utf-8")
-            process = await asyncio.create_subprocess_exec(
-                sys.executable if command[0] == "python3" else command[0],
-                *command[1:],
-                cwd=ROOT,
-                env={
-                    "PATH": os.environ.get("PATH", ""),
-                    "HOME": os.environ.get("HOME", ""),
-                    "PYTHONPATH": str(ROOT / "target/deps"),
-                    "PYTHONDONTWRITEBYTECODE": "1",
-                    "PERIDOTSPOKE_NODE_FILE": str(path),
-                },
-                stdout=asyncio.subprocess.PIPE,
-                stderr=asyncio.subprocess.STDOUT,
-            )
-            self._processes.append(process)
+            self._processes.append(None)
             self.fronts.append(f"{host}:8624")
-            self._tasks.append(
-                asyncio.ensure_future(self._read_log(f"node {number}", process))
-            )
+            self._settings_files.append(path)
+            await self.start_node(number)
         await asyncio.gather(*(self._wait_until_ready(item) for item in self.fronts))
 
+    async def start_node(self, number):
+        """Start the process of a node, counted from 1, maybe once more."""
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        command = deploy["roles"]["node"]["run"].split()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable if command[0] == "python3" else command[0],
+            *command[1:],
+            cwd=ROOT,
+            env={
+                "PATH": os.environ.get("PATH", ""),
+                "HOME": os.environ.get("HOME", ""),
+                "PYTHONPATH": str(ROOT / "target/deps"),
+                "PYTHONDONTWRITEBYTECODE": "1",
+                "PERIDOTSPOKE_NODE_FILE": str(self._settings_files[number - 1]),
+            },
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        self._processes[number - 1] = process
+        self._tasks.append(
+            asyncio.ensure_future(self._read_log(f"node {number}", process))
+        )
+
     async def _read_log(self, name, process):
         async for line in process.stdout:
             text = line.decode(errors="replace").rstrip()
@@ -226,7 +233,9 @@
                 await asyncio.sleep(0.1)
 
     async def _serve(self, handler):
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        runner = web.ServerRunner(
+            web.Server(handler, access_log=None), shutdown_timeout=0.5
+        )
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         self._runners.append(runner)
@@ -251,6 +260,10 @@
         ]
         return respond({"machines": machines, "nextToken": None})
 
+    async def wait_for_exit(self, number):
+        """Wait until the process of a node has ended; return its exit status."""
+        return await self._processes[number - 1].wait()
+
     def signal_node(self, number, which):
         """Send a signal to a node, counted from 1."""
         self.record("operator", f"{signal.Signals(which).name} to node {number}")
@@ -342,7 +355,7 @@
         noted = {
             (item.name, end.task, end.run)
             for item in self.executors
-            for end in item.life.ends
+            for end in [*item.past_ends, *item.life.ends]
             if end.noted and not end.lapsed
         }
         by_task = {}
