--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,10 +5,10 @@
 from review.common.site import Site, has_trouble, play
 
 OUTAGE = 4.5  # seconds; `platform_down` with `silent` lasts as long in the site files
-JOBS, TASKS = 8, 100
+JOBS, TASKS = 12, 100
 COUNT = JOBS * TASKS
-SUBMISSION_INTERVAL = 0.25  # seconds
-DURATION = 5_000  # milliseconds of work of each task
+SUBMISSION_INTERVAL = 0.2  # seconds
+DURATION = 4_000  # milliseconds of work of each task
 CPU, MEMORY = 20, 30  # thousandths of a core, MB
 
 
