--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,14 +9,14 @@
 OUTAGE = 4.5  # seconds; `platform_down` with `silent` lasts as long in the site files
 JOBS, TASKS = 12, 100
 COUNT = JOBS * TASKS
-SUBMISSION_INTERVAL = 0.2  # seconds
+SUBMISSION_INTERVAL = 0.15  # seconds
 DURATION = 4_000  # milliseconds of work of each task
 CPU, MEMORY = 20, 30  # thousandths of a core, MB
 
 
 async def main():
     """Play the case."""
-    async with Site(FOLDER, {"taller": [{"rack": "r1-1"}] * 4}) as site:
+    async with Site(FOLDER, {"taller": [{"rack": "r1-1"}] * 8}) as site:
         await site.start_nodes()
         await asyncio.sleep(3.0)
         jobs = []
@@ -37,8 +37,7 @@
             )
             await asyncio.sleep(SUBMISSION_INTERVAL)
         await site.wait_until(
-            lambda: sum(len(item.life.running) for item in site.executors) == COUNT,
-            limit=4.0,
+            lambda: sum(len(item.life.latest) for item in site.executors) == COUNT
         )
         site.record("store", "goes down, silent" if has_trouble() else "stays up")
         if has_trouble():
