Play case 2 of the review in its final form

Cause: A draining executor is cut off from all and runs on; its task is started again. Case 2 has the silent cut that the site file names.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,9 +13,9 @@
 
 async def main():
     """Play the case."""
-    async with Site(FOLDER, {"taller": [{"rack": "r1-1"}] * 3}) as site:
+    async with Site(FOLDER, {"taller": [{"rack": "r1-1"}] * 8}) as site:
         await site.start_nodes()
-        for duration in (LONG, LONG, SHORT):
+        for duration in [LONG] * 7 + [SHORT]:
             await site.submit(
                 "taller",
                 [{"count": 1, "cpu": NEED, "memMb": 256, "estimateMs": duration}],
@@ -30,7 +30,7 @@
         leaving.drain(remaining_ms=2000)
         await asyncio.sleep(1.4)
         if has_trouble():
-            await leaving.refuse()
+            await leaving.cut_off()
         await asyncio.sleep(CUT)
         if has_trouble():
             await leaving.heal()
