--- a/review/common/executor.py
+++ b/review/common/executor.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import random
+import socket
 import time
 from dataclasses import dataclass, field
 
@@ -18,6 +20,8 @@
 HOLD_MAX_MS = 6000  # as bounds.holdMaxMs
 GANG_WAIT = 3.0  # seconds, as gangMs
 TICK = 0.01  # seconds
+NEVER = 3600.0  # seconds; longer than any play
+QUEUE_FILLERS = 4  # connections that fill the queue of a listener which accepts none
 
 
 class Spec(msgspec.Struct):
@@ -119,6 +123,8 @@
         self._seq, self._beaten_at = 0, 0.0
         self._runner = self._site = None
         self._transports = set()
+        self._cut_sockets = []
+        self.late_share, self._late = 0.0, []
 
     def _new_life(self):
         return Life(time.time_ns() // 1_000_000, time.monotonic())
@@ -174,16 +180,28 @@
         self.log(f"reports draining, remainingMs={remaining_ms}")
         self.beat()
 
-    async def refuse(self):
-        """Begin a cut that refuses: connections are reset and new ones refused."""
+    async def cut_off(self):
+        """Begin a silent cut: nothing is answered, and new connections hang.
+
+        A listener whose queue is full drops the opening packets of new connections,
+        as a partition does.
+        """
         self.cut = True
-        self.log("cut off: calls are refused, beats do not arrive")
+        self.log("cut off: no answers, no new connections, no beats")
         await self._site.stop()
-        for transport in list(self._transports):
-            transport.abort()
+        port = int(self.address.rpartition(":")[2])
+        listener = socket.create_server(("127.0.0.1", port), backlog=0)
+        self._cut_sockets = [listener]
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", port))
+            self._cut_sockets.append(filler)
 
     async def heal(self):
-        """End the cut."""
+        """End the cut; what was sent during it is lost."""
+        for item in self._cut_sockets:
+            item.close()
         self.cut = False
         self.log("the cut has healed")
         await self._listen(int(self.address.rpartition(":")[2]))
@@ -264,8 +282,7 @@
     async def handle(self, request):
         """Answer one call."""
         if self.cut:
-            request.transport.abort()
-            return respond(status=503)
+            await asyncio.sleep(NEVER)
         self._transports.add(request.transport)
         body = msgspec.json.decode(await request.read())
         if request.headers.get("X-Expect-Instance", self.name) != self.name:
@@ -273,8 +290,11 @@
         self._advance()
         if body.get("fence", 0) < self.life.fence:
             return self._reply(409, reason="fence")
-        self.life.fence = body.get("fence", 0)
         name = request.path.removeprefix("/peridotspoke/")
+        if name in ("run-start", "run-stop") and random.random() < self.late_share:
+            self._late.append(asyncio.ensure_future(self._carry_out_late(name, body)))
+            await asyncio.sleep(NEVER)
+        self.life.fence = body.get("fence", 0)
         if name == "run-start":
             return self._start(body)
         if name == "run-stop":
@@ -283,6 +303,16 @@
             return await self._hold(body)
         return self._reply()
 
+    async def _carry_out_late(self, name, body):
+        """Carry out an order that got no answer, unless this life has ended."""
+        life = self.life
+        await asyncio.sleep(random.uniform(2.0, 5.0))
+        if self.life is not life or self.cut or body["fence"] < life.fence:
+            return
+        life.fence = body["fence"]
+        self.log(f"carries out late: {name} task={body['task']}")
+        (self._start if name == "run-start" else self._stop)(body)
+
     def _reply(self, status=200, **fields):
         return respond(
             {"clockMs": self._clock(), "born": self.life.born, **fields}, status
@@ -340,6 +370,8 @@
         while not self._list_ends() and time.monotonic() < until:
             await asyncio.sleep(TICK / 2)
             self._advance()
+        if self.cut:
+            await asyncio.sleep(NEVER)
         running = [
             [task, work.run, "", work.percent, work.spec.cpu]
             for task, work in life.running.items()
