--- a/review/common/site.py
+++ b/review/common/site.py
@@ -100,6 +100,7 @@
         self._node_count, self._max_attempts = nodes, max_attempts
         self._session = self._temporary = None
         self._settings_files = []
+        self._is_closing = False
         self.store = Store()
         self.fronts = []
         gangs = Gangs()
@@ -130,6 +131,7 @@
         return self
 
     async def __aexit__(self, *_):
+        self._is_closing = True
         for process in self._processes:
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -193,7 +195,12 @@
         await asyncio.gather(*(self._wait_until_ready(item) for item in self.fronts))
 
     async def start_node(self, number):
-        """Start the process of a node, counted from 1, maybe once more."""
+        """Start the process of a node, counted from 1, maybe once more.
+
+        Nothing is started any more once the site is closing.
+        """
+        if self._is_closing:
+            return
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["node"]["run"].split()
         process = await asyncio.create_subprocess_exec(
@@ -210,6 +217,10 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
+        if self._is_closing:
+            process.kill()
+            await process.wait()
+            return
         self._processes[number - 1] = process
         self._tasks.append(
             asyncio.ensure_future(self._read_log(f"node {number}", process))
