Let departed executors hold their runs until their lease has ended

Cause: a session took a missing entry, an announced departure and one connection that could not be opened for the executor's end. Behind a cut an executor that works on shows all three: its entry lapses since no beat arrives, and connections fail.

Change: such an executor holds its runs until the lease that was granted to them has ended, as any other that can't be reached. Only an answer of another executor at its address ends them at once.

--- a/peridotspoke/nodes/messages.py
+++ b/peridotspoke/nodes/messages.py
@@ -42,10 +42,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecutorLeft:
-    """An executor is gone.
+    """An executor is gone, as another one answers at its address.
 
-    Either another one answers at its address, or it announced that it would stop and
-    no longer accepts calls.
+    An executor that is not listed and accepts no connection may be cut off and go on
+    with its runs until their leases end.
     """
 
     executor_id: str
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -269,17 +269,9 @@
 
     def _handle_failure(self, error):
         self._failures += 1
-        refused = isinstance(error, PlatformUnavailableError)
-        if refused and self._has_announced_departure():
-            self._post(ExecutorLeft(self.executor_id))
         self._post(ExecutorCallFailed(self.executor_id, error.message))
         return False
 
-    def _has_announced_departure(self):
-        state = self._state
-        last = state.last_entry
-        return state.entry is None and last is not None and last.remaining is not None
-
     def _handle_refusal(self, refusal):
         self._failures += 1
         if refusal is Refusal.FENCED:
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -35,7 +35,6 @@
                 sequence=entry.sequence,
             )
         state.entry = entry
-        state.last_entry = entry
         self._update_incarnation(state, entry.incarnation, now)
 
     def lose_entry(self, executor_id):
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -116,8 +116,6 @@
     executor_id : str
     entry : ExecutorEntry or None
         The executor's current entry; None while it is not listed.
-    last_entry : ExecutorEntry or None
-        The latest entry, kept after the executor is no longer listed.
     incarnation : int
         Start of the executor's present incarnation, Unix milliseconds; 0 if unknown.
     lease_end : float
@@ -157,7 +155,6 @@
 
     executor_id: str
     entry: ExecutorEntry | None = None
-    last_entry: ExecutorEntry | None = None
     incarnation: int = 0
     lease_end: float = 0.0
     inherited_end: float = float("-inf")
