Release no run for a report that may lack its end

Cause: an executor lists 500 ends at a time. The adapter passed on such a list as if it were whole, and the ledger took each run that was listed neither as running nor as ended for over. While the store is down no end is acknowledged, so that the list stays the same.

Change: a report says whether more ends may follow; then it releases no run that it does not list, be it running, stopped or inherited. Ends and listed runs count as before.

--- a/peridotspoke/platform/executors.py
+++ b/peridotspoke/platform/executors.py
@@ -20,6 +20,7 @@
 __all__ = ["ENTRY_PREFIX", "HttpExecutor", "decode_entry", "format_task", "parse_task"]
 
 ENTRY_PREFIX = "servers/"
+MAX_LISTED_ENDS = 500  # rows of "ended" in one response; the rest follow those
 HTTP_CONFLICT = 409
 REFUSALS_BY_REASON = {
     "fence": Refusal.FENCED,
@@ -229,6 +230,7 @@
                 run_lists.born,
                 tuple(_parse_reported_run(fields) for fields in run_lists.running),
                 tuple(_parse_ended(fields) for fields in run_lists.ended),
+                has_more_ends=len(run_lists.ended) >= MAX_LISTED_ENDS,
             )
         except (ValueError, TypeError, IndexError) as error:
             raise AnswerLostError(
--- a/peridotspoke/platform/standins.py
+++ b/peridotspoke/platform/standins.py
@@ -16,6 +16,7 @@
 
 PATH_PREFIX = "/peridotspoke/"
 MS_PER_SECOND = 1000
+MAX_LISTED_ENDS = 500  # in one response
 POLL_INTERVAL = 0.005  # seconds between checks of a waiting call
 
 
@@ -361,7 +362,7 @@
             await asyncio.sleep(POLL_INTERVAL)
             self._advance()
         running = [[task, item.run, "", 50] for task, item in self.running.items()]
-        return self._reply(running=running, ended=self.ended)
+        return self._reply(running=running, ended=self.ended[:MAX_LISTED_ENDS])
 
 
 class MachinesStandIn:
--- a/peridotspoke/platform/tests/test_executors.py
+++ b/peridotspoke/platform/tests/test_executors.py
@@ -5,7 +5,12 @@
 
 from peridotspoke.platform.executors import HttpExecutor
 from peridotspoke.platform.http import HttpResponse
-from peridotspoke.workloads.executors import Refusal, StartAnswer, StartOrder
+from peridotspoke.workloads.executors import (
+    LeaseRenewal,
+    Refusal,
+    StartAnswer,
+    StartOrder,
+)
 from peridotspoke.workloads.jobs import TaskKey
 
 ORDER = StartOrder(TaskKey("5c0e7a21d94b36f8", 0, 0, 0), 1, "spec", 6000, 7)
@@ -42,3 +47,16 @@
 ):
     executor = HttpExecutor(PeerDouble(status, body), "i-1", timeout=0.7)
     assert await executor.start(ORDER) == expected
+
+
+@pytest.mark.parametrize(("listed", "has_more"), [(499, False), (500, True)])
+async def test_a_full_list_of_ends_says_that_more_may_follow(listed, has_more):
+    # Guards against taking runs for over whose ends are not listed yet (review/1).
+    rows = [
+        [number, f"5c0e7a21d94b36f8.0.0.{number}", 1, "done", ""]
+        for number in range(1, listed + 1)
+    ]
+    body = msgspec.json.encode({"clockMs": 5, "born": 6, "running": [], "ended": rows})
+    executor = HttpExecutor(PeerDouble(200, body), "i-1", timeout=0.7)
+    report = await executor.renew_leases(LeaseRenewal(fence=7, cursor=0))
+    assert (len(report.ended), report.has_more_ends) == (listed, has_more)
--- a/peridotspoke/workloads/executors.py
+++ b/peridotspoke/workloads/executors.py
@@ -274,7 +274,10 @@
         Start of the executor's current incarnation, Unix time in milliseconds.
     running : tuple of ReportedRun, optional
     ended : tuple of EndedRun, optional
-        Ended runs after the cursor of the order.
+        The first ended runs after the cursor of the order.
+    has_more_ends : bool, optional
+        Whether further runs may have ended. A run that is not listed may then be one of
+        them.
     refusal : Refusal or None, optional
         Why the order was rejected; the other fields are then meaningless.
     """
@@ -283,6 +286,7 @@
     incarnation: int
     running: tuple[ReportedRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    has_more_ends: bool = False
     refusal: Refusal | None = None
 
 
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -57,7 +57,9 @@
         self.limit_former_leases(state, now)
         listed = {(reported.key, reported.run): reported for reported in report.running}
         self._match_listed_runs(state, listed, asked_at, now)
-        self._handle_unlisted_runs(state, listed, asked_at, now)
+        self._retry_stops(state, listed, asked_at)
+        if not report.has_more_ends:
+            self._handle_unlisted_runs(state, listed, asked_at, now)
         state.reported_at = asked_at
 
     def _match_listed_runs(self, state, listed, asked_at, now):
@@ -113,14 +115,12 @@
     def _handle_unlisted_runs(self, state, listed, asked_at, now):
         """Release the runs that have certainly ended, as a report does not list them.
 
-        A report that was requested before a start or a stop was answered proves
-        nothing about that run. Runs that are still listed after their stop was
-        answered are stopped again.
+        The report must list all ends: a run whose end is missing may be done. A report
+        that was requested before a start or a stop was answered proves nothing about
+        that run.
         """
         for run in list(state.runs.values()):
             if (run.key, run.number) in listed:
-                if run.stop_answered_at is not None and asked_at > run.stop_answered_at:
-                    self._retry_stop(run, asked_at)
                 continue
             if run.phase is RunPhase.INHERITED:
                 self.requeue(run, now, "inherited run not on the executor")
@@ -131,9 +131,14 @@
             elif run.phase is RunPhase.RUNNING and asked_at > run.started_at:
                 self.requeue(run, now, "run no longer on the executor")
 
-    def _retry_stop(self, run, asked_at):
-        if asked_at - run.stop_answered_at > STOP_RETRY_S:
-            run.stop_answered_at = None
+    def _retry_stops(self, state, listed, asked_at):
+        """Let the runs that are still listed after their stop be stopped again."""
+        for run in state.runs.values():
+            answered = run.stop_answered_at
+            if answered is None or (run.key, run.number) not in listed:
+                continue
+            if asked_at - answered > STOP_RETRY_S:
+                run.stop_answered_at = None
 
     def _compute_foreign_need(self, key):
         progress = self.jobs.get(key.job_id)
--- a/peridotspoke/workloads/tests/ledgers.py
+++ b/peridotspoke/workloads/tests/ledgers.py
@@ -54,7 +54,16 @@
     return ledger
 
 
-def report(ledger, name, now, running=(), ended=(), incarnation=1, asked_at=None):
+def report(
+    ledger,
+    name,
+    now,
+    running=(),
+    ended=(),
+    incarnation=1,
+    asked_at=None,
+    has_more_ends=False,
+):
     """Apply a report of an executor.
 
     Parameters
@@ -71,6 +80,8 @@
         Start of the executor's incarnation, Unix milliseconds.
     asked_at : float, optional
         When the report was requested; `now` if not given.
+    has_more_ends : bool
+        Whether there may be more ends than those listed.
     """
     reported_runs = tuple(
         run
@@ -78,7 +89,9 @@
         else ReportedRun(run.key, run.number, "", 50)
         for run in running
     )
-    run_report = RunReport(0, incarnation, reported_runs, tuple(ended))
+    run_report = RunReport(
+        0, incarnation, reported_runs, tuple(ended), has_more_ends=has_more_ends
+    )
     requested_at = now if asked_at is None else asked_at
     ledger.apply_report(name, run_report, requested_at, now, WALL_EPOCH + now)
 
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -1,7 +1,7 @@
 """Tests of `PoolLedger`: its state after answers, reports and lost answers."""
 
 from peridotspoke.store import Record
-from peridotspoke.workloads.executors import EndKind, Refusal
+from peridotspoke.workloads.executors import EndKind, Refusal, StopOrder
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, decode_summary
@@ -16,6 +16,8 @@
     store,
 )
 
+ASSIGNED_THREE = [TaskStatus.ASSIGNED] * 3
+
 
 def read_outcome(batch, job_id):
     """Return the outcome of a job as a `StoredBatch` holds it."""
@@ -108,6 +110,36 @@
     assert runs[1].task.status is TaskStatus.WAITING
 
 
+def test_a_run_whose_end_is_not_listed_yet_does_not_run_again():
+    # Guards against second runs of tasks that are done (review/1): an executor lists
+    # its first ends only, so that a run that is not listed at all may be done.
+    ledger = make_ledger("e1")
+    add_job(ledger, Step(4, Need(1000, 100)))
+    runs = first, second, stopped, _ = start_all(ledger, 0.0)
+    ledger.stop_run(stopped, "test")
+    ledger.apply_stop_answer("e1", StopOrder(stopped.key, stopped.number, 7), 0.1)
+    report(ledger, "e1", 1.0, ended=[end(1, first)], has_more_ends=True)
+    assert [run.task.status for run in runs] == [TaskStatus.DONE, *ASSIGNED_THREE]
+    report(ledger, "e1", 2.0, ended=[end(2, second), end(3, stopped)])
+    assert [run.task.status for run in runs] == [
+        *[TaskStatus.DONE] * 3,
+        TaskStatus.WAITING,
+    ]
+
+
+def test_an_inherited_run_whose_end_is_not_listed_yet_does_not_run_again():
+    # Guards against second runs of tasks that are done (review/1), after a hand-over.
+    first = make_ledger("e1")
+    progress = add_job(first)
+    runs = start_all(first, 0.0)
+    second = make_ledger(fence=8)
+    second.add_job(progress)
+    report(second, "e1", 1.0, ended=[end(1, runs[0])], has_more_ends=True)
+    assert runs[1].task.status is TaskStatus.ASSIGNED
+    report(second, "e1", 2.0, ended=[end(2, runs[1])])
+    assert runs[1].task.status is TaskStatus.DONE
+
+
 def test_runs_on_an_unreachable_executor_wait_for_the_end_of_every_lease():
     """The earlier owner may extend leases for a while after the takeover.
 
