Decode what others have written by one function with one error

Cause: msgspec raises RecursionError for deeply nested values, also in fields that it skips. Each of fifteen places named msgspec's two errors by hand, so that this one ended the reading of all entries; two records of the fleet had no handler at all. The same held for callers' bodies, the operator's records, progress, and answers of the store, executors and machines.

Change: peridotspoke/decoding.py decodes, and raises MalformedDataError for whatever is wrong; each caller turns that into its own error. A caller's nested body is now answered 400.

--- a/peridotspoke/exceptions.py
+++ b/peridotspoke/exceptions.py
@@ -5,6 +5,7 @@
     "CallRefusedError",
     "DeclarationError",
     "LeaseExpiredError",
+    "MalformedDataError",
     "OperationConflictError",
     "PeerError",
     "PeridotspokeError",
@@ -74,6 +75,10 @@
     """A record of the key-value service can't be decoded or is inconsistent."""
 
 
+class MalformedDataError(PeridotspokeError):
+    """Data from another process or a file can't be decoded."""
+
+
 class OperationConflictError(PlatformError):
     """Another writer changed the record since it was read."""
 
--- a/peridotspoke/jobs/reading.py
+++ b/peridotspoke/jobs/reading.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 from typing import Annotated
 
-import msgspec
 from pydantic import (
     ConfigDict,
     Field,
@@ -12,7 +11,8 @@
     dataclasses as checked,
 )
 
-from peridotspoke.exceptions import RequestError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import MalformedDataError, RequestError
 from peridotspoke.jobs.messages import JobSpec, Urgency
 
 __all__ = ["MAX_SUBMISSION", "PoolLimits", "check_job", "parse_submission"]
@@ -95,8 +95,8 @@
             step="read submission",
         )
     try:
-        data = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+        data = decode_json(body)
+    except MalformedDataError as error:
         found = body[:MAX_SHOWN]
         raise RequestError(
             f"expected a JSON object, found {found!r}: {error}", step="read submission"
--- a/peridotspoke/nodes/fleetrecords.py
+++ b/peridotspoke/nodes/fleetrecords.py
@@ -7,7 +7,7 @@
 
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.keys import key_orders, key_owner, key_wave, key_withdrawal
-from peridotspoke.nodes.records import Withdrawal, encode_value
+from peridotspoke.nodes.records import Withdrawal, decode_value, encode_value
 from peridotspoke.store import Condition, Put, Transaction
 
 __all__ = ["FleetRecords", "OrderRecord", "RecentOrder", "WaveRecord"]
@@ -97,7 +97,7 @@
         found = await self._read(key_orders())
         if found is None:
             return OrderRecord()
-        return msgspec.json.decode(found.value, type=OrderRecord)
+        return decode_value(found, OrderRecord)
 
     async def write_orders(self, orders):
         """Store the current and recent orders, and return whether they were stored.
@@ -115,7 +115,7 @@
         found = await self._read(key_wave(number))
         if found is None:
             return None
-        return msgspec.json.decode(found.value, type=WaveRecord)
+        return decode_value(found, WaveRecord)
 
     async def write_wave(self, number, record):
         """Store a `WaveRecord`, with the wave's status record for the operator."""
--- a/peridotspoke/nodes/records.py
+++ b/peridotspoke/nodes/records.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from peridotspoke.exceptions import RecordError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import MalformedDataError, RecordError
 from peridotspoke.nodes.settings import DEFAULT_LINK, DEFAULT_PROCESSORS
 
 __all__ = [
@@ -144,6 +145,6 @@
         If the value does not have the form of `value_class`.
     """
     try:
-        return msgspec.json.decode(record.value, type=value_class)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(record.value, value_class)
+    except MalformedDataError as error:
         raise RecordError(str(error), step="decode record", peer=record.key) from error
--- a/peridotspoke/nodes/tests/test_malformed.py
+++ b/peridotspoke/nodes/tests/test_malformed.py
@@ -7,6 +7,7 @@
 
 from peridotspoke.exceptions import RecordError
 from peridotspoke.nodes.ownership import Ownership
+from peridotspoke.nodes.records import NodeRecord, decode_value
 from peridotspoke.nodes.tasksets import keep_running
 from peridotspoke.nodes.tests.stores import InMemoryStore, make_parts
 from peridotspoke.platform.keyvalue import _Items
@@ -19,6 +20,7 @@
 )
 from peridotspoke.workloads.tests.ledgers import add_job, make_ledger, plan
 
+ROW_OF_SIX = b"\x96"  # MessagePack's mark of an array: a summary and one field more
 ROW_OF_NINE = 0x99  # MessagePack's mark of an array with the fields of a stored task
 
 
@@ -98,6 +100,17 @@
         decode_progress(progress.job, Record("k", broken, 1))
 
 
+def test_deeply_nested_records_are_unreadable_records():
+    # Guards against followers and supervisors that end by another error (review/3).
+    job = add_job(make_ledger()).job
+    fields = encode_summary()[1:]
+    nested = b"\x91" * 2000  # MessagePack: each an array of one item
+    with pytest.raises(RecordError):
+        decode_progress(job, Record("k", ROW_OF_SIX + fields + nested, 1))
+    with pytest.raises(RecordError):
+        decode_value(Record("k", b'{"x":' + b"[" * 2000, 1), NodeRecord)
+
+
 def test_an_item_that_is_not_base64_does_not_hide_the_others():
     items = msgspec.json.decode(
         b'{"items":[{"key":"a","value":"eAA","revision":1},'
--- a/peridotspoke/peers/codec.py
+++ b/peridotspoke/peers/codec.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from peridotspoke.declarations import ConfigurationHead
-from peridotspoke.exceptions import PeerError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import MalformedDataError, PeerError
 from peridotspoke.peers import peers_pb2
 from peridotspoke.peers.messages import (
     PROTOCOL_VERSION,
@@ -151,8 +152,8 @@
     if not data:
         return None
     try:
-        return msgspec.json.decode(data, type=ConfigurationHead)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(data, ConfigurationHead)
+    except MalformedDataError as error:
         raise PeerError(f"configuration_head: {error}", step="read message") from error
 
 
--- a/peridotspoke/platform/configuration.py
+++ b/peridotspoke/platform/configuration.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from peridotspoke.exceptions import RecordError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import MalformedDataError, RecordError
 from peridotspoke.workloads.configuration import (
     Advice,
     Configuration,
@@ -161,6 +162,6 @@
 
 def _decode(record, body_class):
     try:
-        return msgspec.json.decode(record.value, type=body_class)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(record.value, body_class)
+    except MalformedDataError as error:
         raise RecordError(str(error), step="decode record", peer=record.key) from error
--- a/peridotspoke/platform/executors.py
+++ b/peridotspoke/platform/executors.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from peridotspoke.exceptions import AnswerLostError, RecordError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import AnswerLostError, MalformedDataError, RecordError
 from peridotspoke.platform.http import HTTP_OK, decode_body
 from peridotspoke.workloads.executors import (
     EndedRun,
@@ -85,9 +86,9 @@
         If the value is not a heartbeat, or its state is unknown.
     """
     try:
-        heartbeat = msgspec.json.decode(record.value, type=_Heartbeat)
+        heartbeat = decode_json(record.value, _Heartbeat)
         condition = ExecutorCondition(heartbeat.state)
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+    except (MalformedDataError, ValueError) as error:
         raise RecordError(str(error), step="decode entry", peer=record.key) from error
     remaining = heartbeat.remaining_ms
     return ExecutorEntry(
--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -7,7 +7,12 @@
 import aiohttp
 import msgspec
 
-from peridotspoke.exceptions import AnswerLostError, PlatformUnavailableError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import (
+    AnswerLostError,
+    MalformedDataError,
+    PlatformUnavailableError,
+)
 from peridotspoke.logs import log_event
 from peridotspoke.platform.connections import ConnectionSet
 
@@ -255,8 +260,8 @@
         If the body is not JSON of that form. The call may have had an effect.
     """
     try:
-        return msgspec.json.decode(response.body, type=body_class)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(response.body, body_class)
+    except MalformedDataError as error:
         log_event("answer-unreadable", "WARNING", step=step, peer=peer, error=error)
         raise AnswerLostError(
             f"unreadable body of a {response.status} response: {error}",
--- a/peridotspoke/platform/submissions.py
+++ b/peridotspoke/platform/submissions.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from peridotspoke.exceptions import RequestError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import MalformedDataError, RequestError
 from peridotspoke.workloads.jobs import Job, Need, Step
 
 __all__ = ["decode_submission", "encode_state", "encode_waiting"]
@@ -65,8 +66,8 @@
         If the body is not JSON of the expected form. The values are not checked.
     """
     try:
-        submission = msgspec.json.decode(body, type=_Submission)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        submission = decode_json(body, _Submission)
+    except MalformedDataError as error:
         raise RequestError(str(error), step="read job", peer=job_id) from error
     return Job(
         job_id=job_id,
--- a/peridotspoke/platform/tests/test_documents.py
+++ b/peridotspoke/platform/tests/test_documents.py
@@ -4,10 +4,11 @@
 import pytest
 
 from peridotspoke.exceptions import RecordError, RequestError
+from peridotspoke.nodes.view import StoreView
 from peridotspoke.platform.configuration import decode_configuration, decode_wave
 from peridotspoke.platform.executors import decode_entry, format_task, parse_task
 from peridotspoke.platform.submissions import decode_submission
-from peridotspoke.store import Record
+from peridotspoke.store import FollowedRecords, Record
 from peridotspoke.workloads.checking import check_job
 from peridotspoke.workloads.configuration import Queue
 from peridotspoke.workloads.executors import ExecutorCondition
@@ -27,6 +28,8 @@
     "born": 1_700_000_000_000,
 }
 QUEUE = Queue("q", "host", "/q/", "pool")
+# More levels than any decoder follows; the rest of the document is missing.
+DEEPLY_NESTED = b'{"inventory":' + b"[" * 2000
 
 
 def make_record(value, key="servers/i-1"):
@@ -48,6 +51,7 @@
     [
         b"\xff\xfe",
         b"[]",
+        DEEPLY_NESTED,
         {**HEARTBEAT, "state": "sleepy"},
         {**HEARTBEAT, "seq": "four"},
         {**HEARTBEAT, "capacity": None},
@@ -60,6 +64,34 @@
         decode_entry(make_record(value))
 
 
+def test_a_deeply_nested_entry_of_another_writer_hides_no_executor():
+    # Guards against nodes that stop reading the executors' entries (review/3).
+    records = {
+        record.key: record
+        for record in (
+            make_record(DEEPLY_NESTED, "servers/inventory"),
+            make_record(HEARTBEAT, "servers/i-1"),
+        )
+    }
+    view = StoreView()
+    view.apply_entries(FollowedRecords(records, frozenset(records)), decode_entry)
+    assert view.entries_loaded
+    assert list(view.entries) == ["i-1"]
+
+
+@pytest.mark.parametrize("decode", [decode_configuration, decode_wave])
+def test_a_deeply_nested_document_of_the_operator_is_a_record_error(decode):
+    # Guards against a node that stops following the operator's records.
+    with pytest.raises(RecordError):
+        decode(make_record(DEEPLY_NESTED, "op/wave/1"))
+
+
+def test_a_deeply_nested_submission_is_a_request_error():
+    # Guards against an error of the server for what the caller got wrong.
+    with pytest.raises(RequestError):
+        decode_submission(DEEPLY_NESTED, "5c0e7a21d94b36f8", QUEUE, 0.0)
+
+
 def test_task_names_are_parsed_as_they_are_formatted():
     """A name has four parts; one with fewer is refused."""
     key = TaskKey("5c0e7a21d94b36f8", 2, 1, 17)
--- a/peridotspoke/platform/tests/test_whole_path.py
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -160,6 +160,21 @@
     assert sum(name == task for name, _ in starts) == 2
 
 
+async def test_a_caller_that_sends_a_deeply_nested_body_is_told_so(platform):
+    # Guards against an error of the server for what the caller got wrong.
+    address = await platform.start_node("n1")
+    await submit(address)
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            f"http://{address}/q/{'a' * 16}",
+            data=b'{"spec":"s","steps":[],"x":' + b"[" * 2000,
+            headers={"Host": "jobs.example"},
+        ) as response,
+    ):
+        assert response.status == 400
+
+
 async def test_another_node_takes_over_running_tasks(platform):
     """The first node is killed while a task runs; the task is not started again."""
     for executor in platform.executors:
--- a/peridotspoke/programs/audit.py
+++ b/peridotspoke/programs/audit.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from peridotspoke.clock import SystemClock
-from peridotspoke.exceptions import RecordError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import MalformedDataError, RecordError
 from peridotspoke.logs import log_event
 from peridotspoke.programs.output import print_rows
 from peridotspoke.programs.running import (
@@ -73,8 +74,8 @@
 
 def _read_archived_changes(record):
     try:
-        archived = msgspec.json.decode(record.value, type=ArchivedChanges)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        archived = decode_json(record.value, ArchivedChanges)
+    except MalformedDataError as error:
         log_event("record-rejected", "WARNING", key=record.key, error=error)
         return {}
     return {(archived.key, note.operation): note for note in archived.changes}
--- a/peridotspoke/standins/worker.py
+++ b/peridotspoke/standins/worker.py
@@ -7,6 +7,8 @@
 import msgspec
 from aiohttp import web
 
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import MalformedDataError
 from peridotspoke.standins.faults import WorkerFaults
 from peridotspoke.store.workers import (
     EndTasks,
@@ -269,8 +271,8 @@
             while self.runner.faults.frozen:  # noqa: ASYNC110
                 await asyncio.sleep(POLL_INTERVAL)
             try:
-                message = msgspec.json.decode(body, type=message_class)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                message = decode_json(body, message_class)
+            except MalformedDataError as error:
                 return web.json_response({"error": str(error)}, status=400)
             answer = carry_out(message, self._clock.read_monotonic())
             if asyncio.iscoroutine(answer):
--- a/peridotspoke/store/gateway.py
+++ b/peridotspoke/store/gateway.py
@@ -4,10 +4,11 @@
 from contextlib import contextmanager
 
 import aiohttp
-import msgspec
 
+from peridotspoke.decoding import decode_json
 from peridotspoke.exceptions import (
     AnswerLostError,
+    MalformedDataError,
     PlatformUnavailableError,
     RecordError,
 )
@@ -39,7 +40,7 @@
     {HTTP_BAD_REQUEST, HTTP_NOT_FOUND, HTTP_TOO_MANY_REQUESTS}
 )
 # Raised while parsing an answer of an unexpected form.
-PARSE_ERRORS = (LookupError, TypeError, ValueError, AttributeError, msgspec.DecodeError)
+PARSE_ERRORS = (LookupError, TypeError, ValueError, AttributeError, MalformedDataError)
 MAX_WATCH_LINE = 4 * 1024 * 1024  # bytes
 
 
@@ -222,7 +223,7 @@
         if not line.strip():
             return None
         with self._parsing("watch"):
-            result = msgspec.json.decode(line)["result"]
+            result = decode_json(line)["result"]
             if result.get("created"):
                 return None
             if not result.get("canceled"):
@@ -255,7 +256,7 @@
                 f"no answer: {error!r}", step=method, peer=self._url
             ) from error
         with self._parsing(method):
-            return msgspec.json.decode(body)
+            return decode_json(body)
 
     @contextmanager
     def _parsing(self, method):
--- a/peridotspoke/store/instances.py
+++ b/peridotspoke/store/instances.py
@@ -6,9 +6,13 @@
 from typing import Literal
 
 import aiohttp
-import msgspec
 
-from peridotspoke.exceptions import PlatformError, PlatformUnavailableError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import (
+    MalformedDataError,
+    PlatformError,
+    PlatformUnavailableError,
+)
 
 __all__ = ["HttpInstanceList", "InstanceList", "ListedInstance", "parse_instances"]
 
@@ -93,8 +97,8 @@
         If the list has an unexpected form or an instance is listed more than once.
     """
     try:
-        listed = msgspec.json.decode(body, type=tuple[ListedInstance, ...])
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        listed = decode_json(body, tuple[ListedInstance, ...])
+    except MalformedDataError as error:
         raise PlatformError(str(error), step="read instance list") from error
     names = collections.Counter(item.instance for item in listed)
     duplicates = sorted(name for name, count in names.items() if count > 1)
--- a/peridotspoke/store/records.py
+++ b/peridotspoke/store/records.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from peridotspoke.decoding import decode_json
 from peridotspoke.exceptions import (
     AnswerLostError,
+    MalformedDataError,
     OperationConflictError,
     PlatformError,
     PlatformUnavailableError,
@@ -183,8 +185,8 @@
         If the value is not a valid `Stored` with a body of type `body_class`.
     """
     try:
-        return msgspec.json.decode(record.value, type=Stored[body_class])
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(record.value, Stored[body_class])
+    except MalformedDataError as error:
         raise RecordError(str(error), step="decode record", peer=record.key) from error
 
 
--- a/peridotspoke/store/usage.py
+++ b/peridotspoke/store/usage.py
@@ -4,9 +4,13 @@
 from dataclasses import dataclass
 
 import aiohttp
-import msgspec
 
-from peridotspoke.exceptions import PlatformError, PlatformUnavailableError
+from peridotspoke.decoding import decode_json
+from peridotspoke.exceptions import (
+    MalformedDataError,
+    PlatformError,
+    PlatformUnavailableError,
+)
 
 __all__ = ["HttpUsageReports", "UsageReport", "UsageReports", "parse_usage"]
 
@@ -69,8 +73,8 @@
         If the reports have an unexpected form.
     """
     try:
-        return msgspec.json.decode(body, type=tuple[UsageReport, ...])
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(body, tuple[UsageReport, ...])
+    except MalformedDataError as error:
         raise PlatformError(str(error), step=STEP) from error
 
 
--- a/peridotspoke/store/workers.py
+++ b/peridotspoke/store/workers.py
@@ -7,8 +7,10 @@
 import aiohttp
 import msgspec
 
+from peridotspoke.decoding import decode_json
 from peridotspoke.exceptions import (
     AnswerLostError,
+    MalformedDataError,
     PlatformError,
     PlatformUnavailableError,
 )
@@ -302,6 +304,6 @@
                 f"expected status 200, found {status}", step=method, peer=self._address
             )
         try:
-            return msgspec.json.decode(body, type=answer_class)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return decode_json(body, answer_class)
+        except MalformedDataError as error:
             raise PlatformError(str(error), step=method, peer=self._address) from error
--- a/peridotspoke/workloads/progress.py
+++ b/peridotspoke/workloads/progress.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from peridotspoke.exceptions import RecordError
+from peridotspoke.decoding import decode_with
+from peridotspoke.exceptions import MalformedDataError, RecordError
 from peridotspoke.workloads.jobs import Job, TaskKey
 
 __all__ = [
@@ -297,6 +298,6 @@
 
 def _decode(decoder, value, key):
     try:
-        return decoder.decode(value)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_with(decoder, value)
+    except MalformedDataError as error:
         raise RecordError(str(error), step="decode record", peer=key) from error
