Count a job as begun once an executor has started a task of it

Cause: planning a run marked the job as begun, before the run was stored and sent, and no refusal took that back; the owner's view, its published counts and the store's records all read that mark. The records were fresh: a stale count is ruled out.

Change: a job has begun once a start is answered with success, or a report lists a run or an end of it. The mark is stored with the next batch of the pool, or by itself after 1 s.

--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -264,6 +264,7 @@
         Executors may forget the acknowledged ends.
         """
         ledger, tracker = self._ledger, self._commit_tracker
+        ledger.hasten_begun_jobs(now)
         committing = tracker.list_jobs()
         while tracker.may_begin(len(ledger.dirty - committing), now):
             batch = ledger.take_batch(MAX_JOBS_PER_COMMIT, committing)
--- a/peridotspoke/platform/standins.py
+++ b/peridotspoke/platform/standins.py
@@ -246,6 +246,10 @@
         Tasks that fail.
     silent : bool, optional
         Whether calls get no response.
+    refuses_starts : bool, optional
+        Whether each start is answered 503, as by an unhealthy executor.
+    refused_starts : int, optional
+        Number of starts that were so answered.
     lost_start_responses : int, optional
         Number of next starts that are carried out without a response.
     running : dict of str to _RunningTask, optional
@@ -270,6 +274,8 @@
     starts: list = field(default_factory=list)
     failing: set = field(default_factory=set)
     silent: bool = False
+    refuses_starts: bool = False
+    refused_starts: int = 0
     lost_start_responses: int = 0
     running: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
@@ -302,6 +308,9 @@
         self.fence = body["fence"]
         self._advance()
         name = request.path.removeprefix(PATH_PREFIX)
+        if name == "run-start" and self.refuses_starts:
+            self.refused_starts += 1
+            return _make_response(status=503)
         if name == "run-start":
             return self._start(body, request)
         if name == "run-stop":
--- a/peridotspoke/platform/tests/test_whole_path.py
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -175,6 +175,28 @@
         assert response.status == 400
 
 
+async def test_a_job_whose_every_start_is_refused_is_counted_as_waiting(platform):
+    # Guards against a count that leaves out jobs of which no task has started, on the
+    # pool's owner and elsewhere (review/5).
+    for executor in platform.executors:
+        executor.refuses_starts = True
+    owner = await platform.start_node("n1")
+    await submit(owner, steps=[{"count": 1, "cpu": 500}])
+    async with asyncio.timeout(20):
+        while sum(executor.refused_starts for executor in platform.executors) < 3:
+            await asyncio.sleep(0.02)
+    other = await platform.start_node("n2")
+    async with asyncio.timeout(20):
+        while (await call(other, "GET", ""))[0] != 200:
+            await asyncio.sleep(0.02)
+    for address in (owner, other):
+        assert (await call(address, "GET", ""))[1] == {"waiting": 1}
+    for executor in platform.executors:
+        executor.refuses_starts = False
+    await wait_for_state(owner, "completed")
+    assert (await call(owner, "GET", ""))[1] == {"waiting": 0}
+
+
 async def test_another_node_takes_over_running_tasks(platform):
     """The first node is killed while a task runs; the task is not started again."""
     for executor in platform.executors:
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -79,6 +79,7 @@
             run.started_at = now
             run.progressed_at = now
             run.first_percent = reported.percent
+        self.mark_begun(run.progress, now)
         run.start_unconfirmed = False
         self._confirm(run, "report")
         if run.phase in (RunPhase.STARTING, RunPhase.INHERITED):
@@ -159,6 +160,7 @@
             executor=state.executor_id,
             kind=str(end.kind),
         )
+        self.mark_begun(progress, now)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE and not run.step.lasting:
@@ -186,6 +188,7 @@
         if step.lasting or step.gang or not (not_rerun or step.speculative):
             return
         self.note("given-up-ended", task=end.key, run=end.run, kind=str(end.kind))
+        self.mark_begun(progress, now)
         self.mark_changed(end.key.job_id)
         if end.kind is EndKind.FAILED and (end.key, end.run) in self.copied_runs:
             self.copied_runs.discard((end.key, end.run))
@@ -247,6 +250,7 @@
             return
         state = self.executors[run.executor_id]
         if refusal is None:
+            self.mark_begun(run.progress, now)
             run.start_unconfirmed = False
             if by_known_incarnation:
                 self._confirm(run, "answer")
--- a/peridotspoke/workloads/progress.py
+++ b/peridotspoke/workloads/progress.py
@@ -83,7 +83,7 @@
     job : Job
     outcome : JobOutcome
     begun : bool
-        Whether a run of any task has been planned.
+        Whether an executor has certainly started a task.
     ended_at : float
         When the job ended, seconds since the Unix epoch; 0.0 before that.
     occurrences : dict of int to list of list of TaskProgress
@@ -139,7 +139,7 @@
     outcome : str
         Value of a `JobOutcome`.
     begun : bool
-        Whether a run of any task has been planned.
+        Whether an executor has certainly started a task.
     ended_at : float
         When the job ended, seconds since the Unix epoch; 0.0 before that.
     next_occurrence : int
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -8,6 +8,8 @@
 
 __all__ = ["RunLedger"]
 
+MAX_BEGIN_DELAY_S = 1.0  # until the begin of a job is stored; tells callers its state
+
 
 class RunLedger:
     """The jobs and runs of one pool during one ownership.
@@ -34,6 +36,9 @@
         The executors by identity.
     dirty : set of str
         Jobs that have changed since they were last put into a batch.
+    begun_jobs : dict of str to float
+        Jobs that are to be stored only to show that they have begun, and when they
+        had, monotonic seconds.
     ready_work : dict of str to ReadyWork
         By job, the work that may start, as long as the job does not change.
     requested_reports : set of str
@@ -59,6 +64,7 @@
         self.jobs = {}
         self.executors = {}
         self.dirty = set()
+        self.begun_jobs = {}
         self.ready_work = {}
         self.requested_reports = set()
         self.durations = DurationModel()
@@ -76,6 +82,30 @@
         self.dirty.add(job_id)
         self.ready_work.pop(job_id, None)
 
+    def mark_begun(self, progress, now):
+        """Record that an executor has certainly started a task of a job.
+
+        Only callers who ask for the job's state need to know, so that it is stored with
+        a later change of any job, or by itself after `MAX_BEGIN_DELAY_S` seconds.
+
+        Parameters
+        ----------
+        progress : JobProgress
+        now : float
+            Monotonic seconds.
+        """
+        if not progress.begun:
+            progress.begun = True
+            self.begun_jobs[progress.job.job_id] = now
+
+    def hasten_begun_jobs(self, now):
+        """Let the jobs be stored that have begun `MAX_BEGIN_DELAY_S` seconds before."""
+        self.dirty.update(
+            job_id
+            for job_id, since in self.begun_jobs.items()
+            if now - since >= MAX_BEGIN_DELAY_S and job_id in self.jobs
+        )
+
     def drop_ended(self, job_id):
         """Remove an ended job from the ledger, unless runs of its tasks are left."""
         progress = self.jobs.get(job_id)
@@ -87,6 +117,7 @@
                 return
         del self.jobs[job_id]
         self.ready_work.pop(job_id, None)
+        self.begun_jobs.pop(job_id, None)
         self.failed_on = {
             key: names for key, names in self.failed_on.items() if key.job_id != job_id
         }
@@ -124,7 +155,6 @@
         run.ticket = ticket
         run.resumed = bool(task.checkpoint)
         state.runs[task.key] = run
-        progress.begun = True
         self.mark_changed(progress.job.job_id)
         return run
 
@@ -140,6 +170,8 @@
     def take_batch(self, max_jobs, exclude=frozenset()):
         """Return the changed jobs that are to be stored next, which are then clean.
 
+        Jobs that have only begun fill the batch up.
+
         Parameters
         ----------
         max_jobs : int
@@ -156,7 +188,11 @@
         job_ids = sorted(self.dirty - exclude)[:max_jobs]
         if not job_ids:
             return None
+        begun = self.begun_jobs.keys() - exclude - set(job_ids)
+        job_ids += sorted(begun)[: max_jobs - len(job_ids)]
         self.dirty.difference_update(job_ids)
+        for job_id in job_ids:
+            self.begun_jobs.pop(job_id, None)
         values = {
             job_id: encode_progress(self.jobs[job_id])
             for job_id in job_ids
--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -1,5 +1,7 @@
 """Tests of `PoolLedger`: its state after answers, reports and lost answers."""
 
+import pytest
+
 from peridotspoke.store import Record
 from peridotspoke.workloads.executors import EndKind, Refusal, StopOrder
 from peridotspoke.workloads.jobs import Need, Step
@@ -19,9 +21,14 @@
 ASSIGNED_THREE = [TaskStatus.ASSIGNED] * 3
 
 
+def read_summary(batch, job_id):
+    """Return the `ProgressSummary` of a job as a `StoredBatch` holds it."""
+    return decode_summary(Record("key", batch.values[job_id], 1))
+
+
 def read_outcome(batch, job_id):
     """Return the outcome of a job as a `StoredBatch` holds it."""
-    return decode_summary(Record("key", batch.values[job_id], 1)).outcome
+    return read_summary(batch, job_id).outcome
 
 
 def test_a_job_that_ends_while_an_earlier_state_is_stored_is_stored_again():
@@ -254,6 +261,55 @@
     assert len(plan(ledger, 1.0)) == 2
 
 
+def test_a_job_whose_every_start_was_refused_has_not_begun():
+    # Guards against jobs that `waiting` leaves out though none of their tasks has
+    # started (review/5).
+    ledger = make_ledger("e1")
+    job_id = add_job(ledger).job.job_id
+    for now in (0.0, 2.0):
+        plan(ledger, now)
+        batch = ledger.take_batch(15)
+        assert not read_summary(batch, job_id).begun
+        for run in ledger.note_stored(batch):
+            ledger.apply_start_answer(run, Refusal.UNHEALTHY, now)
+        assert not read_summary(ledger.take_batch(15), job_id).begun
+        report(ledger, "e1", now + 1.5)
+
+
+@pytest.mark.parametrize("sign", ["answer", "report", "end"])
+def test_the_begin_of_a_job_is_stored_within_a_second(sign):
+    """It needs no write of its own where another job changes before."""
+    ledger = make_ledger("e1")
+    job_id = add_job(ledger).job.job_id
+    plan(ledger, 0.0)
+    run, _ = store(ledger)
+    if sign == "answer":
+        ledger.apply_start_answer(run, None, 0.1)
+    else:
+        running = [run] if sign == "report" else []
+        ended = [end(1, run, EndKind.FAILED)] if sign == "end" else []
+        report(ledger, "e1", 0.1, running, ended)
+    if sign != "end":
+        assert ledger.take_batch(15) is None
+        ledger.hasten_begun_jobs(1.2)
+    assert read_summary(ledger.take_batch(15), job_id).begun
+    ledger.hasten_begun_jobs(2.4)
+    assert ledger.take_batch(15) is None
+
+
+def test_the_begin_of_a_job_is_stored_with_a_change_of_another():
+    ledger = make_ledger("e1")
+    first = add_job(ledger).job.job_id
+    start_all(ledger, 0.0)
+    second = add_job(ledger, job_id="a" * 16).job.job_id
+    ledger.mark_changed(second)
+    assert ledger.take_batch(15, exclude={second}) is None
+    batch = ledger.take_batch(15)
+    assert set(batch.values) == {first, second}
+    assert read_summary(batch, first).begun
+    assert not read_summary(batch, second).begun
+
+
 def test_a_job_cancelled_as_it_is_taken_over_has_its_runs_stopped():
     """The takeover may come before the connection to the executor.
 
