Log what is known of an executor as each of its runs is released

`run-over` now has the executor's incarnation, whether it is listed and answers, the age of its latest report and what is left of the lease; `executor-reborn` says who told of the restart, `executor-replaced` is new and names the address that answered.

--- a/peridotspoke/nodes/messages.py
+++ b/peridotspoke/nodes/messages.py
@@ -46,9 +46,16 @@
 
     An executor that is not listed and accepts no connection may be cut off and go on
     with its runs until their leases end.
+
+    Parameters
+    ----------
+    executor_id : str
+    address : str
+        The address at which the other executor answered.
     """
 
     executor_id: str
+    address: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -278,7 +278,7 @@
             self._post(Fenced(self.executor_id))
         else:
             if refusal is Refusal.OTHER_INCARNATION:
-                self._post(ExecutorLeft(self.executor_id))
+                self._post(ExecutorLeft(self.executor_id, self._calls.address))
             self._post(ExecutorCallFailed(self.executor_id, str(refusal)))
         return False
 
--- a/peridotspoke/nodes/tests/test_sessions.py
+++ b/peridotspoke/nodes/tests/test_sessions.py
@@ -28,6 +28,8 @@
 class FakeExecutor(ExecutorCalls):
     """Records the calls and answers with the reports of `answers`, in turn."""
 
+    address = "10.0.0.1:80"
+
     def __init__(self, incarnation=1):
         self.incarnation = incarnation
         self.sent = []
--- a/peridotspoke/platform/executors.py
+++ b/peridotspoke/platform/executors.py
@@ -162,6 +162,11 @@
         self._headers = {"X-Expect-Instance": executor_id}
         self._timeout = timeout
 
+    @property
+    def address(self):
+        """The executor's address, as ``host:port``."""
+        return self._peer.address
+
     async def start(self, order):
         """Send a `StartOrder` and return the `StartAnswer`."""
         body = {
--- a/peridotspoke/programs/story.py
+++ b/peridotspoke/programs/story.py
@@ -17,6 +17,7 @@
         "executor-unreachable",
         "executor-reachable",
         "executor-reborn",
+        "executor-replaced",
         "executor-withdrawn",
         "leases-expired",
         "ownership-gained",
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -35,7 +35,7 @@
                 sequence=entry.sequence,
             )
         state.entry = entry
-        self._update_incarnation(state, entry.incarnation, now)
+        self._update_incarnation(state, entry.incarnation, now, "entry")
 
     def lose_entry(self, executor_id):
         """Record that an executor is no longer listed in this pool."""
@@ -68,29 +68,48 @@
         state = self.executors.get(executor_id)
         return state is None or not (state.runs or state.foreign)
 
-    def release_departed(self, executor_id, now):
-        """Release the runs of an executor that has certainly left.
+    def release_departed(self, executor_id, address, now):
+        """Release the runs of an executor at whose address another one answers.
 
         Parameters
         ----------
         executor_id : str
+        address : str
+            As ``host:port``.
         now : float
             Monotonic seconds.
         """
         state = self.executors.get(executor_id)
         if state is None:
             return
+        self.note(
+            "executor-replaced",
+            executor=executor_id,
+            address=address,
+            listed=state.entry is not None and state.entry.address,
+            runs=len(state.runs),
+        )
         for run in list(state.runs.values()):
             self.requeue(run, now, "executor left")
         if state.entry is None:
             del self.executors[executor_id]
 
-    def _update_incarnation(self, state, incarnation, now):
-        """Record an executor's incarnation; drop what belongs to an earlier one."""
+    def _update_incarnation(self, state, incarnation, now, source):
+        """Record an executor's incarnation; drop what belongs to an earlier one.
+
+        The log names the source, which is the executor's entry or its report.
+        """
         if not incarnation or incarnation <= state.incarnation:
             return
         if state.incarnation:
-            self.note("executor-reborn", executor=state.executor_id, born=incarnation)
+            self.note(
+                "executor-reborn",
+                executor=state.executor_id,
+                born=incarnation,
+                before=state.incarnation,
+                by=source,
+                runs=len(state.runs),
+            )
             state.cursor = state.acknowledged = 0
             state.foreign.clear()
             state.reported_at = None
--- a/peridotspoke/workloads/executors.py
+++ b/peridotspoke/workloads/executors.py
@@ -323,12 +323,17 @@
 
 
 class ExecutorCalls(ABC):
-    """Client of one executor.
+    """Client of one executor; `address` is the executor's, as ``host:port``.
 
     Each call raises `PlatformUnavailableError` if it certainly had no effect, and
     `AnswerLostError` if it may have taken effect or may still do so.
     """
 
+    @property
+    @abstractmethod
+    def address(self):
+        """Address that the calls go to."""
+
     @abstractmethod
     async def start(self, order):
         """Send a `StartOrder` and return the `StartAnswer`."""
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -44,7 +44,7 @@
         state = self.executors.get(executor_id)
         if state is None:
             return
-        self._update_incarnation(state, report.incarnation, now)
+        self._update_incarnation(state, report.incarnation, now, "report")
         if report.incarnation and report.incarnation < state.incarnation:
             return
         if not state.reachable:
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -301,10 +301,28 @@
             run=run.number,
             executor=run.executor_id,
             reason=reason,
+            **self._describe_evidence(run, now),
             **fields,
         )
         self._mark_waiting(run)
 
+    def _describe_evidence(self, run, now):
+        """Return the log's fields about what is known of a run's executor.
+
+        They tell a run that has ended from one that may go on: the incarnation that the
+        owner knows, whether it is listed and answers, the age of its latest report and
+        what is left of the lease on its confirmed runs, in seconds.
+        """
+        state = self.executors[run.executor_id]
+        reported_at = state.reported_at
+        return {
+            "born": state.incarnation,
+            "listed": state.entry is not None,
+            "reachable": state.reachable,
+            "report_age": None if reported_at is None else now - reported_at,
+            "lease_left": state.lease_end - now,
+        }
+
     def _mark_waiting(self, run):
         if run.task.status is TaskStatus.ASSIGNED:
             run.task.status = TaskStatus.WAITING
--- a/peridotspoke/workloads/tests/test_notes.py
+++ b/peridotspoke/workloads/tests/test_notes.py
@@ -10,6 +10,7 @@
 from peridotspoke.workloads.tests.ledgers import (
     RULES,
     add_job,
+    make_entry,
     make_ledger,
     plan,
     report,
@@ -89,6 +90,50 @@
         "run": 1,
         "executor": "e1",
         "reason": "lease expired",
+        "born": 1,
+        "listed": False,
+        "reachable": False,
+        "report_age": 20.0,
+        "lease_left": -15.0,
         "held_until": held_until + RULES.margin,
         "bound": bound,
     }
+
+
+def test_the_release_of_a_run_tells_what_is_known_of_its_executor():
+    """Two runs of one task could not be traced to the evidence that ended the first."""
+    ledger = make_noted_ledger("e1")
+    add_job(ledger, SHORT)
+    run = order(ledger, 1.0)
+    ledger.extend_lease("e1", 6.0)
+    ledger.apply_start_answer(run, None, 1.0, True)
+    report(ledger, "e1", 3.0, asked_at=2.0)
+    (over,) = ledger.note.find("run-over")
+    assert over["reason"] == "run no longer on the executor"
+    assert (over["born"], over["listed"], over["reachable"]) == (1, True, True)
+    assert (over["report_age"], over["lease_left"]) == (3.0, 3.0)
+
+
+@pytest.mark.parametrize("source", ["entry", "report"])
+def test_a_restart_of_an_executor_names_who_tells_of_it(source):
+    ledger = make_noted_ledger("e1")
+    if source == "entry":
+        ledger.see_entry(make_entry("e1", incarnation=2), 1.0)
+    else:
+        report(ledger, "e1", 1.0, incarnation=2)
+    assert ledger.note.find("executor-reborn") == [
+        {"executor": "e1", "born": 2, "before": 1, "by": source, "runs": 0}
+    ]
+
+
+def test_another_executor_at_an_address_is_logged_with_both_addresses():
+    ledger = make_noted_ledger("e1")
+    ledger.release_departed("e1", "10.0.0.9:80", 1.0)
+    assert ledger.note.find("executor-replaced") == [
+        {
+            "executor": "e1",
+            "address": "10.0.0.9:80",
+            "listed": "10.0.0.1:80",
+            "runs": 0,
+        }
+    ]
