--- a/peridotspoke/nodes/tests/test_supervising.py
+++ b/peridotspoke/nodes/tests/test_supervising.py
@@ -87,6 +87,7 @@
     ledger = make_ledger("e1")
     progress = add_job(ledger, Step(1, Need(1000, 100), lasting=True))
     plan(ledger, 0.0)
+    progress.begun = True
     values = {
         key_job("pool", JOB): encode_job(progress.job),
         key_progress("pool", JOB): ledger.take_batch(1).values[JOB],
