Take no run for over while it may still be stopping

Cause, reproduced with real processes: a stop takes up to 0.4 s, and an executor may list a run meanwhile neither as running nor as ended. A report requested after the stop was answered, as follows the end of another run at once, was taken for the end. The same gap was open for inherited runs (an earlier owner's stop) and for started ones.

Change: a run that is not listed is over only by a report requested later than a stop can take; that report is requested when it is due.

--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -206,6 +206,7 @@
             wall = self._node.clock.read_wall()
             plan_runs(self._ledger, now, wall, self._tickets.find)
             self._send_throttling(now)
+        self._ledger.request_due_reports(now)
         self._update_sessions()
         self._send_stops()
         self._send_report_requests()
@@ -390,4 +391,5 @@
         margin=(SLOW_CLOCK_FACTOR - 1.0) * run_lease,
         restart_excess=max(0.0, longest_lease - run_lease),
         run_lease=run_lease,
+        stop_limit=settings.bounds.stop * SLOW_CLOCK_FACTOR,
     )
--- a/peridotspoke/platform/standins.py
+++ b/peridotspoke/platform/standins.py
@@ -221,8 +221,10 @@
 @dataclass(slots=True)
 class _RunningTask:
     run: int
+    began_at: float
     ends_at: float
     kind: str
+    is_stopping: bool = False
 
 
 @dataclass(slots=True)
@@ -250,6 +252,11 @@
         Whether each start is answered 503, as by an unhealthy executor.
     refused_starts : int, optional
         Number of starts that were so answered.
+    stop_duration : float, optional
+        Time that a stop takes, in seconds. Meanwhile the run is in neither list.
+    intervals : list of (str, float, float), optional
+        Each run that has ended: its task, and the monotonic times in seconds at which
+        it began and ended.
     lost_start_responses : int, optional
         Number of next starts that are carried out without a response.
     running : dict of str to _RunningTask, optional
@@ -276,6 +283,8 @@
     silent: bool = False
     refuses_starts: bool = False
     refused_starts: int = 0
+    stop_duration: float = 0.0
+    intervals: list = field(default_factory=list)
     lost_start_responses: int = 0
     running: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
@@ -336,7 +345,8 @@
                 self._finish(task, item.run, "lapsed")
 
     def _finish(self, task, run, kind):
-        del self.running[task]
+        began_at = self.running.pop(task).began_at
+        self.intervals.append((task, began_at, time.monotonic()))
         self.end_count += 1
         self.ended.append([self.end_count, task, run, kind, ""])
 
@@ -350,7 +360,8 @@
         self.latest_runs[task] = run
         self.starts.append((task, run))
         kind = "failed" if task in self.failing else "done"
-        self.running[task] = _RunningTask(run, time.monotonic() + self.duration, kind)
+        now = time.monotonic()
+        self.running[task] = _RunningTask(run, now, now + self.duration, kind)
         if self.lost_start_responses:
             self.lost_start_responses -= 1
             request.transport.abort()
@@ -359,8 +370,11 @@
     def _stop(self, body):
         task, run = body["task"], body["run"]
         self.latest_runs[task] = max(run, self.latest_runs.get(task, 0))
-        if task in self.running and self.running[task].run == run:
-            self._finish(task, run, "stopped")
+        item = self.running.get(task)
+        if item is not None and item.run == run and not item.is_stopping:
+            item.ends_at = time.monotonic() + self.stop_duration
+            item.kind, item.is_stopping = "stopped", True
+            self._advance()
         return self._reply()
 
     async def _hold(self, body):
@@ -370,7 +384,11 @@
         while not self.ended and time.monotonic() < end:
             await asyncio.sleep(POLL_INTERVAL)
             self._advance()
-        running = [[task, item.run, "", 50] for task, item in self.running.items()]
+        running = [
+            [task, item.run, "", 50]
+            for task, item in self.running.items()
+            if not item.is_stopping
+        ]
         return self._reply(running=running, ended=self.ended[:MAX_LISTED_ENDS])
 
 
--- a/peridotspoke/platform/tests/test_whole_path.py
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -148,6 +148,36 @@
     assert len(starts) == len(set(starts))
 
 
+async def test_tasks_that_take_a_while_to_stop_run_nowhere_else_meanwhile(platform):
+    # Guards against two runs at once (TWICE in the users' own runs): several runs of
+    # one executor are stopped together, and it lists none of them until they end.
+    for executor in platform.executors:
+        executor.duration = 3600.0
+        executor.stop_duration = 0.39
+        executor.lost_start_responses = 2
+    address = await platform.start_node("n1")
+    await submit(address, steps=[{"count": 4, "cpu": 500}])
+    async with asyncio.timeout(20):
+        while not all(executor.intervals for executor in platform.executors):
+            await asyncio.sleep(0.02)
+        while sum(len(executor.running) for executor in platform.executors) < 4:
+            await asyncio.sleep(0.02)
+    ended = [item for executor in platform.executors for item in executor.intervals]
+    later = [
+        (task, run.began_at)
+        for executor in platform.executors
+        for task, run in executor.running.items()
+    ]
+    begins = [*later, *((task, began_at) for task, began_at, _ in ended)]
+    overlaps = [
+        (task, began_at, at)
+        for task, began_at, ended_at in ended
+        for other, at in begins
+        if other == task and began_at < at < ended_at
+    ]
+    assert not overlaps
+
+
 async def test_a_task_that_always_fails_ends_its_job_after_all_attempts(platform):
     """The queue allows two attempts."""
     task = f"{JOB_ID}.0.0.0"
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -213,6 +213,43 @@
             self.failed_on.setdefault(run.key, set()).add(executor_id)
             self.stop_run(run, f"stalled at {run.percent} percent")
 
+    def request_due_reports(self, now):
+        """Request a report where the next one can show that a run is over.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        for state in self.executors.values():
+            if not state.reachable or state.reported_at is None:
+                continue
+            due = (self.find_end_proof_time(run) for run in state.runs.values())
+            if any(at is not None and state.reported_at < at < now for at in due):
+                self.requested_reports.add(state.executor_id)
+
+    def find_end_proof_time(self, run):
+        """Return from when on a report that does not list a run proves its end.
+
+        Parameters
+        ----------
+        run : Run
+
+        Returns
+        -------
+        float or None
+            Monotonic seconds, of the report's request. None if no report proves it as
+            yet: the run is listed, or its stop was not answered.
+
+        Notes
+        -----
+        An executor may list a run that it is stopping neither as running nor as ended,
+        whether this owner or an earlier one ordered that, or its lease has expired.
+        """
+        is_stopping = run.phase is RunPhase.STOPPING
+        begun_at = run.stop_answered_at if is_stopping else run.missing_since
+        return None if begun_at is None else begun_at + self.rules.stop_limit
+
     def expire_leases(self, now):
         """Release the runs that have certainly ended because their lease expired.
 
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -118,19 +118,32 @@
 
         The report must list all ends: a run whose end is missing may be done. A report
         that was requested before a start or a stop was answered proves nothing about
-        that run.
+        that run, nor does one from while it may be stopping.
         """
         for run in list(state.runs.values()):
             if (run.key, run.number) in listed:
+                run.missing_since = None
                 continue
-            if run.phase is RunPhase.INHERITED:
-                self.requeue(run, now, "inherited run not on the executor")
-            elif run.phase is RunPhase.STOPPING:
-                answered = run.stop_answered_at
-                if answered is not None and asked_at > answered:
+            if run.phase is RunPhase.STOPPING:
+                proof_time = self.find_end_proof_time(run)
+                if proof_time is not None and asked_at > proof_time:
                     self.requeue(run, now, "stop confirmed")
+            elif run.phase is RunPhase.INHERITED:
+                # Until this report an earlier owner's orders could still arrive.
+                self._handle_missing_run(run, now, asked_at, now)
             elif run.phase is RunPhase.RUNNING and asked_at > run.started_at:
-                self.requeue(run, now, "run no longer on the executor")
+                self._handle_missing_run(run, asked_at, asked_at, now)
+
+    def _handle_missing_run(self, run, since, asked_at, now):
+        """Release a run that reports do not list, unless it may still be stopping."""
+        if run.missing_since is None:
+            run.missing_since = since
+        if asked_at < self.find_end_proof_time(run):
+            return
+        if run.phase is RunPhase.INHERITED:
+            self.requeue(run, now, "inherited run not on the executor")
+        else:
+            self.requeue(run, now, "run no longer on the executor")
 
     def _retry_stops(self, state, listed, asked_at):
         """Let the runs that are still listed after their stop be stopped again."""
--- a/peridotspoke/workloads/ledgertypes.py
+++ b/peridotspoke/workloads/ledgertypes.py
@@ -26,12 +26,16 @@
         incarnation starts anew, and an executor only limits the length of a lease.
     run_lease : float, optional
         Duration, seconds, of each lease that an owner grants; by default unknown.
+    stop_limit : float, optional
+        Longest time, seconds, that an executor takes to stop a run. Meanwhile it may
+        list the run neither as running nor as ended.
     """
 
     inherited_lease: float
     margin: float
     restart_excess: float = 0.0
     run_lease: float = float("inf")
+    stop_limit: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -55,6 +55,9 @@
         by a report.
     stop_answered_at : float or None
         When the executor answered the stop; None before that.
+    missing_since : float or None
+        Since when reports have listed neither the run nor its end; None if the latest
+        one listed it.
     percent : int
         Completion as last reported, percent.
     load : int
@@ -89,6 +92,7 @@
     start_unconfirmed: bool = False
     is_confirmed: bool = False
     stop_answered_at: float | None = None
+    missing_since: float | None = None
     percent: int = 0
     load: int = 0
     first_percent: int = 0
