Refuse entries that can't be an executor's

Operators of like systems saw machines end, or stop following the list, for one odd entry. Here no process ended, but such entries were accepted as executors in use.

Cause: the decoder checked types only, and what follows trusted the values. A host label of 300 letters ended the session's task for good; for a port out of range a call counted as maybe received; absurd or unknown capacity went into room and sizing; a born in the far future would have made each report look old.

Change: platform/entries.py refuses an entry whose key, address or numbers can't be an executor's. An address that nothing can be sent to means that nothing was received, a session starts again after an unexpected error, and unconfigured pools add no capacity.

--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -212,10 +212,15 @@
     def _sum_attainable(self):
         """Return the number of processors that the pool could get from the fleet.
 
-        Capacities are in thousandths of a processor.
+        Capacities are in thousandths of a processor. An entry of a pool that is not
+        configured names no executor to use.
         """
-        entries = self._node.view.entries.values()
-        return ATTAINABLE_SHARE * sum(entry.capacity.cpu for entry in entries) / 1000
+        view = self._node.view
+        pools = {pool.name for pool in view.configuration.pools}
+        capacities = (
+            entry.capacity.cpu for entry in view.entries.values() if entry.pool in pools
+        )
+        return ATTAINABLE_SHARE * sum(capacities) / 1000
 
     async def _store_demand(self, demand):
         owner = Condition(key_owner(self._pool), self._holding.fence)
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -33,7 +33,7 @@
 from peridotspoke.nodes.poolrecords import PoolRecords
 from peridotspoke.nodes.predecessors import InheritedLeases
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
-from peridotspoke.nodes.tasksets import TaskSet
+from peridotspoke.nodes.tasksets import TaskSet, keep_running
 from peridotspoke.nodes.tickets import TicketCache
 from peridotspoke.nodes.view import wait_until
 from peridotspoke.workloads.evacuation import plan_evacuation
@@ -375,7 +375,8 @@
             self._queue.put_nowait,
             self._ledger.extend_lease,
         )
-        task = self._tasks.spawn(session.run())
+        run = keep_running(f"session with {state.executor_id}", session.run)
+        task = self._tasks.spawn(run)
         self._sessions[state.executor_id] = (session, task, state.entry.address)
 
 
--- a/peridotspoke/nodes/tests/test_departures.py
+++ b/peridotspoke/nodes/tests/test_departures.py
@@ -28,10 +28,14 @@
 class RunningCalls:
     """Stands for the calls to an executor that runs the job's task."""
 
+    address = "10.0.0.1:80"
+
     def __init__(self):
         self.error = None
+        self.count = 0
 
     async def renew_leases(self, order):
+        self.count += 1
         if self.error is not None:
             raise self.error
         running = (ReportedRun(TaskKey(JOB, 0, 0, 0), 1, "", 50),)
@@ -117,3 +121,17 @@
     assert not pool.is_held()
     pool.close()
     await asyncio.sleep(0)
+
+
+async def test_a_session_goes_on_after_an_unexpected_error(monkeypatch):
+    # Guards against an executor that is never polled again.
+    monkeypatch.setattr("peridotspoke.nodes.tasksets.RESTART_DELAY", 0.0)
+    pool = OwnedPool()
+    pool.calls.error = KeyError("an answer of an unexpected form")
+    async with asyncio.timeout(20):
+        while not pool.calls.count:
+            await asyncio.sleep(0.01)
+        pool.calls.error, failed = None, pool.calls.count
+        while pool.calls.count <= failed + 1:
+            await asyncio.sleep(0.01)
+    pool.close()
--- a/peridotspoke/nodes/tests/test_poolrecords.py
+++ b/peridotspoke/nodes/tests/test_poolrecords.py
@@ -1,6 +1,7 @@
 """Tests of the demand that a pool's owner stores for the fleet's owner."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -50,6 +51,14 @@
     assert records._arrivals.compute_mean(now) == pytest.approx(80.0)
 
 
+def test_an_entry_of_an_unknown_pool_adds_no_attainable_processors(records):
+    # Guards against demands that count on what another writer says there is.
+    parts = records._node
+    known, unknown = make_entry("e1", cpu=8000), make_entry("e2", cpu=10**8)
+    parts.view.entries = {"e1": known, "e2": replace(unknown, pool="unknown")}
+    assert records._sum_attainable() == pytest.approx(4.0)
+
+
 async def test_an_unchanged_demand_is_not_estimated_in_every_round(
     records, monkeypatch
 ):
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -18,7 +18,8 @@
     encode_wave_status,
     key_wave_status,
 )
-from peridotspoke.platform.executors import ENTRY_PREFIX, HttpExecutor, decode_entry
+from peridotspoke.platform.entries import ENTRY_PREFIX, decode_entry
+from peridotspoke.platform.executors import HttpExecutor
 from peridotspoke.platform.http import HttpPeer
 from peridotspoke.platform.keyvalue import MetadataStore
 from peridotspoke.platform.machines import HttpMachines
--- a/peridotspoke/platform/executors.py
+++ b/peridotspoke/platform/executors.py
@@ -1,26 +1,22 @@
-"""Client of the platform's executors, and decoder of their records in the store."""
+"""Client of the platform's executors."""
 
 import msgspec
 
-from peridotspoke.decoding import decode_json
-from peridotspoke.exceptions import AnswerLostError, MalformedDataError, RecordError
+from peridotspoke.exceptions import AnswerLostError
 from peridotspoke.platform.http import HTTP_OK, decode_body
 from peridotspoke.workloads.executors import (
     EndedRun,
     EndKind,
     ExecutorCalls,
-    ExecutorCondition,
-    ExecutorEntry,
     Refusal,
     ReportedRun,
     RunReport,
     StartAnswer,
 )
-from peridotspoke.workloads.jobs import Need, TaskKey
+from peridotspoke.workloads.jobs import TaskKey
 
-__all__ = ["ENTRY_PREFIX", "HttpExecutor", "decode_entry", "format_task", "parse_task"]
+__all__ = ["HttpExecutor", "format_task", "parse_task"]
 
-ENTRY_PREFIX = "servers/"
 MAX_LISTED_ENDS = 500  # rows of "ended" in one response; the rest follow those
 HTTP_CONFLICT = 409
 REFUSALS_BY_REASON = {
@@ -41,70 +37,20 @@
 }
 
 
-class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-
-class _Heartbeat(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str
-    state: str
-    seq: int
-    capacity: _Capacity
-    labels: list[str]
-    born: int = 0
-    remaining_ms: float | None = None
-
-
-class _RunLists(msgspec.Struct, rename="camel"):
-    """Response to a `hold` call; `reason` is set instead if an order is refused."""
+class _Answer(msgspec.Struct, rename="camel"):
+    """Response to an order; `reason` is set if it is refused."""
 
     clock_ms: int = 0
-    born: int = 0
-    running: list[tuple] = []
-    ended: list[tuple] = []
     reason: str = ""
 
 
-def decode_entry(record):
-    """Decode the heartbeat that an executor stores under ``servers/``.
-
-    Parameters
-    ----------
-    record : Record
-
-    Returns
-    -------
-    ExecutorEntry
+class _RunLists(msgspec.Struct, rename="camel"):
+    """Response to a `hold` call; one without both lists says nothing of the runs."""
 
-    Raises
-    ------
-    RecordError
-        If the value is not a heartbeat, or its state is unknown.
-    """
-    try:
-        heartbeat = decode_json(record.value, _Heartbeat)
-        condition = ExecutorCondition(heartbeat.state)
-    except (MalformedDataError, ValueError) as error:
-        raise RecordError(str(error), step="decode entry", peer=record.key) from error
-    remaining = heartbeat.remaining_ms
-    return ExecutorEntry(
-        executor_id=record.key.partition("/")[2],
-        pool=heartbeat.service,
-        address=heartbeat.address,
-        zone=heartbeat.zone,
-        condition=condition,
-        capacity=Need(
-            heartbeat.capacity.cpu, heartbeat.capacity.mem_mb, heartbeat.capacity.gpu
-        ),
-        labels=tuple(heartbeat.labels),
-        incarnation=heartbeat.born,
-        sequence=heartbeat.seq,
-        remaining=None if remaining is None else remaining / 1000,
-    )
+    clock_ms: int
+    running: list[tuple]
+    ended: list[tuple]
+    born: int = 0
 
 
 def format_task(key):
@@ -185,7 +131,7 @@
         if refusal is not None:
             return StartAnswer(refusal)
         try:
-            answer = decode_body(response, _RunLists, "run-start", self._peer.address)
+            answer = decode_body(response, _Answer, "run-start", self._peer.address)
         except AnswerLostError:
             # The status says that the run was started; only the clock is not known.
             return StartAnswer()
@@ -262,9 +208,9 @@
         if response.status == HTTP_OK:
             return None
         if response.status == HTTP_CONFLICT:
-            run_lists = decode_body(response, _RunLists, name, self._peer.address)
-            if run_lists.reason in REFUSALS_BY_REASON:
-                return REFUSALS_BY_REASON[run_lists.reason]
+            answer = decode_body(response, _Answer, name, self._peer.address)
+            if answer.reason in REFUSALS_BY_REASON:
+                return REFUSALS_BY_REASON[answer.reason]
         if response.status in REFUSALS_BY_STATUS:
             return REFUSALS_BY_STATUS[response.status]
         raise AnswerLostError(
--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -23,6 +23,14 @@
 MIN_LINK_RATE = 125_000  # bytes per second that a node's link spares for a response
 MAX_BODY_TIME = MAX_RESPONSE_BYTES / MIN_LINK_RATE  # seconds
 HTTP_OK = 200
+# Raised before anything is sent, also for addresses that nothing can be sent to.
+_NOT_CONNECTED_ERRORS = (
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.ClientConnectorError,
+    aiohttp.InvalidURL,
+    UnicodeError,
+    OverflowError,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +173,7 @@
     def _translate_errors(self, connections, step):
         try:
             yield
-        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
+        except _NOT_CONNECTED_ERRORS as error:
             raise PlatformUnavailableError(
                 f"could not connect: {error!r}", step=step, peer=self.address
             ) from error
--- a/peridotspoke/platform/tests/test_documents.py
+++ b/peridotspoke/platform/tests/test_documents.py
@@ -6,7 +6,8 @@
 from peridotspoke.exceptions import RecordError, RequestError
 from peridotspoke.nodes.view import StoreView
 from peridotspoke.platform.configuration import decode_configuration, decode_wave
-from peridotspoke.platform.executors import decode_entry, format_task, parse_task
+from peridotspoke.platform.entries import decode_entry
+from peridotspoke.platform.executors import format_task, parse_task
 from peridotspoke.platform.submissions import decode_submission
 from peridotspoke.store import FollowedRecords, Record
 from peridotspoke.workloads.checking import check_job
@@ -27,6 +28,31 @@
     "seq": 4,
     "born": 1_700_000_000_000,
 }
+ODD_ADDRESSES = [
+    "",
+    ":80",
+    "10.1.1.1",
+    "10.1.1.1:",
+    "10.1.1.1:0",
+    "10.1.1.1:-1",
+    "10.1.1.1:99999",
+    "10.1.1.1:8e1",
+    "10.1.1.1:" + "8" * 5000,
+    "10.1.1.1:\u0663\u0664",
+    "10.1.1.999:80",
+    "10.1.1.1\n:80",
+    "10.1. 1.1:80",
+    "[::1:9",
+    "[::1]",
+    "[10.1.1.1]:80",
+    "::1:80",
+    "http://10.1.1.1:80",
+    "user@10.1.1.1:80",
+    "10.1.1.1/x:80",
+    "a" * 300 + ":80",
+    ".".join(["a" * 60] * 5) + ":80",
+    "\u00fcber:80",
+]
 QUEUE = Queue("q", "host", "/q/", "pool")
 # More levels than any decoder follows; the rest of the document is missing.
 DEEPLY_NESTED = b'{"inventory":' + b"[" * 2000
@@ -55,6 +81,16 @@
         {**HEARTBEAT, "state": "sleepy"},
         {**HEARTBEAT, "seq": "four"},
         {**HEARTBEAT, "capacity": None},
+        b'{"seq":' + b"9" * 5000 + b"}",
+        {**HEARTBEAT, "seq": 10**30},
+        {**HEARTBEAT, "born": 10**18},
+        {**HEARTBEAT, "born": -1},
+        {**HEARTBEAT, "remainingMs": -1},
+        {**HEARTBEAT, "capacity": {"cpu": 10**18}},
+        {**HEARTBEAT, "capacity": {"cpu": -5}},
+        {**HEARTBEAT, "capacity": {"memMb": 10**18}},
+        {**HEARTBEAT, "capacity": {"gpu": -1}},
+        *({**HEARTBEAT, "address": address} for address in ODD_ADDRESSES),
         {key: val for key, val in HEARTBEAT.items() if key != "address"},
     ],
 )
@@ -92,6 +128,21 @@
         decode_submission(DEEPLY_NESTED, "5c0e7a21d94b36f8", QUEUE, 0.0)
 
 
+@pytest.mark.parametrize("name", ["", "i 1", "i-1\r\nX-Fence: 9", "\u00fcber"])
+def test_an_entry_whose_key_cannot_be_sent_in_a_header_is_a_record_error(name):
+    # Guards against calls that fail by an unexpected error, or carry another header.
+    with pytest.raises(RecordError):
+        decode_entry(make_record(HEARTBEAT, f"servers/{name}"))
+
+
+@pytest.mark.parametrize(
+    "address", ["10.1.1.1:80", "[2001:db8::1]:65535", "localhost:1", "n-1.lima:8080"]
+)
+def test_the_addresses_of_executors_are_accepted(address):
+    entry = decode_entry(make_record({**HEARTBEAT, "address": address}))
+    assert entry.address == address
+
+
 def test_task_names_are_parsed_as_they_are_formatted():
     """A name has four parts; one with fewer is refused."""
     key = TaskKey("5c0e7a21d94b36f8", 2, 1, 17)
--- a/peridotspoke/platform/tests/test_http.py
+++ b/peridotspoke/platform/tests/test_http.py
@@ -63,6 +63,18 @@
     await peer.close()
 
 
+@pytest.mark.parametrize(
+    "address", ["[::1:9", "127.0.0.1:99999", "a" * 300 + ":80", "127.0.0.1\n:80"]
+)
+async def test_an_address_that_nothing_can_be_sent_to_received_nothing(address):
+    # Guards against callers that meet an error which they don't expect, or take a
+    # call for one that may have had an effect.
+    peer = HttpPeer(address)
+    with pytest.raises(PlatformUnavailableError):
+        await peer.call("POST", "/order", timeout=0.5, body={"order": 1})
+    await peer.close()
+
+
 async def test_stale_calls_are_cancelled_once_the_peer_responds_again():
     """Calls sent while the peer was silent must not wait until they time out."""
     silent = asyncio.Event()
--- a/peridotspoke/platform/tests/test_whole_path.py
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -190,6 +190,31 @@
     assert sum(name == task for name, _ in starts) == 2
 
 
+async def test_odd_entries_of_other_writers_keep_no_node_from_working(platform):
+    # Guards against nodes that end, stop following the entries or count on capacity
+    # that does not exist.
+    good = platform.executors[0].describe()
+    for number, value in enumerate(
+        [
+            b'{"inventory":' + b"[" * 2000,
+            b"9" * 5000,
+            {**good, "seq": 10**30},
+            {**good, "born": 10**18},
+            {**good, "capacity": {"cpu": 10**18, "memMb": -5, "gpu": 0}},
+            {**good, "address": "127.0.0.1:99999"},
+            {**good, "address": "[::1:9"},
+            {**good, "address": "a" * 300 + ":80"},
+            {**good, "service": "unknown"},
+        ]
+    ):
+        platform.store.put(f"servers/odd-{number}", value)
+    address = await platform.start_node("n1")
+    await submit(address)
+    await wait_for_state(address, "completed")
+    parts = platform.nodes["n1"][2]
+    assert set(parts.view.entries) == {"i-0", "i-1", "odd-8"}
+
+
 async def test_a_caller_that_sends_a_deeply_nested_body_is_told_so(platform):
     # Guards against an error of the server for what the caller got wrong.
     address = await platform.start_node("n1")
