--- a/peridotspoke/nodes/tests/test_departures.py
+++ b/peridotspoke/nodes/tests/test_departures.py
@@ -5,54 +5,19 @@
 import pytest
 
 from peridotspoke.exceptions import AnswerLostError, PlatformUnavailableError
+from peridotspoke.nodes.tests.doubles import HeldOwnership, RunningCalls
 from peridotspoke.nodes.tests.stores import make_parts
 from peridotspoke.nodes.tests.test_supervising import (
     FENCE,
-    HeldOwnership,
     make_jobs,
     run_round,
 )
 from peridotspoke.store import FollowedRecords, Record
 from peridotspoke.workloads.executors import (
     ExecutorCondition,
-    ReportedRun,
-    RunReport,
 )
-from peridotspoke.workloads.jobs import TaskKey
 from peridotspoke.workloads.progress import TaskStatus
-from peridotspoke.workloads.tests.ledgers import JOB, make_entry
-
-CLOCK_MS = 1000
-
-
-class RunningCalls:
-    """Stands for the calls to an executor that runs the job's task."""
-
-    address = "10.0.0.1:80"
-
-    def __init__(self):
-        self.error = None
-        self.count = 0
-
-    async def renew_leases(self, order):
-        self.count += 1
-        if self.error is not None:
-            raise self.error
-        running = (ReportedRun(TaskKey(JOB, 0, 0, 0), 1, "", 50),)
-        return RunReport(CLOCK_MS, 1, running, ())
-
-    async def close(self):
-        return None
-
-
-class HeldPool(HeldOwnership):
-    """Stands for an `Ownership` that holds the pool."""
-
-    def is_held(self, holding):
-        return True
-
-    def give_up(self, holding, reason):
-        return None
+from peridotspoke.workloads.tests.ledgers import make_entry
 
 
 class OwnedPool:
@@ -60,7 +25,7 @@
 
     def __init__(self):
         self.parts, self.calls = make_parts(), RunningCalls()
-        self.parts.ownership = HeldPool()
+        self.parts.ownership = HeldOwnership()
         self.parts.open_executor = lambda entry: self.calls
         self.list_executor(
             make_entry("e1", condition=ExecutorCondition.DRAINING, remaining=2.0)
@@ -129,9 +94,9 @@
     pool = OwnedPool()
     pool.calls.error = KeyError("an answer of an unexpected form")
     async with asyncio.timeout(20):
-        while not pool.calls.count:
+        while not pool.calls.orders:
             await asyncio.sleep(0.01)
-        pool.calls.error, failed = None, pool.calls.count
-        while pool.calls.count <= failed + 1:
+        pool.calls.error, failed = None, len(pool.calls.orders)
+        while len(pool.calls.orders) <= failed + 1:
             await asyncio.sleep(0.01)
     pool.close()
--- a/peridotspoke/nodes/tests/test_former_leases.py
+++ b/peridotspoke/nodes/tests/test_former_leases.py
@@ -7,6 +7,7 @@
 from peridotspoke.nodes.ownership import Ownership
 from peridotspoke.nodes.sessions import ExecutorSession
 from peridotspoke.nodes.supervising import PoolSupervisor
+from peridotspoke.nodes.tests.doubles import RunningCalls
 from peridotspoke.nodes.tests.stores import make_parts
 from peridotspoke.nodes.tests.test_supervising import (
     FENCE,
@@ -14,28 +15,10 @@
     make_jobs,
     update_work,
 )
-from peridotspoke.workloads.executors import ReportedRun, RunReport
-from peridotspoke.workloads.jobs import TaskKey
-from peridotspoke.workloads.tests.ledgers import JOB
 from peridotspoke.workloads.tests.ownershipmodel import World
 from peridotspoke.workloads.tests.ownershipwalks import ONE_TASK, make_job
 
 
-class RunningCalls:
-    """Stands for the calls to an executor that runs the job's task."""
-
-    def __init__(self):
-        self.orders = []
-
-    async def renew_leases(self, order):
-        self.orders.append(order)
-        running = (ReportedRun(TaskKey(JOB, 0, 0, 0), 1, "", 50),)
-        return RunReport(1000, 1, running, ())
-
-    async def close(self):
-        return None
-
-
 async def test_a_regained_pool_knows_of_leases_extended_as_it_was_given_up(monkeypatch):
     """A session that is due in the same moment sends before it is cancelled."""
     parts, jobs, calls, gates = make_parts(), make_jobs(), RunningCalls(), []
--- a/peridotspoke/nodes/tests/test_supervising.py
+++ b/peridotspoke/nodes/tests/test_supervising.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from peridotspoke.exceptions import AnswerLostError
 from peridotspoke.nodes.jobviews import PoolJobs
 from peridotspoke.nodes.keys import key_job, key_progress
 from peridotspoke.nodes.ownership import Holding
 from peridotspoke.nodes.supervising import PoolSupervisor
+from peridotspoke.nodes.tests.doubles import HeldOwnership, SilentCalls
 from peridotspoke.nodes.tests.stores import make_parts
 from peridotspoke.store import FollowedRecords, Record
 from peridotspoke.workloads.jobs import Need, Step
@@ -55,26 +55,6 @@
     task.cancel()
 
 
-class SilentCalls:
-    """Stands for the calls to an executor that never answers."""
-
-    async def renew_leases(self, order):
-        raise AnswerLostError("no answer", step="renew leases")
-
-    async def close(self):
-        return None
-
-
-class HeldOwnership:
-    """Stands for an `Ownership` that holds everything."""
-
-    def may_order(self):
-        return True
-
-    def may_extend_leases(self):
-        return True
-
-
 def make_owning_parts():
     parts = make_parts()
     parts.ownership = HeldOwnership()
