--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -221,12 +221,16 @@
         now : float
             Monotonic seconds.
         """
-        for state in self.executors.values():
-            if not state.reachable or state.reported_at is None:
+        for run in list(self.unproven_runs):
+            proof_time = self.find_end_proof_time(run)
+            if proof_time is None or not self.is_current(run):
+                self.unproven_runs.discard(run)
+                continue
+            state = self.executors[run.executor_id]
+            if state.reported_at is None or not state.reachable:
                 continue
-            due = (self.find_end_proof_time(run) for run in state.runs.values())
-            if any(at is not None and state.reported_at < at < now for at in due):
-                self.requested_reports.add(state.executor_id)
+            if state.reported_at < proof_time < now:
+                self.requested_reports.add(run.executor_id)
 
     def find_end_proof_time(self, run):
         """Return from when on a report that does not list a run proves its end.
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -138,6 +138,7 @@
         """Release a run that reports do not list, unless it may still be stopping."""
         if run.missing_since is None:
             run.missing_since = since
+            self.unproven_runs.add(run)
         if asked_at < self.find_end_proof_time(run):
             return
         if run.phase is RunPhase.INHERITED:
@@ -310,6 +311,7 @@
         run = state and state.runs.get(order.key)
         if run and run.number == order.run and run.phase is RunPhase.STOPPING:
             run.stop_answered_at = now
+            self.unproven_runs.add(run)
 
     def is_stop_due(self, executor_id, order):
         """Return whether a stop that got no answer has to be sent again.
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -41,6 +41,8 @@
         had, monotonic seconds.
     ready_work : dict of str to ReadyWork
         By job, the work that may start, as long as the job does not change.
+    unproven_runs : set of Run
+        Runs that are being stopped or that reports don't list, whose end is not proved.
     requested_reports : set of str
         Executors from which a fresh report is needed.
     durations : DurationModel
@@ -66,6 +68,7 @@
         self.dirty = set()
         self.begun_jobs = {}
         self.ready_work = {}
+        self.unproven_runs = set()
         self.requested_reports = set()
         self.durations = DurationModel()
         self.failed_on = {}
--- a/peridotspoke/workloads/tests/test_unlisted_runs.py
+++ b/peridotspoke/workloads/tests/test_unlisted_runs.py
@@ -13,6 +13,7 @@
     RULES,
     add_job,
     end,
+    make_entry,
     make_ledger,
     report,
     start_all,
@@ -110,3 +111,22 @@
     ledger.note_unreachable("e1", "no answer", 1.1)
     ledger.request_due_reports(2.0)
     assert not ledger.requested_reports
+
+
+def test_a_restart_before_the_proof_of_an_end_fails_nothing():
+    # Guards against a round that ends by an unexpected error: nothing is known of the
+    # new incarnation until its first report.
+    ledger = make_ledger("e1", rules=SLOW_STOPS)
+    add_job(ledger)
+    run, _ = start_all(ledger, 0.0)
+    ledger.stop_run(run, "the executor is leaving")
+    order = StopOrder(run.key, run.number, ledger.fence)
+    ledger.apply_stop_answer("e1", order, 1.0)
+    ledger.see_entry(make_entry("e1", incarnation=2), 1.1)
+    ledger.apply_stop_answer("e1", order, 1.2)
+    ledger.request_due_reports(2.0)
+    assert not ledger.requested_reports - {"e1"}
+    report(ledger, "e1", 2.5, incarnation=2)
+    ledger.request_due_reports(3.0)
+    report(ledger, "e1", 3.5, incarnation=2)
+    assert run.task.status is TaskStatus.WAITING
