--- a/peridotspoke/workloads/tests/test_ledger.py
+++ b/peridotspoke/workloads/tests/test_ledger.py
@@ -18,8 +18,6 @@
     store,
 )
 
-ASSIGNED_THREE = [TaskStatus.ASSIGNED] * 3
-
 
 def read_summary(batch, job_id):
     """Return the `ProgressSummary` of a job as a `StoredBatch` holds it."""
