--- a/peridotspoke/nodes/tests/handlers.py
+++ b/peridotspoke/nodes/tests/handlers.py
@@ -1,15 +1,9 @@
 """A handler of callers' requests on a node in memory, for tests."""
 
-from peridotspoke.exceptions import (
-    RequestError,
-)
+from peridotspoke.exceptions import RequestError
 from peridotspoke.nodes.jobrequests import JobRequestHandler
 from peridotspoke.nodes.jobviews import PoolJobs
-from peridotspoke.nodes.keys import (
-    key_owner,
-    key_queue_counts,
-    prefix_jobs,
-)
+from peridotspoke.nodes.keys import key_owner, key_queue_counts, prefix_jobs
 from peridotspoke.nodes.records import OwnerRecord, QueueCounts, encode_value
 from peridotspoke.nodes.tests.stores import JOB, make_parts
 from peridotspoke.store import FollowedRecords, Record
--- a/peridotspoke/nodes/tests/test_departures.py
+++ b/peridotspoke/nodes/tests/test_departures.py
@@ -7,15 +7,9 @@
 from peridotspoke.exceptions import AnswerLostError, PlatformUnavailableError
 from peridotspoke.nodes.tests.doubles import HeldOwnership, RunningCalls
 from peridotspoke.nodes.tests.stores import make_parts
-from peridotspoke.nodes.tests.test_supervising import (
-    FENCE,
-    make_jobs,
-    run_round,
-)
+from peridotspoke.nodes.tests.test_supervising import FENCE, make_jobs, run_round
 from peridotspoke.store import FollowedRecords, Record
-from peridotspoke.workloads.executors import (
-    ExecutorCondition,
-)
+from peridotspoke.workloads.executors import ExecutorCondition
 from peridotspoke.workloads.progress import TaskStatus
 from peridotspoke.workloads.tests.ledgers import make_entry
 
--- a/peridotspoke/nodes/tests/test_outagerefusals.py
+++ b/peridotspoke/nodes/tests/test_outagerefusals.py
@@ -5,9 +5,7 @@
 
 import pytest
 
-from peridotspoke.exceptions import (
-    PlatformUnavailableError,
-)
+from peridotspoke.exceptions import PlatformUnavailableError
 from peridotspoke.nodes import jobanswers as answers
 from peridotspoke.nodes.jobrequests import JobRequestHandler
 from peridotspoke.nodes.tests.handlers import (
