Release runs on another executor's answer only at the address of their life

Callers would see two runs of one task at once (TWICE): a 421 from an address that an executor had before it started again elsewhere released the runs of its present life. It came late from the session with the former address, or reached a new owner whose entry was from before the restart while it inherited runs of the later life.

Cause: release_departed logged the address that answered, and compared it with nothing. Now it counts only where the present life was last listed at that address. Otherwise the runs wait for a report or their lease, as on any executor that can't be reached.

--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -34,7 +34,7 @@
                 condition=str(entry.condition),
                 sequence=entry.sequence,
             )
-        state.entry = entry
+        state.entry = state.last_entry = entry
         self._update_incarnation(state, entry.incarnation, now, "entry")
 
     def lose_entry(self, executor_id):
@@ -71,6 +71,9 @@
     def release_departed(self, executor_id, address, now):
         """Release the runs of an executor at whose address another one answers.
 
+        The answer says nothing about an incarnation that is listed at another address,
+        or that is newer than the entry: it may go on with its runs elsewhere.
+
         Parameters
         ----------
         executor_id : str
@@ -89,6 +92,8 @@
             listed=state.entry is not None and state.entry.address,
             runs=len(state.runs),
         )
+        if not state.has_address(address):
+            return
         for run in list(state.runs.values()):
             self.requeue(run, now, "executor left")
         if state.entry is None:
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -120,6 +120,8 @@
     executor_id : str
     entry : ExecutorEntry or None
         The executor's current entry; None while it is not listed.
+    last_entry : ExecutorEntry or None
+        The entry that was seen last, also while it is not listed.
     incarnation : int
         Start of the executor's present incarnation, Unix milliseconds; 0 if unknown.
     lease_end : float
@@ -159,6 +161,7 @@
 
     executor_id: str
     entry: ExecutorEntry | None = None
+    last_entry: ExecutorEntry | None = None
     incarnation: int = 0
     lease_end: float = 0.0
     inherited_end: float = float("-inf")
@@ -180,6 +183,18 @@
         """Whether an earlier owner assigned it runs that were not known to be over."""
         return self.inherited_end > float("-inf")
 
+    def has_address(self, address):
+        """Return whether the present incarnation was last listed at an address.
+
+        An entry that was written before a restart may be the latest that is known.
+        """
+        entry = self.last_entry
+        return (
+            entry is not None
+            and entry.address == address
+            and entry.incarnation == self.incarnation
+        )
+
     @property
     def is_draining(self):
         """Whether the executor gets no new runs."""
