Let no call that can reach a later life make it forget an end of its own

Callers would see a task run again after it was done (TWICE): a renewal that carries the cursor of one life is carried out late by the next one. That one forgets its first ends, so that a report lists the run neither as running nor as ended and the owner starts it again, while the cursor counts as having taken note of the end.

Cause: each renewal carried the cursor, also after the executor had forgotten all of these ends, so that one was nearly always under way. And as a poll and a requested report are concurrent, the report could make the new life known, and a task be started there, while the poll to the former life was still under way with its cursor. Now a cursor is sent until a call of the same life has answered it, and 0 after that; and no start is sent while a call with a cursor for another life is under way.

The test of an executor that may have restarted expected the cursor 1 in a silent poll after it had been answered; an end more keeps that poll at a cursor that isn't answered, and the step as strict as it was.

--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -102,6 +102,8 @@
         self._incarnation = 0
         self._failures = 0
         self._answered_at = float("-inf")
+        self._forgotten = (0, 0)  # incarnation, and number of its last forgotten end
+        self._forgetful_calls = []  # incarnations that calls under way were meant for
         self._wake = asyncio.Event()
 
     @property
@@ -127,11 +129,16 @@
 
         Posts `StartLost` where the outcome is unknown. The order is refused as late,
         without a call, while the executor's clock is unknown, or orders may not be
-        sent, or leases may not be extended.
+        sent, or leases may not be extended. Likewise while a call under way could make
+        a new incarnation forget the end of this run.
         """
         now = self._clock.read_monotonic()
         may_send = self._may_order() and self._may_extend_leases()
-        if not self._clock_bounds.is_known or not may_send:
+        may_be_forgotten = any(
+            incarnation != self._state.incarnation
+            for incarnation in self._forgetful_calls
+        )
+        if not self._clock_bounds.is_known or not may_send or may_be_forgotten:
             self._post(StartAnswered(run, Refusal.LATE))
             return
         bounds = self._clock_bounds
@@ -214,7 +221,7 @@
         asked_at = self._clock.read_monotonic()
         order = LeaseRenewal(self._fence, self._choose_cursor(asked_at))
         try:
-            report = await self._calls.renew_leases(order)
+            report = await self._renew_leases(order)
         except (AnswerLostError, PlatformUnavailableError) as error:
             self._post(ExecutorCallFailed(self.executor_id, error.message))
             return
@@ -227,8 +234,12 @@
         The numbers of ended runs start anew in each incarnation. So 0, which lets
         nothing be forgotten, is returned while the executor may have restarted and
         run something since its last answer: the cursor would make the new incarnation
-        forget ends that were never reported.
+        forget ends that were never reported. It is also returned once the executor has
+        forgotten all of these ends, as each call may be carried out late.
         """
+        acknowledged = (self._state.incarnation, self._state.acknowledged)
+        if acknowledged == self._forgotten:
+            return 0
         has_recent_answer = now - self._answered_at < RECENT_ANSWER_S
         if self._failures or self._incarnation != self._state.incarnation:
             return 0
@@ -236,6 +247,20 @@
             return 0
         return self._state.acknowledged
 
+    async def _renew_leases(self, order):
+        """Send a `LeaseRenewal`, and record what its call can let be forgotten."""
+        incarnation = self._state.incarnation
+        if not order.cursor:
+            return await self._calls.renew_leases(order)
+        self._forgetful_calls.append(incarnation)
+        try:
+            report = await self._calls.renew_leases(order)
+        finally:
+            self._forgetful_calls.remove(incarnation)
+        if report.refusal is None and report.incarnation == incarnation:
+            self._forgotten = (incarnation, order.cursor)
+        return report
+
     async def _poll(self):
         asked_at = self._clock.read_monotonic()
         lease_end_ms = None
@@ -250,7 +275,7 @@
         cursor = self._choose_cursor(asked_at)
         order = LeaseRenewal(self._fence, cursor, lease_end_ms, wait)
         try:
-            report = await self._calls.renew_leases(order)
+            report = await self._renew_leases(order)
         except (AnswerLostError, PlatformUnavailableError) as error:
             return self._handle_failure(error)
         if report.refusal is not None:
--- a/peridotspoke/nodes/tests/test_sessions.py
+++ b/peridotspoke/nodes/tests/test_sessions.py
@@ -1,5 +1,7 @@
 """Tests of when a session sends orders, and which ends it lets an executor forget."""
 
+import asyncio
+
 import pytest
 
 from peridotspoke.clock import ManualClock
@@ -11,6 +13,7 @@
     Refusal,
     RunReport,
     StartAnswer,
+    StartOrder,
     StopOrder,
     ThrottleOrder,
 )
@@ -26,7 +29,7 @@
 
 
 class FakeExecutor(ExecutorCalls):
-    """Records the calls and answers with the reports of `answers`, in turn."""
+    """Records the calls and answers them; renewals wait for `gate` if it is set."""
 
     address = "10.0.0.1:80"
 
@@ -34,6 +37,7 @@
         self.incarnation = incarnation
         self.sent = []
         self.is_silent = False
+        self.gate = None
         self.clock = 1000
 
     async def start(self, order):
@@ -48,6 +52,8 @@
 
     async def renew_leases(self, order):
         self.sent.append(order)
+        if self.gate is not None:
+            await self.gate.wait()
         if self.is_silent:
             raise AnswerLostError("silent", step="renew leases")
         return RunReport(self.clock, self.incarnation)
@@ -82,6 +88,10 @@
         await self.session._poll()
         return self.executor.sent[-1].cursor
 
+    def list_started(self):
+        """Return the tasks whose starts were sent."""
+        return [order.key for order in self.executor.sent if type(order) is StartOrder]
+
     def acknowledge_one_end(self):
         """Let the ledger handle and store the end of a run, and return its job."""
         progress = add_job(self.ledger)
@@ -92,6 +102,13 @@
         self.ledger.acknowledge_ends(self.ledger.list_end_cursors())
         return progress
 
+    def acknowledge_second_end(self):
+        """Let the ledger handle and store the end of the run that is left."""
+        (run,) = self.ledger.list_runs()
+        now = self.clock.read_monotonic() + 0.002
+        report(self.ledger, "e1", now, ended=[end(2, run)])
+        self.ledger.acknowledge_ends(self.ledger.list_end_cursors())
+
 
 async def test_a_process_that_was_paused_sends_no_order_with_an_expired_permission():
     """The permission is checked when an order is sent, not only when it is planned."""
@@ -117,8 +134,9 @@
     fixture.acknowledge_one_end()
     assert await fixture.poll() == 0  # no answer of this session yet
     assert await fixture.poll() == 1
+    fixture.acknowledge_second_end()
     fixture.executor.is_silent = True
-    assert await fixture.poll() == 1
+    assert await fixture.poll() == 2
     assert await fixture.poll() == 0  # it did not answer the poll before
     fixture.executor.is_silent = False
     fixture.executor.incarnation = 2
@@ -128,6 +146,40 @@
     assert await fixture.poll() == 0  # nothing of the new incarnation is acknowledged
 
 
+async def test_an_executor_is_told_once_what_it_may_forget():
+    # Guards against a second run of a task that is done (TWICE): each later call with
+    # that cursor could reach a new incarnation, which forgets its own first ends.
+    fixture = SessionFixture()
+    fixture.acknowledge_one_end()
+    cursors = [await fixture.poll() for _ in range(4)]
+    assert cursors == [0, 1, 0, 0]
+    fixture.acknowledge_second_end()
+    assert [await fixture.poll() for _ in range(2)] == [2, 0]
+
+
+async def test_nothing_starts_while_a_call_to_a_former_incarnation_may_forget_its_end():
+    # Guards against a second run of a task that is done (TWICE): the call is carried
+    # out late, and the new incarnation forgets an end that it has not reported.
+    fixture = SessionFixture()
+    fixture.acknowledge_one_end()
+    await fixture.poll()
+    fixture.executor.gate = asyncio.Event()
+    poll = asyncio.ensure_future(fixture.poll())
+    await asyncio.sleep(0)
+    fixture.executor.gate, gate = None, fixture.executor.gate
+    assert fixture.executor.sent[-1].cursor == 1
+    fixture.executor.incarnation = 2
+    await fixture.session.request_report()
+    report(fixture.ledger, "e1", 101.0, incarnation=2)
+    run, *_ = start_all(fixture.ledger, 101.0)
+    await fixture.session.start(run)
+    assert fixture.list_started() == []
+    gate.set()
+    await poll
+    await fixture.session.start(run)
+    assert fixture.list_started() == [run.key]
+
+
 @pytest.mark.parametrize(("pause", "cursor"), [(0.05, 1), (2.5, 0)])
 async def test_an_unreported_run_delays_the_cursor_unless_the_answer_is_recent(
     pause, cursor
