Acknowledge ends after a changed job has been dropped

Callers would see tasks that never end: once a pool's owner was stuck in this way it acknowledged no end of any executor while it owned the pool. An executor lists 500 ends at a time, so after 500 of them later ends were not seen, and the runs that no report lists were not released.

Cause: a cursor waits until every job that had changed before it is stored. The run of a cancelled job can end while the job's end is being stored; the job is then marked as changed, and the ledger drops it as soon as that commit is done. Nothing of it is ever stored again, so the cursor waited without end. This needs another commit to end in between, as happens where answers of the store are lost.

A job that is neither changed nor in an open commit is stored or dropped, so the tracker no longer waits for it; a commit that fails gives the pool up.

--- a/peridotspoke/nodes/committing.py
+++ b/peridotspoke/nodes/committing.py
@@ -90,7 +90,9 @@
         """Return the cursors up to which ends may be forgotten, or None if not yet.
 
         If there is no checkpoint, the current cursors become one. The checkpoint is
-        returned, and dropped, once all jobs that had changed before it are stored.
+        returned, and dropped, once all jobs that had changed before it are stored. A
+        job that is neither changed nor in an open commit is stored, or the ledger has
+        dropped it, since its end is stored and nothing is left of it to store.
 
         Parameters
         ----------
@@ -107,8 +109,10 @@
                 for job_id in jobs
             }
             self._jobs_before_checkpoint.update(dict.fromkeys(dirty, self._next_number))
-        if self._jobs_before_checkpoint:
+        waiting = self._jobs_before_checkpoint.keys() & (dirty | self.list_jobs())
+        if waiting:
             return None
+        self._jobs_before_checkpoint = {}
         checkpoint, self._checkpoint = self._checkpoint, None
         return checkpoint
 
--- a/peridotspoke/nodes/tests/test_committing.py
+++ b/peridotspoke/nodes/tests/test_committing.py
@@ -18,6 +18,15 @@
 from peridotspoke.nodes.ownership import Holding
 from peridotspoke.nodes.tests.stores import JOB, InMemoryStore
 from peridotspoke.store import CommitResult, Condition, Put, Transaction
+from peridotspoke.workloads.executors import EndKind
+from peridotspoke.workloads.jobs import Step
+from peridotspoke.workloads.tests.ledgers import (
+    add_job,
+    end,
+    make_ledger,
+    report,
+    start_all,
+)
 
 
 async def make_writer(monkeypatch):
@@ -84,6 +93,31 @@
     assert tracker.advance_cursors(lambda: {"i": (1, 9)}, set()) == {"i": (1, 9)}
 
 
+def test_ends_are_acknowledged_after_a_changed_job_was_dropped():
+    """A cancelled job's run ends while its end is being stored: nothing is left of it.
+
+    The executors' ends would never be acknowledged again while this node owns the pool.
+    """
+    ledger, tracker = make_ledger("e1"), CommitTracker()
+    add_job(ledger, Step(1))
+    (run,) = start_all(ledger, 0.0)
+    other = tracker.begin({"other"}, 0.9)
+    assert tracker.advance_cursors(ledger.list_end_cursors, ledger.dirty) is None
+    ledger.cancel_job(run.key.job_id, 1.0)
+    batch = ledger.take_batch(MAX_JOBS_PER_COMMIT)
+    number = tracker.begin(batch.values, 1.0)
+    tracker.end(other)
+    assert tracker.advance_cursors(ledger.list_end_cursors, ledger.dirty) is not None
+    report(ledger, "e1", 1.1, ended=[end(1, run, EndKind.STOPPED)])
+    assert tracker.advance_cursors(ledger.list_end_cursors, ledger.dirty) is None
+    tracker.end(number)
+    ledger.note_stored(batch)
+    assert ledger.jobs == {}
+    assert ledger.take_batch(MAX_JOBS_PER_COMMIT).values == {}
+    cursors = tracker.advance_cursors(ledger.list_end_cursors, ledger.dirty)
+    assert cursors == {"e1": (1, 1)}
+
+
 async def test_a_first_try_is_given_up_as_soon_as_its_answer_is_overdue():
     """The time limit is short while the store responds fast, and longer when slow."""
     clock = ManualClock(0.0)
