Adopt no claim that was made under a lease that has ended

Callers would see a task run twice at worst: a node could act as the owner of a pool beside its next owner, and extend leases of executors that the next owner can't reach for longer than that one waits.

Cause: a claim whose answer was lost is adopted from the node's view. The owner record is attached to the lease of that time, and what the node may order is decided by its present lease. Where the view came late, as around an outage of the store, the first lease had ended, another node owned the unit, and the node had a new lease; it took the record for its own under that. Its commits and starts were still refused, since they name the owner record; stops and extensions of leases were not.

Evidence: the new test failed before (one holding, under the fence of the ended lease) and passes now. The revision of the node's registration under its present lease is older than every claim under that lease, and newer than all claims under earlier ones.

--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -99,12 +99,11 @@
         self._on_lost = on_lost
         self._list_lease_waits = list_lease_waits
         self._statements = StatementReader(self.incarnation)
-        self._lease = None
+        self._lease, self._registered_revision = None, 0
         self._last_contact_at = clock.read_monotonic()
         self._granted_at = float("-inf")
         self._unowned_since = {}
-        self._pending_units = set()
-        self._released_fences = set()
+        self._pending_units, self._released_fences = set(), set()
         self._stopping = False
         self._has_revoked_former_lease = False
 
@@ -268,7 +267,7 @@
         if self._stopping:
             await self._store.revoke_lease(lease)
             return
-        self._lease = lease
+        self._lease, self._registered_revision = lease, result.revision
         self._granted_at = self._last_contact_at = lease.requested_at
         log_event("lease-granted", lease=lease.lease_id, ttl=lease.ttl)
 
@@ -320,11 +319,12 @@
     def _handle_own_record(self, unit, create_revision):
         """Handle an owner record of this process for a unit that it does not hold.
 
-        A claim whose answer was lost is adopted. The record of a unit that was given
-        up is deleted: a fence must not be used for a second period of ownership,
-        because orders sent under it in the first one may still arrive.
+        A claim whose answer was lost is adopted, unless it was made under an earlier
+        lease, with which it has ended. The record of a unit that was given up is
+        deleted: orders sent under its fence may still arrive.
         """
-        if create_revision not in self._released_fences:
+        is_current = self._lease and create_revision > self._registered_revision
+        if is_current and create_revision not in self._released_fences:
             self._add_holding(unit, create_revision)
         elif unit not in self._pending_units:
             self._start_transaction(
--- a/peridotspoke/nodes/tests/test_ownership.py
+++ b/peridotspoke/nodes/tests/test_ownership.py
@@ -99,6 +99,36 @@
     assert node.gained[0].fence == store.records[key_owner("pool")].create_revision
 
 
+async def test_a_claim_under_a_lease_that_has_ended_is_not_adopted():
+    """The node has another lease by the time its late view shows the claim.
+
+    It would order and extend leases beside the unit's next owner.
+    """
+    store = InMemoryStore()
+    node, other = NodeDouble("n1", store), NodeDouble("n2", store)
+    await node.acquire_lease()
+    store.faults = ["lost"]
+    node.update_view()
+    node.ownership._check_owners()
+    node.parts.clock.advance(2.0)
+    node.ownership._check_owners()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    records, revision = dict(store.records), store.revision
+    assert key_owner("pool") in records
+    store.end_lease(node.ownership._lease.lease_id)
+    await other.acquire_lease()
+    await other.check_owners()
+    assert len(other.gained) == 1
+    node.ownership._lease = None
+    late = FollowedRecords(records, frozenset(records), 0.0, revision)
+    node.parts.view.apply_work(late)
+    node.ownership._check_owners()
+    await node.acquire_lease()
+    node.ownership._check_owners()
+    assert node.gained == []
+
+
 async def test_a_unit_that_was_given_up_is_never_held_under_the_same_fence():
     """Orders sent under the old fence may still arrive."""
     store = InMemoryStore()
