Measure the time without progress on the executor's clock

What callers saw: in the users' record a task is stopped thirteen times in half a minute, so that a job takes 37 s.

Cause: a poll is held back by the executor until a run ends. Its progress is that of the answer, but was dated by the request, up to a second before. A report that is requested meanwhile (each round asks for one while tasks that last are moved off an executor) is answered at the same moment, with the same percent: requested 0.6 s apart, the run counts as stalled. The longer a task, the longer its percent stays the same, and the likelier this is.

Evidence: test_a_run_is_not_stalled_because_its_report_was_held_back and test_a_run_is_stalled_once_held_back_reports_show_no_progress failed before.

Why it works: each report carries the executor's clock at its answer. The difference of two of them is the time between the states that they show.

--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -78,7 +78,6 @@
             task.executor,
             RunPhase.INHERITED,
             self.taken_over_at,
-            progressed_at=self.taken_over_at,
         )
 
     def end_job(self, progress, outcome, wall):
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -16,6 +16,7 @@
 UNHEALTHY_BACKOFF_S = 1.0  # without starts after an executor refused one as unhealthy
 REFUSAL_BACKOFF_S = 0.4  # without starts after another refusal, such as for capacity
 UNHEALTHY_PENALTY = 0.5  # added for each refusal as unhealthy
+MS_PER_SECOND = 1000
 SUCCESS_FACTOR = 0.5  # multiplies the penalty after each completed run
 
 
@@ -56,13 +57,13 @@
                 self._handle_ended_run(state, end, now, wall)
         self.limit_former_leases(state, now)
         listed = {(reported.key, reported.run): reported for reported in report.running}
-        self._match_listed_runs(state, listed, asked_at, now)
+        self._match_listed_runs(state, listed, report.clock, asked_at, now)
         self._retry_stops(state, listed, asked_at)
         if not report.has_more_ends:
             self._handle_unlisted_runs(state, listed, asked_at, now)
         state.reported_at = asked_at
 
-    def _match_listed_runs(self, state, listed, asked_at, now):
+    def _match_listed_runs(self, state, listed, clock, asked_at, now):
         """Update the runs that a report lists; record the others as foreign."""
         foreign = {}
         for (key, number), reported in listed.items():
@@ -71,24 +72,19 @@
                 foreign[key, number] = self._compute_foreign_need(key)
                 self.note("run-foreign", executor=state.executor_id, task=key)
                 continue
+            _measure_progress(run, reported, clock)
             self._update_run(run, reported, asked_at, now)
         state.foreign = foreign
 
     def _update_run(self, run, reported, asked_at, now):
         if run.started_at is None:
             run.started_at = now
-            run.progressed_at = now
             run.first_percent = reported.percent
         self.mark_begun(run.progress, now)
         run.start_unconfirmed = False
         self._confirm(run, "report")
         if run.phase in (RunPhase.STARTING, RunPhase.INHERITED):
             run.phase = RunPhase.RUNNING
-        if (
-            reported.percent != run.percent
-            or reported.checkpoint != run.task.checkpoint
-        ):
-            run.progressed_at = asked_at
         run.percent = reported.percent
         run.reported_at = asked_at
         run.load = reported.load
@@ -269,7 +265,6 @@
             if by_known_incarnation:
                 self._confirm(run, "answer")
             run.started_at = run.started_at or now
-            run.progressed_at = now
             if run.phase is RunPhase.STARTING:
                 run.phase = RunPhase.RUNNING
             return
@@ -332,3 +327,17 @@
             return True
         run = state.runs.get(order.key)
         return run is not None and run.number == order.run
+
+
+def _measure_progress(run, reported, clock):
+    """Record for how long a run has made no progress, on the executor's clock.
+
+    An executor may hold its answer back for long after a report was requested, so that
+    only its own clock tells how far apart two reports were made.
+    """
+    has_progress = (
+        reported.percent != run.percent or reported.checkpoint != run.task.checkpoint
+    )
+    if has_progress or run.progress_clock is None or clock < run.progress_clock:
+        run.progress_clock = clock
+    run.stalled_time = (clock - run.progress_clock) / MS_PER_SECOND
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -67,9 +67,12 @@
         Completion in the first report that lists the run, percent.
     reported_at : float
         When the latest report that lists the run was requested.
-    progressed_at : float
-        When the first report that shows the run's latest progress, in percent or by
-        checkpoint, was requested; before any progress, when the run started.
+    progress_clock : int or None
+        The executor's clock in the first report that shows the run's latest progress,
+        in percent or by checkpoint, milliseconds; None before the first report.
+    stalled_time : float
+        Time without progress up to the latest report that lists the run, seconds on
+        the executor's clock.
     share : int
         Speed that the executor was told to run it at, percent of full speed.
     throttled_at : float
@@ -97,7 +100,8 @@
     load: int = 0
     first_percent: int = 0
     reported_at: float = float("-inf")
-    progressed_at: float = 0.0
+    progress_clock: int | None = None
+    stalled_time: float = 0.0
     share: int = 100
     throttled_at: float = float("-inf")
     ticket: str = ""
--- a/peridotspoke/workloads/slowruns.py
+++ b/peridotspoke/workloads/slowruns.py
@@ -72,7 +72,7 @@
             continue
         if run.share < FULL_PERCENT or run.percent >= FULL_PERCENT:
             continue
-        if run.reported_at - run.progressed_at > rules.stall_timeout:
+        if run.stalled_time > rules.stall_timeout:
             yield run
         elif _is_slow(ledger, run, now, rules):
             yield run
--- a/peridotspoke/workloads/tests/ledgers.py
+++ b/peridotspoke/workloads/tests/ledgers.py
@@ -14,6 +14,7 @@
 from peridotspoke.workloads.progress import JobProgress
 from peridotspoke.workloads.scheduling import plan_runs
 
+MS_PER_SECOND = 1000
 WALL_EPOCH = 1_700_000_000.0  # seconds since the Unix epoch at monotonic time 0
 JOB = "5c0e7a21d94b36f8"
 
@@ -72,7 +73,7 @@
     name : str
         The executor's identity.
     now : float
-        Monotonic seconds.
+        Monotonic seconds; the executor's clock reads the same at the answer.
     running : sequence of Run or ReportedRun
         Listed runs; a `Run` is listed at 50 percent.
     ended : sequence of EndedRun
@@ -90,7 +91,11 @@
         for run in running
     )
     run_report = RunReport(
-        0, incarnation, reported_runs, tuple(ended), has_more_ends=has_more_ends
+        round(now * MS_PER_SECOND),
+        incarnation,
+        reported_runs,
+        tuple(ended),
+        has_more_ends=has_more_ends,
     )
     requested_at = now if asked_at is None else asked_at
     ledger.apply_report(name, run_report, requested_at, now, WALL_EPOCH + now)
