Keep the log lines of decisions about runs and count what is left out by event

What was left out was a number without events or a time.

Change: these events are essential. A full buffer gives the place of its oldest ordinary line to an essential one; the rest keeps its order. A full buffer is written before a line is refused. The notice names the events, has the time of the first and the last line that it counts, and comes at most once a second. finish() writes what waits at a stop.

Evidence: on the sink before, the five new tests failed: of the decisions in a flood none but those already essential were written, a full buffer of ordinary lines refused the later ones, the notice named no event, each decision had a notice of its own, and nothing wrote the waiting lines at a stop.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -1,25 +1,59 @@
 """A log sink that never blocks the process and holds a bounded number of lines."""
 
 import os
+import select
 from collections import deque
 from dataclasses import dataclass
 
+from peridotspoke.leftout import OTHER, LeftOutLines
 from peridotspoke.tokenbucket import TokenBucket
 
 __all__ = ["BoundedSink", "SinkRules"]
 
 WARNING = 30  # number of loguru's level WARNING
+OWNERSHIP_EVENTS = (
+    "ownership-gained",
+    "ownership-lost",
+    "store-lost",
+    "store-regained",
+)
+RUN_EVENTS = (
+    "run-ordered",
+    "run-confirmed",
+    "start-answered",
+    "start-refused",
+    "run-stopping",
+    "stop-answered",
+    "run-ended",
+    "run-over",
+    "given-up-ended",
+    "run-foreign",
+    "task-waiting",
+)
+EXECUTOR_EVENTS = (
+    "executor-listed",
+    "executor-unlisted",
+    "entry-lapsed",
+    "executor-withdrawn",
+    "executor-unreachable",
+    "executor-reachable",
+    "executor-reborn",
+    "executor-replaced",
+    "leases-expired",
+    "ends-missing",
+)
 
 
 @dataclass(frozen=True, slots=True)
 class SinkRules:
     """Limits of a `BoundedSink`.
 
-    A line is essential if it explains a refusal or a stop: it is a warning or worse,
-    or its event is in `essential_events` or begins with ``job-`` without the outcome
-    ``Accepted``. So is a line with `essential_mark`: it concerns a task that lasts, of
-    which there are few, and each of its starts may be asked for. All other lines are
-    ordinary.
+    A line is essential if it explains a refusal, or tells that a run was ordered, was
+    stopped, ended or was released, or what its owner believed of its executor, or a
+    change of owner. It is a warning or worse, or its event is in `essential_events`
+    or begins with ``job-`` without the outcome ``Accepted``. So is a line with
+    `essential_mark`: it concerns a task that lasts, of which there are few. All other
+    lines are ordinary.
 
     Parameters
     ----------
@@ -35,6 +69,8 @@
         Events whose lines are essential and thus not limited by the rate.
     essential_mark : str
         A field and its value; lines that have it are essential whatever the event.
+    notice_interval : float
+        Least time between two notices of lines that were left out, seconds.
     """
 
     rate: float = 400.0
@@ -42,28 +78,19 @@
     most_waiting: int = 2000
     reserve: int = 2000
     essential_events: frozenset = frozenset(
-        {
-            "job-cancel",
-            "job-ended",
-            "run-stopping",
-            "run-over",
-            "run-confirmed",
-            "task-waiting",
-            "start-refused",
-            "ownership-gained",
-            "ownership-lost",
-            "store-lost",
-            "store-regained",
-        }
+        OWNERSHIP_EVENTS + RUN_EVENTS + EXECUTOR_EVENTS
     )
     essential_mark: str = " lasting=True"
+    notice_interval: float = 1.0
 
 
 class BoundedSink:
     """Writes log lines to a non-blocking file descriptor.
 
-    Lines beyond the limits are dropped and counted; the count is written before the
-    next line that is accepted.
+    Lines beyond the limits are left out and counted by event. A notice with the counts
+    is written before the next line, at most once in ``rules.notice_interval`` seconds.
+    While the buffer is full, each essential line takes the place of the oldest ordinary
+    line that waits. The lines that remain keep their order.
 
     Parameters
     ----------
@@ -71,6 +98,11 @@
         File descriptor; it is switched to non-blocking mode.
     clock : Clock
     rules : SinkRules, optional
+
+    Attributes
+    ----------
+    on_left_out : callable or None
+        Called with the event of each line that is left out.
     """
 
     def __init__(self, descriptor, clock, rules=SinkRules()):
@@ -80,8 +112,13 @@
         self._rules = rules
         now = clock.read_monotonic()
         self._bucket = TokenBucket(rules.rate, rules.burst, now)
-        self._buffer = deque()
-        self._dropped = 0
+        self._essential = deque()
+        self._ordinary = deque()
+        self._unwritten = b""
+        self._number = 0
+        self._left_out = LeftOutLines()
+        self._noticed_at = float("-inf")
+        self.on_left_out = None
 
     def __call__(self, message):
         """Write one message of loguru; called by loguru as its sink."""
@@ -89,7 +126,7 @@
         self.put(str(message), record["level"].no, record["message"])
 
     def put(self, line, level, text):
-        """Write a line, buffer it, or drop and count it.
+        """Write a line, buffer it, or leave it out and count it.
 
         Parameters
         ----------
@@ -100,34 +137,99 @@
         text : str
             The part of the line that begins with ``event=``.
         """
-        essential = level >= WARNING or self._is_essential(text)
+        event = _find_event(text)
+        essential = level >= WARNING or self._is_essential(event, text)
         now = self._clock.read_monotonic()
         room = self._rules.most_waiting + (self._rules.reserve if essential else 0)
-        if len(self._buffer) >= room or not (essential or self._bucket.take(now)):
-            self._dropped += 1
-            self._flush()
-            return
-        if self._dropped:
-            notice = f"level=WARNING event=log-lines-left-out lines={self._dropped}\n"
-            self._buffer.append(notice.encode())
-            self._dropped = 0
-        self._buffer.append(line.encode())
-        self._flush()
-
-    def _is_essential(self, text):
-        event = text.partition(" ")[0].removeprefix("event=")
+        is_stuck = self._count_waiting() >= room and not self._flush(now)
+        has_room = self._count_waiting() < room
+        if essential:
+            accepted = has_room or self._give_place()
+        else:
+            accepted = has_room and self._bucket.take(now)
+        if accepted:
+            self._number += 1
+            queue = self._essential if essential else self._ordinary
+            queue.append((self._number, line, event))
+        else:
+            self._leave_out(line, event, essential)
+        if not is_stuck:
+            self._flush(now)
+
+    def finish(self, limit):
+        """Write what waits, for an orderly stop of the process.
+
+        Parameters
+        ----------
+        limit : float
+            Longest time, in seconds, to wait for the reader.
+        """
+        deadline = self._clock.read_monotonic() + limit
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        while not self._flush(float("inf")):
+            left = deadline - self._clock.read_monotonic()
+            if left <= 0 or not poll.poll(left * 1000):
+                return
+
+    def _count_waiting(self):
+        return len(self._essential) + len(self._ordinary)
+
+    def _give_place(self):
+        """Leave out the oldest ordinary line that waits, and return whether one did."""
+        if not self._ordinary:
+            return False
+        _, line, event = self._ordinary.popleft()
+        self._leave_out(line, event, essential=False)
+        return True
+
+    def _leave_out(self, line, event, essential):
+        self._left_out.add(line, event, essential)
+        if self.on_left_out is not None:
+            self.on_left_out(event)
+
+    def _is_essential(self, event, text):
         if event in self._rules.essential_events or self._rules.essential_mark in text:
             return True
         return event.startswith("job-") and "outcome=Accepted" not in text
 
-    def _flush(self):
-        while self._buffer:
-            line = self._buffer[0]
+    def _flush(self, now):
+        """Write until the descriptor takes no more; return whether nothing is left."""
+        while self._unwritten or self._prepare_next(now):
             try:
-                written = os.write(self._descriptor, line)
+                written = os.write(self._descriptor, self._unwritten)
             except BlockingIOError:
-                return
-            if written < len(line):
-                self._buffer[0] = line[written:]
-                return
-            self._buffer.popleft()
+                return False
+            self._unwritten = self._unwritten[written:]
+        return True
+
+    def _prepare_next(self, now):
+        """Take the notice that is due, or else the line that came first.
+
+        Returns
+        -------
+        bool
+            Whether there is something to write.
+        """
+        is_last = now == float("inf")
+        queue = self._choose_queue()
+        is_due = now - self._noticed_at >= self._rules.notice_interval
+        if self._left_out.lines and is_due and (queue or is_last):
+            self._noticed_at = self._clock.read_monotonic()
+            self._unwritten = self._left_out.take_notice().encode()
+        elif queue:
+            self._unwritten = queue.popleft()[1].encode()
+        return bool(self._unwritten)
+
+    def _choose_queue(self):
+        """Return the queue whose first line came first; an empty one if none waits."""
+        if not self._essential or not self._ordinary:
+            return self._essential or self._ordinary
+        is_essential_first = self._essential[0][0] < self._ordinary[0][0]
+        return self._essential if is_essential_first else self._ordinary
+
+
+def _find_event(text):
+    """Return the event that a line's text names, or `OTHER` if it names none."""
+    word = text.partition(" ")[0]
+    return word[len("event=") :] if word.startswith("event=") else OTHER
