Write the waiting log lines at a node's stop and count those left out as a metric

Cause: a node that stopped lost the lines that its reader had not taken, and only a line in the same log told how many had been left out before.

Change: the node program calls finish() of its sink at its end, for at most 0.2 s, and counts each line that is left out in log_lines_left_out by event.

Evidence: without the change the new test failed: nothing was counted, and the last line, a run-ordered, was never written.

--- a/peridotspoke/programs/node.py
+++ b/peridotspoke/programs/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from functools import partial
 
 from peridotspoke.exceptions import SettingsError
 from peridotspoke.logs import configure_logs, log_event
@@ -21,14 +22,16 @@
 
 EXIT_USAGE = 2
 DRAIN_SHARE = 0.55  # share of the grace period in which requests are still served
+LOG_LIMIT = 0.2  # seconds for which the end waits for the reader of the log
 
 
-async def _run(settings):
+async def _run(settings, sink):
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
     parts, node = assemble_node(settings)
+    sink.on_left_out = partial(_count_left_out, parts.metrics)
     job_handler = JobRequestHandler(parts, decode_submission)
     ingress = Ingress(settings, job_handler, parts.metrics.render)
     await ingress.open()
@@ -48,10 +51,15 @@
     log_event("stopped")
 
 
+def _count_left_out(metrics, event):
+    metrics.count("log_lines_left_out", event=event)
+
+
 def main():
     """Run the node until SIGTERM or SIGINT.
 
-    The exit status is 2 if the settings file is invalid.
+    The exit status is 2 if the settings file is invalid. The log lines that wait for
+    their reader are written before the process ends.
     """
     try:
         settings = read_settings_file()
@@ -60,7 +68,10 @@
         sys.exit(EXIT_USAGE)
     sink = BoundedSink(sys.stdout.fileno(), BoottimeClock())
     configure_logs("node", settings.name, stream=sink)
-    asyncio.run(_run(settings))
+    try:
+        asyncio.run(_run(settings, sink))
+    finally:
+        sink.finish(LOG_LIMIT)
 
 
 if __name__ == "__main__":
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -1,12 +1,16 @@
 """Tests of the log sink, with a pipe that is not read while lines are written."""
 
 import os
+import threading
+from types import SimpleNamespace
 
 import pytest
 
 from peridotspoke.clock import ManualClock
 from peridotspoke.logs import configure_logs, log_event
 from peridotspoke.logsink import BoundedSink, SinkRules
+from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.programs import node as node_program
 
 INFO, WARNING = 20, 30  # log levels
 LINE = "x" * 200 + "\n"
@@ -200,3 +204,64 @@
     written = text.count(LINE)
     assert f"lines={1_000 - written} " in text
     assert sink.finish(0.01) is None and read_all(reader) == ""
+
+
+def test_the_node_program_writes_what_waits_and_counts_what_is_left_out(
+    pipe, monkeypatch
+):
+    """A node that stopped lost the lines that its reader had not taken yet."""
+    reader, writer = pipe
+    os.set_blocking(reader, True)
+    chunks = []
+    slow_reader = threading.Thread(
+        target=_read_to_the_last, args=(reader, chunks), daemon=True
+    )
+    metrics, node = MetricsRegistry(), SimpleNamespace()
+    node.start = lambda: _fill_the_pipe(slow_reader)
+    stdout = SimpleNamespace(fileno=lambda: writer)
+    monkeypatch.setattr(node_program.sys, "stdout", stdout)
+    monkeypatch.setattr(
+        node_program, "read_settings_file", lambda: SimpleNamespace(name="n1")
+    )
+    parts = SimpleNamespace(metrics=metrics)
+    monkeypatch.setattr(node_program, "assemble_node", lambda _: (parts, node))
+    monkeypatch.setattr(node_program, "JobRequestHandler", lambda *_: None)
+    monkeypatch.setattr(node_program, "Ingress", _FakeIngress)
+    monkeypatch.setattr(node_program, "LOG_LIMIT", 20, raising=False)
+    try:
+        with pytest.raises(_StoppedError):
+            node_program.main()
+    finally:
+        configure_logs("test", "")
+    slow_reader.join(5)
+    left_out = metrics.get_count("log_lines_left_out", event="run-paced")
+    text = b"".join(chunks).decode()
+    assert left_out > 0 and f"events=run-paced:{left_out}" in text
+    assert "event=run-ordered job=last" in text
+
+
+class _StoppedError(Exception):
+    """Ends the node program."""
+
+
+class _FakeIngress:
+    """Stands for the node's listeners."""
+
+    def __init__(self, *_):
+        return None
+
+    async def open(self):
+        return None
+
+
+def _fill_the_pipe(slow_reader):
+    for _ in range(4_000):
+        log_event("run-paced", job="x" * 200)
+    log_event("run-ordered", job="last")
+    slow_reader.start()
+    raise _StoppedError
+
+
+def _read_to_the_last(reader, chunks):
+    while b"job=last" not in b"".join(chunks[-2:]):
+        chunks.append(os.read(reader, 65536))
