Show the evidence of a release and the gaps of the logs in a job's story

Cause: the story left out entry-lapsed, forgotten ends, word of an earlier incarnation, and the notices of lines that are missing.

Change: these lines of the job's executors are shown, and the notices of the nodes that name the job, if they count lines of its time.

Evidence: before, the new test's story had four lines fewer.

--- a/peridotspoke/programs/story.py
+++ b/peridotspoke/programs/story.py
@@ -19,6 +19,9 @@
         "executor-reborn",
         "executor-replaced",
         "executor-withdrawn",
+        "entry-lapsed",
+        "incarnation-ignored",
+        "ends-missing",
         "leases-expired",
         "ownership-gained",
         "ownership-lost",
@@ -28,6 +31,7 @@
         "fenced",
     }
 )
+LEFT_OUT = "log-lines-left-out"
 
 
 def parse_line(line):
@@ -46,7 +50,8 @@
 
     Between the first and the last line that name the request, the events in
     `RELATED_EVENTS` are included as well if they concern an executor or a pool that
-    these lines name, or the store.
+    these lines name, or the store. So are the notices of lines that were left out of
+    the logs of the nodes that name it, also just before and after.
 
     Parameters
     ----------
@@ -67,6 +72,7 @@
     times = sorted(pairs.get("time", "") for pairs, _ in named)
     executors = {pairs["executor"] for pairs, _ in named if "executor" in pairs}
     pools = {pairs["pool"] for pairs, _ in named if "pool" in pairs}
+    instances = {pairs.get("instance") for pairs, _ in named}
     related = [
         (pairs, line)
         for pairs, line in parsed
@@ -74,6 +80,14 @@
         and times[0] <= pairs.get("time", "") <= times[-1]
         and _is_related(pairs, executors, pools)
     ]
+    related += [
+        (pairs, line)
+        for pairs, line in parsed
+        if pairs.get("event") == LEFT_OUT
+        and pairs.get("instance") in instances
+        and pairs.get("since", "") <= times[-1]
+        and pairs.get("time", "") >= times[0]
+    ]
     selected = sorted(named + related, key=lambda item: item[0].get("time", ""))
     return [line for _, line in selected]
 
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -46,3 +46,23 @@
         "time=14 event=task-waiting pool=q tasks=3 job=ffffffffffffffff reason=memory",
     ]
     assert collect_story([*others, *told], JOB) == told
+
+
+def test_the_story_tells_what_released_a_run_and_what_the_logs_left_out():
+    """Two runs of one task at once, with the beliefs that tell their causes apart."""
+    told = [
+        f"time=10 instance=n event=run-ordered job={JOB} run=1 executor=i-1 born=5",
+        "time=11 instance=n event=entry-lapsed executor=i-1",
+        "time=12 instance=n event=incarnation-ignored executor=i-1 born=4 known=5",
+        f"time=13 instance=n event=run-over job={JOB} run=1 executor=i-1",
+        f"time=14 instance=n event=late-end job={JOB} run=1 executor=i-1",
+        "time=15 instance=n event=ends-missing executor=i-1 missing=2",
+        f"time=16 instance=n event=job-ended job={JOB}",
+        "time=17 instance=n event=log-lines-left-out lines=3 since=15 events=a:3",
+    ]
+    others = [
+        "time=12 instance=m event=log-lines-left-out lines=3 since=11 events=a:3",
+        "time=18 instance=n event=log-lines-left-out lines=3 since=17 events=a:3",
+        "time=15 instance=n event=ends-missing executor=i-2 missing=2",
+    ]
+    assert collect_story([*others, *told], JOB) == told
