Name what an owner believed of an executor in run-ordered, and count runs by reason

Cause: run-ordered didn't tell the executor's incarnation and address that the owner believed, a refused stop looked like an accepted one, job-taken didn't tell the revision of the progress that the run numbers come from, and how often runs were released and why took a search of all logs.

Change: run-ordered has born and address, job-taken has progress, the answer of a stop carries its refusal.

Evidence: before, run-ordered had no born, and a refusal could not be passed on with the answer of a stop (both tests failed).

--- a/peridotspoke/nodes/messages.py
+++ b/peridotspoke/nodes/messages.py
@@ -94,10 +94,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAnswered:
-    """An executor answered a stop order."""
+    """An executor answered a stop order; `refusal` is None if it accepted it."""
 
     executor_id: str
     order: StopOrder
+    refusal: Refusal | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -189,7 +189,7 @@
                 await asyncio.sleep(self._rules.retry)
                 continue
             else:
-                self._post(StopAnswered(self.executor_id, order))
+                self._post(StopAnswered(self.executor_id, order, refusal))
             self.wake()
             return
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -32,6 +32,7 @@
 )
 from peridotspoke.nodes.poolrecords import PoolRecords
 from peridotspoke.nodes.predecessors import InheritedLeases
+from peridotspoke.nodes.runcounters import count_run_event
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
 from peridotspoke.nodes.tasksets import TaskSet, keep_running
 from peridotspoke.nodes.tickets import TicketCache
@@ -98,7 +99,6 @@
         self._records = PoolRecords(
             node, holding, jobs, self._ledger, self._tasks, self._writer.forget
         )
-
         self._waiting = WaitingReport(
             self._ledger, self._tickets.list_granted, node.metrics, self._log
         )
@@ -146,6 +146,7 @@
 
     def _log(self, event, **fields):
         """Log an event of the ledger with the pool's name."""
+        count_run_event(self._node.metrics, event, fields)
         log_event(event, pool=self.pool, **format_fields(fields, self._node.clock))
 
     def _collect_changed_entries(self, changed):
@@ -180,8 +181,8 @@
                 ledger.apply_start_answer(run, refusal, now, by_known_incarnation)
             case StartLost(run):
                 ledger.handle_start_timeout(run)
-            case StopAnswered(executor_id, order):
-                ledger.apply_stop_answer(executor_id, order, now)
+            case StopAnswered(executor_id, order, refusal):
+                ledger.apply_stop_answer(executor_id, order, now, refusal)
             case ExecutorCallFailed(executor_id, reason):
                 ledger.note_unreachable(executor_id, reason, now)
             case ExecutorLeft(executor_id, address):
@@ -250,6 +251,7 @@
                 "job-taken",
                 job=job_id,
                 revision=job_view.revision,
+                progress=self._revisions[job_id],
                 queue=job_view.job.queue,
                 inherited=count_assigned(progress),
                 steps=" ".join(describe_step(step) for step in job_view.job.steps),
@@ -303,6 +305,8 @@
                 task=run.key,
                 run=run.number,
                 executor=run.executor_id,
+                born=self._ledger.executors[run.executor_id].incarnation,
+                address=session[2],
                 fence=self._holding.fence,
                 lasting=run.step.lasting or None,
             )
