Double a task's limits of slowness with each stop that they caused

What callers saw: a task that takes far longer than the others of its queue was stopped on each executor in turn, without any bound; the test shows 168 stops in 120 s for a task of 3 s or more among tasks of 1 s.

Cause: a run is compared with what its queue's tasks usually take, and with siblings on other executors. What earlier runs of the same task showed is not taken into account: that the task was slow on several executors, which says more about the task than about them.

Evidence: test_a_task_that_takes_long_everywhere_is_not_stopped_for_ever failed before with durations of 9 and 90 s.

Why it works: the ledger counts the runs of a task that were stopped as stalled or slow, and both limits double with each. A task that takes N times the limit is stopped about log2(N) times. A run on a slow executor is still stopped at once the first time, and its task prefers another one.

--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -211,6 +211,7 @@
             self.penalize(state, now, STALL_PENALTY)
         for run in slow_runs:
             self.failed_on.setdefault(run.key, set()).add(executor_id)
+            self.slow_stops[run.key] = self.slow_stops.get(run.key, 0) + 1
             self.stop_run(run, f"stalled at {run.percent} percent")
 
     def request_due_reports(self, now):
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -48,6 +48,8 @@
     durations : DurationModel
     failed_on : dict of TaskKey to set of str
         Executors on which a task failed or stalled.
+    slow_stops : dict of TaskKey to int
+        Number of runs of a task that were stopped as stalled or slow.
     held_places : dict of TaskKey to HeldPlace
         Capacity that is kept for long-running tasks that are being moved.
     copied_runs : set of tuple of (TaskKey, int)
@@ -72,6 +74,7 @@
         self.requested_reports = set()
         self.durations = DurationModel()
         self.failed_on = {}
+        self.slow_stops = {}
         self.held_places = {}
         self.copied_runs = set()
         self.rules = rules
@@ -124,6 +127,9 @@
         self.failed_on = {
             key: names for key, names in self.failed_on.items() if key.job_id != job_id
         }
+        self.slow_stops = {
+            key: count for key, count in self.slow_stops.items() if key.job_id != job_id
+        }
         self.copied_runs = {
             item for item in self.copied_runs if item[0].job_id != job_id
         }
--- a/peridotspoke/workloads/slowruns.py
+++ b/peridotspoke/workloads/slowruns.py
@@ -11,11 +11,12 @@
 __all__ = ["SlowRunRules", "find_slow_runs", "predict_remaining"]
 
 FULL_PERCENT = 100
+PATIENCE_FACTOR = 2  # multiplies a task's limits for each run that was stopped as slow
 
 
 @dataclass(frozen=True, slots=True)
 class SlowRunRules:
-    """When a run counts as stalled or slow.
+    """When the first run of a task counts as stalled or slow.
 
     Parameters
     ----------
@@ -59,6 +60,9 @@
 def find_slow_runs(ledger, state, now, rules=SlowRunRules()):
     """Yield the finite runs of an executor that should be restarted elsewhere.
 
+    A task that was slow on several executors may itself take long. So the limits of a
+    task double with each run of it that was stopped as stalled or slow.
+
     Parameters
     ----------
     ledger : PoolLedger
@@ -72,20 +76,22 @@
             continue
         if run.share < FULL_PERCENT or run.percent >= FULL_PERCENT:
             continue
-        if run.stalled_time > rules.stall_timeout:
+        patience = PATIENCE_FACTOR ** ledger.slow_stops.get(run.key, 0)
+        if run.stalled_time > patience * rules.stall_timeout:
             yield run
-        elif _is_slow(ledger, run, now, rules):
+        elif _is_slow(ledger, run, now, rules, patience):
             yield run
 
 
-def _is_slow(ledger, run, now, rules):
+def _is_slow(ledger, run, now, rules, patience):
     if run.started_at is None or run.reported_at - run.started_at < rules.stall_timeout:
         return False
     job = run.progress.job
     expected = ledger.durations.predict(job.queue, run.step.estimate)
     remaining = predict_remaining(run, expected, now)
     total = now - run.started_at + remaining
-    if total < rules.slow_factor * max(expected, _predict_siblings(ledger, run, now)):
+    usual = max(expected, _predict_siblings(ledger, run, now))
+    if total < patience * rules.slow_factor * usual:
         return False
     return remaining > rules.restart_gain * expected + rules.stall_timeout
 
