Tell at the end of a job how often its tasks ran and were stopped

What callers saw: that a task was stopped thirteen times could only be told from a run number in an excerpt, and the reasons not at all.

Change: job-ended has most_runs, the highest run number of its tasks, and stops, the number of stops by reason. The percent of a stalled run is left out, so that the reasons are as few as the causes of stops; the record goes with the job.

Tests: test_the_end_of_a_job_tells_how_often_its_tasks_were_stopped and test_figures_of_a_job_are_dropped_with_it; both need the new fields.

--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -95,7 +95,15 @@
         self.mark_changed(progress.job.job_id)
         job = progress.job
         age = wall - job.accepted_at
-        self.note("job-ended", job=job.job_id, outcome=str(outcome), age=age)
+        runs = self.find_job_runs(job.job_id)
+        self.note(
+            "job-ended",
+            job=job.job_id,
+            outcome=str(outcome),
+            age=age,
+            most_runs=runs.most_runs,
+            stops=runs.describe_stops(),
+        )
         for task in progress.list_tasks():
             run = self.find_run(task)
             if run is not None:
--- a/peridotspoke/workloads/ledgertypes.py
+++ b/peridotspoke/workloads/ledgertypes.py
@@ -1,11 +1,47 @@
 """Rules of a pool's ledger, and the typed results of its methods."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from peridotspoke.workloads.executors import StopOrder
 from peridotspoke.workloads.runs import Run
 
-__all__ = ["LedgerRules", "StopCommand", "StoredBatch"]
+__all__ = ["JobRuns", "LedgerRules", "StopCommand", "StoredBatch"]
+
+
+@dataclass(slots=True)
+class JobRuns:
+    """How often the tasks of a job were started and stopped, for the log.
+
+    Parameters
+    ----------
+    most_runs : int, optional
+        Highest run number of a task; also runs that were not carried out count.
+    stops : dict of str to int, optional
+        Number of runs that this owner stopped, by reason.
+    """
+
+    most_runs: int = 0
+    stops: dict[str, int] = field(default_factory=dict)
+
+    def count_stop(self, reason):
+        """Count a stop; progress that the reason states is left out of it."""
+        cause = reason.partition(" at ")[0]
+        self.stops[cause] = self.stops.get(cause, 0) + 1
+
+    def describe_stops(self):
+        """Return the stops as text, the most frequent reason first; None if none.
+
+        Examples
+        --------
+        >>> runs = JobRuns()
+        >>> runs.count_stop("the executor is leaving")
+        >>> runs.count_stop("stalled at 5 percent")
+        >>> runs.count_stop("stalled at 9 percent")
+        >>> runs.describe_stops()
+        'stalled=2, the executor is leaving=1'
+        """
+        ranked = sorted(self.stops.items(), key=lambda item: (-item[1], item[0]))
+        return ", ".join(f"{cause}={count}" for cause, count in ranked) or None
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -2,7 +2,7 @@
 
 from peridotspoke.workloads.estimation import DurationModel
 from peridotspoke.workloads.executors import StopOrder
-from peridotspoke.workloads.ledgertypes import StopCommand, StoredBatch
+from peridotspoke.workloads.ledgertypes import JobRuns, StopCommand, StoredBatch
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, encode_progress
 from peridotspoke.workloads.runs import Run, RunPhase
 
@@ -50,6 +50,8 @@
         Executors on which a task failed or stalled.
     slow_stops : dict of TaskKey to int
         Number of runs of a task that were stopped as stalled or slow.
+    job_runs : dict of str to JobRuns
+        How often the tasks of each job were started and stopped, by the job's identity.
     held_places : dict of TaskKey to HeldPlace
         Capacity that is kept for long-running tasks that are being moved.
     copied_runs : set of tuple of (TaskKey, int)
@@ -75,6 +77,7 @@
         self.durations = DurationModel()
         self.failed_on = {}
         self.slow_stops = {}
+        self.job_runs = {}
         self.held_places = {}
         self.copied_runs = set()
         self.rules = rules
@@ -124,6 +127,7 @@
         del self.jobs[job_id]
         self.ready_work.pop(job_id, None)
         self.begun_jobs.pop(job_id, None)
+        self.job_runs.pop(job_id, None)
         self.failed_on = {
             key: names for key, names in self.failed_on.items() if key.job_id != job_id
         }
@@ -164,6 +168,8 @@
         run.ticket = ticket
         run.resumed = bool(task.checkpoint)
         state.runs[task.key] = run
+        counts = self.find_job_runs(progress.job.job_id)
+        counts.most_runs = max(counts.most_runs, task.run)
         self.mark_changed(progress.job.job_id)
         return run
 
@@ -256,6 +262,8 @@
             return
         self.note("run-stopping", task=run.key, run=run.number, reason=reason)
         run.phase = RunPhase.STOPPING
+        if run.key.job_id in self.jobs:
+            self.find_job_runs(run.key.job_id).count_stop(reason)
 
     def _requeue_planned(self, run):
         self.release(run)
@@ -273,6 +281,10 @@
                 order = StopOrder(key, number, self.fence)
                 yield StopCommand(state.executor_id, order)
 
+    def find_job_runs(self, job_id):
+        """Return the `JobRuns` of a job, which is created if there is none."""
+        return self.job_runs.setdefault(job_id, JobRuns())
+
     def find_run(self, task):
         """Return the current `Run` of a task, or None if it has none."""
         state = self.executors.get(task.executor)
--- a/peridotspoke/workloads/tests/test_notes.py
+++ b/peridotspoke/workloads/tests/test_notes.py
@@ -6,10 +6,13 @@
 
 import pytest
 
+from peridotspoke.workloads.executors import EndKind
 from peridotspoke.workloads.jobs import Need, Step
+from peridotspoke.workloads.progress import JobOutcome
 from peridotspoke.workloads.tests.ledgers import (
     RULES,
     add_job,
+    end,
     make_entry,
     make_ledger,
     plan,
@@ -137,3 +140,30 @@
             "runs": 0,
         }
     ]
+
+
+def test_the_end_of_a_job_tells_how_often_its_tasks_were_stopped():
+    """Thirteen stops of one task could be told from run numbers alone."""
+    ledger = make_noted_ledger("e1", "e2")
+    progress = add_job(ledger, SHORT)
+    for number, reason in enumerate(("stalled at 3 percent", "stalled at 8 percent")):
+        run = order(ledger)
+        ledger.apply_start_answer(run, None, 0.1)
+        ledger.stop_run(run, reason)
+        stopped = end(number + 1, run, EndKind.STOPPED)
+        report(ledger, run.executor_id, 1.0, ended=[stopped])
+    ledger.end_job(progress, JobOutcome.CANCELLED, 0.0)
+    (fields,) = ledger.note.find("job-ended")
+    assert fields["most_runs"] == 2
+    assert fields["stops"] == "stalled=2"
+
+
+def test_figures_of_a_job_are_dropped_with_it():
+    """An owner of a busy pool sees many jobs, and must not keep a record of each."""
+    ledger = make_noted_ledger("e1")
+    add_job(ledger, SHORT)
+    run = order(ledger)
+    ledger.apply_start_answer(run, None, 0.1)
+    report(ledger, "e1", 1.0, ended=[end(1, run)])
+    store(ledger)
+    assert ledger.job_runs == {}
