List the moves of a task to executors that are replaced next

What callers see: while executors are replaced by turns, a task that is moved off one of them may go to the next one to leave, and so on: 8 moves for 8 executors in the test.

Cause: a place is chosen by fullness and name. Nothing tells which executor leaves next, and a move counts for nothing in the next choice.

--- a/peridotspoke/workloads/tests/test_evacuation.py
+++ b/peridotspoke/workloads/tests/test_evacuation.py
@@ -1,10 +1,12 @@
 """Tests of which runs are stopped to empty executors."""
 
 from peridotspoke.workloads.evacuation import plan_evacuation
-from peridotspoke.workloads.executors import ReportedRun
+from peridotspoke.workloads.executors import EndKind, ExecutorCondition, ReportedRun
 from peridotspoke.workloads.jobs import Need, Step
 from peridotspoke.workloads.tests.ledgers import (
     add_job,
+    end,
+    make_entry,
     make_ledger,
     report,
     start_all,
@@ -75,3 +77,32 @@
     report_all(ledger, runs[2:], 1.0)
     ledger.set_withdrawn({runs[0].executor_id, runs[1].executor_id})
     assert list(plan_evacuation(ledger, 1.1)) == []
+
+
+def test_a_task_is_not_moved_to_each_executor_that_is_replaced_next():
+    """A task followed executors that were replaced by turns, and was stopped by each.
+
+    Three moves are plenty to see that executors leave one after another: those that
+    are left of the old ones leave as well, and their successors stay.
+    """
+    names = [f"e{number}" for number in range(8)]
+    ledger = make_ledger(*names)
+    add_job(ledger, Step(1, Need(1000, 100), estimate=60.0, checkpointing=True))
+    moves = 0
+    start_all(ledger, 0.0)
+    for turn, name in enumerate(names):
+        now, successor = 2.0 * (turn + 1), f"n{turn}"
+        ledger.see_entry(make_entry(successor, incarnation=turn + 2), now)
+        report(ledger, successor, now, incarnation=turn + 2)
+        draining = ExecutorCondition.DRAINING
+        ledger.see_entry(make_entry(name, condition=draining), now)
+        for run in list(ledger.list_runs()):
+            born = ledger.executors[run.executor_id].incarnation
+            report(ledger, run.executor_id, now, running=[run], incarnation=born)
+        for run in list(plan_evacuation(ledger, now)):
+            ledger.stop_run(run, "the executor is leaving")
+            moves += 1
+            ended = end(1, run, EndKind.STOPPED)
+            report(ledger, run.executor_id, now + 0.1, ended=[ended])
+        start_all(ledger, now + 0.2)
+    assert moves <= 3
