--- /dev/null
+++ b/benchmarks/plays.py
@@ -0,0 +1,48 @@
+"""Plays node processes under random disruptions, with many seeds, to find broken rules.
+
+Run: ``python -m benchmarks.plays search FOLDER [--seeds 20] [--first 1]
+[--kinds drain,lapse,store] [--traffic 25]``. One line is printed for each seed, and one
+for each broken rule; the exit status is 1 if there was one. ``FOLDER/SEED`` gets the
+record of the play and the logs of the nodes.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import fire
+
+from peridotspoke.platform.tests.fleetplay import KINDS, play_seed
+
+__all__ = ["search"]
+
+
+def search(folder, seeds=20, first=1, kinds=KINDS, traffic=25.0):
+    """Play the seeds from `first` on.
+
+    Parameters
+    ----------
+    folder : str
+    seeds : int, optional
+        Number of seeds.
+    first : int, optional
+    kinds : sequence of str, optional
+        Disruptions to draw from.
+    traffic : float, optional
+        Seconds of jobs and disruptions in each play.
+    """
+    found = False
+    names = kinds.split(",") if isinstance(kinds, str) else list(kinds)
+    for seed in range(first, first + seeds):
+        target = Path(str(folder)) / str(seed)
+        play, breaks = asyncio.run(play_seed(seed, target, names, traffic))
+        jobs, runs = len(play.jobs), len(play.site.runs)
+        print(f"seed={seed} jobs={jobs} runs={runs} breaks={len(breaks)}", flush=True)
+        for text in breaks:
+            print(f"  {text}", flush=True)
+        found |= bool(breaks)
+    sys.exit(int(found))
+
+
+if __name__ == "__main__":
+    fire.Fire({"search": search})
--- a/peridotspoke/platform/standins.py
+++ b/peridotspoke/platform/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -61,11 +62,13 @@
 
     def find_percent(self, now):
         """Return how much of the run is done, percent, at monotonic seconds."""
+        if self.ends_at == math.inf:  # a task that lasts
+            return 100
         share = (now - self.began_at) / (self.ends_at - self.began_at)
         return min(99, int(100 * share))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ExecutorStandIn:
     """Stand-in for an executor; all its tasks take the same time.
 
@@ -193,7 +196,7 @@
         task, run = body["task"], body["run"]
         if body["untilMs"] <= self._clock():
             return self._reply(409, reason="late")
-        self.lease_end = max(self.lease_end, body["untilMs"] / MS_PER_SECOND)
+        self._extend(body["untilMs"])
         if run <= self.latest_runs.get(task, 0):
             return self._reply(409, reason="old")
         self.latest_runs[task] = run
@@ -216,9 +219,15 @@
             self._advance()
         return self._reply()
 
+    def _extend(self, until_ms):
+        self.lease_end = max(self.lease_end, until_ms / MS_PER_SECOND)
+
+    def _acknowledge(self, cursor):
+        self.ended = [row for row in self.ended if row[0] > cursor]
+
     async def _hold(self, body):
-        self.lease_end = max(self.lease_end, body.get("untilMs", 0) / MS_PER_SECOND)
-        self.ended = [row for row in self.ended if row[0] > body["ackCursor"]]
+        self._extend(body.get("untilMs", 0))
+        self._acknowledge(body["ackCursor"])
         end = time.monotonic() + body.get("waitMs", 0) / MS_PER_SECOND
         while not self.ended and time.monotonic() < end:
             await asyncio.sleep(POLL_INTERVAL)
@@ -233,8 +242,17 @@
 
 
 class MachinesStandIn:
-    """Stand-in for the machines' interface; its list is empty."""
+    """Stand-in for the machines' interface.
+
+    Attributes
+    ----------
+    machines : list of dict
+        The machines as they are listed; none at first.
+    """
+
+    def __init__(self):
+        self.machines = []
 
     async def handle(self, request):
-        """Respond with the empty list of machines to any call."""
-        return make_response({"machines": [], "nextToken": None})
+        """Respond with the list of machines to any call."""
+        return make_response({"machines": self.machines, "nextToken": None})
--- a/peridotspoke/platform/storestandin.py
+++ b/peridotspoke/platform/storestandin.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import time
+from itertools import takewhile
 
 import msgspec
 
@@ -39,6 +40,8 @@
         Whether all calls are refused.
     calls : int
         Number of calls received.
+    lease_count : int
+        Number of leases given so far; a lease's number is not given again.
     """
 
     def __init__(self):
@@ -50,6 +53,7 @@
         self.faults = []
         self.unavailable = False
         self.calls = 0
+        self.lease_count = 0
 
     def put(self, key, value, lease=0):
         """Write an item, as the operator or an executor does.
@@ -146,11 +150,8 @@
         while True:
             if after < self.compacted_revision:
                 return make_response(status=410)
-            events = [
-                item
-                for item in self.history
-                if item["revision"] > after and item["key"].startswith(prefix)
-            ]
+            newer = takewhile(lambda e: e["revision"] > after, reversed(self.history))
+            events = [item for item in newer if item["key"].startswith(prefix)][::-1]
             if events or time.monotonic() > end or self.unavailable:
                 return make_response({"events": events, "asOf": self.revision})
             await asyncio.sleep(POLL_INTERVAL)
@@ -177,7 +178,8 @@
 
     async def _kv_lease(self, request, _):
         ttl = msgspec.json.decode(await request.read())["ttlMs"]
-        lease = len(self.history) + len(self.leases) + self.calls + 1
+        self.lease_count += 1
+        lease = self.lease_count
         self.leases[lease] = (time.monotonic() + ttl / MS_PER_SECOND, ttl)
         return make_response({"lease": lease, "ttlMs": ttl})
 
--- /dev/null
+++ b/peridotspoke/platform/tests/playchecks.py
@@ -0,0 +1,206 @@
+"""Checks of a `FleetPlay` by what its stand-ins and clients saw.
+
+The quoted sentences are of the platform's rules.
+"""
+
+import math
+
+from peridotspoke.platform.tests.playexecutors import CAPACITY_CPU
+
+__all__ = ["find_breaks"]
+
+CONTACT = 3.0  # seconds, as contactMs
+DRAIN = 2.0  # seconds, as drainMs
+CANCEL = 3.0  # seconds, as cancel_ms
+CALM_KINDS = {"config"}  # changes of the configuration are no disruption
+STANDING = 3.0  # seconds in which a job that stands has nothing running
+
+
+def find_breaks(play):
+    """Return what broke a rule, each with the rule's name first."""
+    runs = sorted(play.site.runs, key=lambda run: run.began_at)
+    by_task = {}
+    for run in runs:
+        by_task.setdefault(run.task, []).append(run)
+    checks = [
+        _find_twice(by_task),
+        _find_orders_out_of_turn(play, by_task),
+        _find_refused(play, runs),
+        _find_unasked(play, runs),
+        _find_alone(play, runs),
+        _find_mixed(play, by_task),
+        _find_lost(play, by_task),
+        _find_one(play),
+        _find_drain(play, runs),
+    ]
+    return [text for check in checks for text in check]
+
+
+def _find_twice(by_task):
+    for task, runs in by_task.items():
+        for number, run in enumerate(runs):
+            for later in runs[number + 1 :]:
+                name = f"{task}: run {later.run} on {later.executor_id} began"
+                first = f"run {run.run} on {run.executor_id}"
+                if later.began_at < run.ended_at:
+                    overlap = run.ended_at - later.began_at
+                    yield f"TWICE {name} {overlap:.2f} s before {first} ({run.kind})"
+                elif _is_done_and_noted(run):
+                    yield f"TWICE {name} after {first} was done and noted"
+                elif run.run == later.run:
+                    yield f"TWICE {name} with the number of {first}"
+
+
+def _is_done_and_noted(run):
+    # "An end is taken note of when `ackCursor` reaches it, unless the executor's lease
+    # lapsed between the two; that stands for good."
+    return run.kind == "done" and run.noted_at < math.inf and not run.has_lapsed
+
+
+def _find_orders_out_of_turn(play, by_task):
+    for task, runs in by_task.items():
+        job_id, occurrence, step, _ = task.split(".")
+        for before in play.jobs[job_id].body["steps"][int(step)].get("after", ()):
+            prefix = f"{job_id}.{occurrence}.{before}."
+            count = play.jobs[job_id].body["steps"][before]["count"]
+            for run in runs:
+                done = sum(
+                    _is_done_by(by_task.get(f"{prefix}{index}", ()), run.began_at)
+                    for index in range(count)
+                )
+                if done < count:
+                    yield f"ORDER {task}: run {run.run} began with {done} of {count}"
+
+
+def _is_done_by(runs, at):
+    return any(run.kind == "done" and run.ended_at <= at for run in runs)
+
+
+def _find_refused(play, runs):
+    for run in runs:
+        job = play.jobs.get(run.task.partition(".")[0])
+        if job is None:
+            yield f"UNASKED {run.task}: no client sent its job"
+        elif job.answers and all(status in (404, 429, 503) for status in job.answers):
+            # "all client attempts to hand its job in were rejected"; one without an
+            # answer was not.
+            yield f"REFUSED {run.task}: its job's hand-ins got {job.answers}"
+
+
+def is_calm(play, begin, end):
+    """Return whether no disruption is near a span of monotonic seconds."""
+    return not any(
+        kind not in CALM_KINDS and began_at < end and ended_at > begin - CONTACT
+        for kind, began_at, ended_at in play.troubles
+    )
+
+
+def _find_unasked(play, runs):
+    for run in runs:
+        job = play.jobs.get(run.task.partition(".")[0])
+        if job is None or job.cancelled_at is None or run.was_late:
+            # "those with a time bound not for orders that an executor carried out late"
+            continue
+        limit = job.cancelled_at + CANCEL
+        # "a machine in touch starts a task later than `cancel_ms`"
+        if run.began_at > limit and is_calm(play, limit, run.began_at):
+            yield f"UNASKED {run.task}: run {run.run} began after the cancel"
+
+
+def _find_alone(play, runs):
+    for run in runs:
+        job = play.jobs[run.task.partition(".")[0]]
+        # "before its job is cancelled, with its sender in touch and no disruption near"
+        is_cancelled = job.cancel_sent_at is not None
+        if run.kind == "alone" and not is_cancelled:
+            if is_calm(play, run.began_at, run.ended_at):
+                yield f"GANG {run.task}: run {run.run} ended alone"
+
+
+def _list_tasks(job):
+    for occurrence in range(job.body.get("repeatCount", 0) or 1):
+        for step, fields in enumerate(job.body["steps"]):
+            for index in range(fields["count"]):
+                yield f"{job.job_id}.{occurrence}.{step}.{index}"
+
+
+def _find_mixed(play, by_task):
+    for job in play.jobs.values():
+        for _, told_at, _, state in job.states:
+            if state == "completed":
+                left = [
+                    task
+                    for task in _list_tasks(job)
+                    if not _is_done_by(by_task.get(task, ()), told_at)
+                ]
+                if left:
+                    yield f"MIXED {job.job_id} is completed without {left}"
+                break
+
+
+def _find_lost(play, by_task):
+    for job in play.jobs.values():
+        if not job.is_owed:
+            continue
+        for asked_at, _, status, state in job.states:
+            if asked_at > job.accepted_at + CONTACT and status == 410:
+                # "410 by a machine in touch, later than `visible_ms`"
+                if is_calm(play, asked_at, asked_at) or asked_at > play.asked_at:
+                    yield f"LOST {job.job_id}: unknown"
+                    break
+            if state in ("failed", "cancelled"):
+                yield f"LOST {job.job_id}: shown as {state}"
+                break
+        last = job.states[-1] if job.states else (0, 0, 0, None)
+        if job.kind != "lasting" and last[3] != "completed":
+            runs = [run for task in _list_tasks(job) for run in by_task.get(task, ())]
+            free = _find_free_cpu(play, job)
+            if all(run.ended_at < last[1] - STANDING for run in runs) and free > 0.5:
+                yield f"LOST {job.job_id} ({job.kind}): {last[2]} {last[3]} at the end"
+
+
+def _find_free_cpu(play, job):
+    """Return the free share of the pool's capacity at the end."""
+    # "there is capacity for it twice over, and under half of the service's capacity
+    # is in use"
+    pool = job.path.split("/")[1].partition("-")[2]
+    executors = [
+        item
+        for item in play.site.executors
+        if item.pool == pool and not (item.down or item.has_left)
+    ]
+    used = sum(item.specs[task].cpu for item in executors for task in item.running)
+    return 1 - used / (len(executors) * CAPACITY_CPU) if executors else 0.0
+
+
+def _find_one(play):
+    highest, holders = {}, {}
+    for _, name, machine, holder, fence in play.site.machines.orders:
+        if fence < highest.get(machine, 0):
+            yield f"ONE {name} {machine}: {fence} after {highest[machine]}"
+        highest[machine] = max(fence, highest.get(machine, 0))
+        if holders.setdefault((machine, fence), holder) != holder:
+            yield f"ONE {machine}: two holders with the token {fence}"
+
+
+def _find_drain(play, runs):
+    for executor_id, drained_at, ended_at in play.drains:
+        for run in runs:
+            # "a machine in touch starts a task later than `drainMs`"; other drains than
+            # this one count as disruptions here, which is stricter than need be.
+            if (
+                run.executor_id == executor_id
+                and drained_at + DRAIN < run.began_at < ended_at
+                and not run.was_late
+                and _is_calm_beside_drains(play, drained_at, run.began_at)
+            ):
+                yield f"DRAIN {run.task}: run {run.run} began on {executor_id}"
+
+
+def _is_calm_beside_drains(play, begin, end):
+    return not any(
+        kind not in CALM_KINDS | {"drain"}
+        and began_at < end
+        and ended_at > begin - CONTACT
+        for kind, began_at, ended_at in play.troubles
+    )
