--- a/benchmarks/plays.py
+++ b/benchmarks/plays.py
@@ -12,7 +12,8 @@
 
 import fire
 
-from peridotspoke.platform.tests.fleetplay import KINDS, play_seed
+from peridotspoke.platform.tests.fleetplay import play_seed
+from peridotspoke.platform.tests.playtroubles import KINDS
 
 __all__ = ["search"]
 
--- a/peridotspoke/platform/tests/playchecks.py
+++ b/peridotspoke/platform/tests/playchecks.py
@@ -12,6 +12,8 @@
 CONTACT = 3.0  # seconds, as contactMs
 DRAIN = 2.0  # seconds, as drainMs
 CANCEL = 3.0  # seconds, as cancel_ms
+STOP = 0.4  # seconds, as stopMs
+UPKEEP = 2.0  # seconds, as upkeepS
 CALM_KINDS = {"config"}  # changes of the configuration are no disruption
 STANDING = 3.0  # seconds in which a job that stands has nothing running
 
@@ -27,10 +29,12 @@
         _find_orders_out_of_turn(play, by_task),
         _find_refused(play, runs),
         _find_unasked(play, runs),
+        _find_running_on(play, runs),
         _find_alone(play, runs),
         _find_mixed(play, by_task),
         _find_lost(play, by_task),
         _find_one(play),
+        _find_waves(play),
         _find_drain(play, runs),
     ]
     return [text for check in checks for text in check]
@@ -91,7 +95,7 @@
     """Return whether no disruption is near a span of monotonic seconds."""
     return not any(
         kind not in CALM_KINDS and began_at < end and ended_at > begin - CONTACT
-        for kind, began_at, ended_at in play.troubles
+        for kind, began_at, ended_at in play.troubles.spans
     )
 
 
@@ -107,6 +111,18 @@
             yield f"UNASKED {run.task}: run {run.run} began after the cancel"
 
 
+def _find_running_on(play, runs):
+    last_trouble = max((end for _, _, end in play.troubles.spans), default=0.0)
+    for run in runs:
+        job = play.jobs.get(run.task.partition(".")[0])
+        if job is not None and job.cancelled_at is not None:
+            # "a task of a cancelled job has to be gone after any such stretch of
+            # `cancel_ms` + `stopMs`"
+            limit = max(job.cancelled_at, last_trouble + CONTACT) + CANCEL + STOP
+            if run.ended_at > limit:
+                yield f"UNASKED {run.task}: run {run.run} works on after the cancel"
+
+
 def _find_alone(play, runs):
     for run in runs:
         job = play.jobs[run.task.partition(".")[0]]
@@ -183,8 +199,20 @@
             yield f"ONE {machine}: two holders with the token {fence}"
 
 
+def _find_waves(play):
+    begins = {}
+    for at, name, machine, wave in play.site.machines.upkeeps:
+        down = [begin for begin in begins.get(wave, ()) if begin + UPKEEP > at]
+        if len(down) >= play.site.waves[wave]["maxCount"]:
+            yield f"LIMIT {name} {machine}: {len(down)} of wave {wave} are down"
+        begins.setdefault(wave, []).append(at)
+    for wave, left in play.site.store.completed_waves:
+        if left:
+            yield f"MIXED wave {wave} is completed without {left}"
+
+
 def _find_drain(play, runs):
-    for executor_id, drained_at, ended_at in play.drains:
+    for executor_id, drained_at, ended_at in play.troubles.drains:
         for run in runs:
             # "a machine in touch starts a task later than `drainMs`"; other drains than
             # this one count as disruptions here, which is stricter than need be.
@@ -202,5 +230,5 @@
         kind not in CALM_KINDS | {"drain"}
         and began_at < end
         and ended_at > begin - CONTACT
-        for kind, began_at, ended_at in play.troubles
+        for kind, began_at, ended_at in play.troubles.spans
     )
--- a/peridotspoke/platform/tests/playsite.py
+++ b/peridotspoke/platform/tests/playsite.py
@@ -67,10 +67,13 @@
         Whether calls are carried out while the store is away.
     turned_away : set of str
         Nodes whose calls are refused.
+    completed_waves : list of (int, list of str)
+        Each wave that was said to be completed, and its machines that were left then.
     """
 
-    def __init__(self):
+    def __init__(self, site):
         super().__init__()
+        self.site, self.completed_waves = site, []
         self.is_away = self.loses_answers = False
         self.turned_away = set()
 
@@ -89,6 +92,13 @@
 
         return handle
 
+    def _write(self, key, value, lease):
+        super()._write(key, value, lease)
+        if key.startswith("status/wave/") and b"completed" in value:
+            wave = int(key.rpartition("/")[2])
+            left = self.site.machines.list_left(wave)
+            self.completed_waves.append((wave, left))
+
     def pause_leases(self, seconds):
         """Put the ends of all leases off."""
         self.leases = {
@@ -150,7 +160,7 @@
 
     def __init__(self, site):
         super().__init__()
-        self.site, self.orders, self.upkeeps = site, [], set()
+        self.site, self.orders, self.upkeeps = site, [], []
 
     async def handle(self, request):
         """List the machines, or carry an order out."""
@@ -162,21 +172,37 @@
         executor = self.site.find_machine(body["machine"])
         if executor is None:
             return make_response(status=400)
+        if name == "machine-upkeep" and not self._is_due(body):
+            return make_response({"reason": "wave"}, 409)
+        if self._is_done(name, body, executor):
+            return make_response({})
         is_up = executor.is_off or not (executor.has_left or executor.down)
         if not is_up or executor.state != "ready":
             return make_response({"reason": "busy"}, 409)
-        if name == "machine-upkeep" and not self._is_due(body):
-            return make_response({"reason": "wave"}, 409)
         holder = request.headers["X-Lease-Holder"]
         fence = int(request.headers["X-Fencing-Token"])
         self.orders.append((time.monotonic(), name, body["machine"], holder, fence))
         self.site.record("machines", f"{name} {body} {holder} {fence}")
-        self.upkeeps.add((body.get("wave"), body["machine"]))
+        in_upkeep = name == "machine-upkeep"
+        if in_upkeep:
+            upkeep = (time.monotonic(), name, body["machine"], body["wave"])
+            self.upkeeps.append(upkeep)
         pool = body.get("pool", executor.pool)
-        if pool != executor.pool or name == "machine-upkeep":
-            self.site.replace_executor(executor, pool, name == "machine-upkeep")
+        self.site.replace_executor(executor, pool, in_upkeep)
         return make_response({})
 
+    def _is_done(self, name, body, executor):
+        """Return whether the operation has been carried out already."""
+        if name == "machine-move":
+            return body["pool"] == executor.pool
+        return body["machine"] not in self.list_left(body["wave"])
+
+    def list_left(self, wave):
+        """Return the machines of a wave whose upkeep has not begun."""
+        begun = {machine for _, _, machine, number in self.upkeeps if number == wave}
+        asked = self.site.waves[wave]["machines"] if wave in self.site.waves else ()
+        return [machine for machine in asked if machine not in begun]
+
     def _is_due(self, body):
         wave = self.site.waves.get(body["wave"])
         return wave is not None and body["machine"] in wave["machines"]
@@ -210,7 +236,8 @@
 
     def __init__(self, folder, node_count):
         self.folder, self.node_count = folder, node_count
-        self.store, self.machines, self.gangs = PlayStore(), PlayMachines(self), Gangs()
+        self.store, self.machines = PlayStore(self), PlayMachines(self)
+        self.gangs = Gangs()
         self.runs, self.lines, self.waves, self.processes = [], [], {}, {}
         self.fronts, self.runners, self.tasks, self.listeners = {}, [], set(), {}
         self.begun_at, self.life_count = time.monotonic(), 0
