Draw entries of another writer and a demand beyond the pools in plays

Cause: the plays wrote no odd entries, and no queue waited for room. Change: a kind of disruption 'odd', and a third of the plays send three times the jobs.

--- a/peridotspoke/platform/tests/fleetplay.py
+++ b/peridotspoke/platform/tests/fleetplay.py
@@ -91,11 +91,12 @@
 
     async def _send_jobs(self, group):
         end = time.monotonic() + self.traffic
+        longest = self.chance.choice([0.5, 0.5, 0.15])  # the last one fills the pools
         while time.monotonic() < end:
             job = self._draw_job()
             self.jobs[job.job_id] = job
             group.create_task(self._follow(job))
-            await asyncio.sleep(self.chance.uniform(0.1, 0.5))
+            await asyncio.sleep(self.chance.uniform(0.05, longest))
 
     def _draw_job(self):
         chance = self.chance
--- a/peridotspoke/platform/tests/playtroubles.py
+++ b/peridotspoke/platform/tests/playtroubles.py
@@ -13,7 +13,7 @@
 KINDS = (
     *("drain", "refuse", "lapse", "cut", "crash", "rollout", "late") * 2,
     *("store", "lost", "compact", "away", "freeze", "kill", "term", "hup"),
-    *("config", "wave"),
+    *("config", "wave", "odd"),
 )
 
 
@@ -252,6 +252,23 @@
                 self.site.store.put("op/config", self.make_config())
             await asyncio.sleep(self.chance.uniform(0.05, 0.8))
 
+    async def _odd(self):
+        """Let another writer take the place of an executor's entry for a while."""
+        if self.site.store.is_away or (executor := self._draw_executor()) is None:
+            return
+        entry = executor.describe()
+        values = [
+            b"\xff{",
+            {**entry, "state": "unknown"},
+            {**entry, "service": "unknown"},
+            {**entry, "born": "late"},
+            {name: entry[name] for name in ("service", "seq")},
+        ]
+        key = f"servers/{executor.executor_id}"
+        self.site.store.put(key, self.chance.choice(values))
+        await asyncio.sleep(self.chance.uniform(0.2, 1.5))
+        executor.beat()
+
     async def _wave(self):
         """Ask for the upkeep of some machines."""
         if self.site.store.is_away:
