Await leases in full on an executor's clock that is 2% slow

Callers could see a task start 2 ms before its earlier run lapses (TWICE): a clock that measures 98% of the time that passes lets a lease of 5 s last for 5.102 s, and the owner awaited 5.1 s. Cause: the factor was 1.02 instead of 1 / 0.98. The test of the ledger's rules failed before, at the margin, and covers the longest lease, stops and inherited leases as well.

--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -48,7 +48,7 @@
 
 MESSAGE_TIMEOUT = 0.1  # seconds after which a round runs without a message
 ROUND_PAUSE = 0.01  # seconds between two rounds
-SLOW_CLOCK_FACTOR = 1.02  # the platform lets executors' clocks run up to 2% slow
+SLOW_CLOCK_FACTOR = 1.0 / 0.98  # of a duration; executors' clocks may be 2% slow
 
 
 class PoolSupervisor:
--- a/peridotspoke/nodes/tests/test_former_leases.py
+++ b/peridotspoke/nodes/tests/test_former_leases.py
@@ -102,3 +102,19 @@
     world.pass_time(4.0)
     world.pass_time(1.5)
     world.work([second])
+
+
+def test_a_lease_on_a_slow_clock_is_awaited_in_full():
+    # Guards against two runs at once (TWICE): a clock that is 2% slow measures 98% of
+    # the time that passes, so that a lease lasts for more than 102% of its duration.
+    parts = make_parts()
+    holding = Holding("pool", FENCE, parts.clock.read_monotonic())
+    rules = PoolSupervisor(parts, holding, make_jobs())._ledger.rules
+    settings = parts.settings
+    slow_clock = 0.98  # seconds that it measures in each second
+    run_lease, longest = settings.run_lease, settings.bounds.max_run_lease
+    assert run_lease + rules.margin >= run_lease / slow_clock
+    assert run_lease + rules.restart_excess >= longest / slow_clock
+    assert rules.stop_limit >= settings.bounds.stop / slow_clock
+    alone = settings.timing.extension_limit
+    assert rules.inherited_lease + rules.margin >= alone + run_lease / slow_clock
