--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -87,7 +87,6 @@
             node.clock.read_monotonic(),
             self._log,
         )
-        self._ledger.follows_owner = True
         self._ledger.expect_lease_ends(holding.lease_ends)
         self._inherited_leases = InheritedLeases(node, holding, self._ledger)
         self._tickets = TicketCache(
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -320,8 +320,7 @@
 
         The executor has checked this owner's fence, so that it refuses what earlier
         owners send from now on. Their last extension may have come just before, on
-        the clock of an earlier incarnation, and so have given the longest lease. It
-        holds for all that runs there, also for what this owner starts.
+        the clock of an earlier incarnation, and so have given the longest lease.
 
         Parameters
         ----------
@@ -332,8 +331,7 @@
         phases = {run.phase for run in state.runs.values()}
         is_first = state.reported_at is None or RunPhase.INHERITED in phases
         longest_end = self.taken_over_at + self.rules.inherited_lease
-        is_possible = state.has_inherited or self.follows_owner
-        if is_possible and is_first and now < longest_end:
+        if state.has_inherited and is_first and now < longest_end:
             lease_end = min(longest_end, now + self.rules.run_lease)
             lease_end += self.rules.restart_excess
             state.lease_end = max(state.lease_end, lease_end)
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -54,8 +54,6 @@
         Runs, by task and run number, that were given up so that a copy could start.
     taken_over_at : float
         Monotonic time at which the pool was taken over, seconds.
-    follows_owner : bool
-        Whether an earlier owner may have extended leases just before; False by default.
     former_lease_end : float
         Monotonic time at which all leases that earlier owners granted have ended.
     stated_ends : dict of str to float
@@ -78,7 +76,6 @@
         self.copied_runs = set()
         self.rules = rules
         self.taken_over_at = now
-        self.follows_owner = False
         self.former_lease_end = now + rules.inherited_lease
         self.stated_ends = {}
         self.note = note or (lambda event, **fields: None)
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -408,7 +408,6 @@
     def _begin_ownership(self, stated_ends):
         self.fence += 1 if self.raises_fence or not self.fence else 0
         self.owner = ModelOwner(self, self.fence)
-        self.owner.ledger.follows_owner = self.fence > self.first_fence
         self.owner.ledger.expect_lease_ends(stated_ends)
         for executor in self.executors:
             self.owner.ledger.see_entry(self.describe(executor), self.now)
