Cancel a call that may forget an end once another life has answered a start

Callers would see a task run again after it was done (TWICE): while a renewal with the cursor of the former life is under way, the new life carries out a start, ends it, and then carries out the renewal, which makes it forget the end. The guard before a start can't see this: the start was sent before the restart was known.

Now the answer of a life that isn't known cancels such renewals, which closes their connections. Evidence: the new test of test_sessions timed out before, as the renewal stayed under way. A start whose answer is lost as well is not covered.

--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -103,7 +103,7 @@
         self._failures = 0
         self._answered_at = float("-inf")
         self._forgotten = (0, 0)  # incarnation, and number of its last forgotten end
-        self._forgetful_calls = []  # incarnations that calls under way were meant for
+        self._forgetful_calls = {}  # task to the incarnation that it is meant for
         self._wake = asyncio.Event()
 
     @property
@@ -136,7 +136,7 @@
         may_send = self._may_order() and self._may_extend_leases()
         may_be_forgotten = any(
             incarnation != self._state.incarnation
-            for incarnation in self._forgetful_calls
+            for incarnation in self._forgetful_calls.values()
         )
         if not self._clock_bounds.is_known or not may_send or may_be_forgotten:
             self._post(StartAnswered(run, Refusal.LATE))
@@ -167,6 +167,9 @@
             and self._incarnation == self._state.incarnation
             and bounds.contain(answer.clock, now, self._clock.read_monotonic())
         )
+        if answer.refusal is None and not by_known_incarnation:
+            for call in self._forgetful_calls:
+                call.cancel()
         self._post(StartAnswered(run, answer.refusal, by_known_incarnation))
         self.wake()
 
@@ -249,14 +252,23 @@
 
     async def _renew_leases(self, order):
         """Send a `LeaseRenewal`, and record what its call can let be forgotten."""
-        incarnation = self._state.incarnation
         if not order.cursor:
             return await self._calls.renew_leases(order)
-        self._forgetful_calls.append(incarnation)
+        incarnation = self._state.incarnation
+        call = asyncio.ensure_future(self._calls.renew_leases(order))
+        self._forgetful_calls[call] = incarnation
         try:
-            report = await self._calls.renew_leases(order)
+            report = await call
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            raise AnswerLostError(
+                "cancelled as another incarnation may have answered",
+                step="renew leases",
+                peer=self.executor_id,
+            ) from None
         finally:
-            self._forgetful_calls.remove(incarnation)
+            del self._forgetful_calls[call]
         if report.refusal is None and report.incarnation == incarnation:
             self._forgotten = (incarnation, order.cursor)
         return report
--- a/peridotspoke/nodes/tests/test_sessions.py
+++ b/peridotspoke/nodes/tests/test_sessions.py
@@ -88,6 +88,17 @@
         await self.session._poll()
         return self.executor.sent[-1].cursor
 
+    async def begin_poll(self):
+        """Return a task that polls the executor, and the event that it waits for."""
+        self.executor.gate = gate = asyncio.Event()
+        count = len(self.executor.sent)
+        poll = asyncio.ensure_future(self.session._poll())
+        async with asyncio.timeout(20):
+            while len(self.executor.sent) == count:
+                await asyncio.sleep(0)
+        self.executor.gate = None
+        return poll, gate
+
     def list_started(self):
         """Return the tasks whose starts were sent."""
         return [order.key for order in self.executor.sent if type(order) is StartOrder]
@@ -163,10 +174,7 @@
     fixture = SessionFixture()
     fixture.acknowledge_one_end()
     await fixture.poll()
-    fixture.executor.gate = asyncio.Event()
-    poll = asyncio.ensure_future(fixture.poll())
-    await asyncio.sleep(0)
-    fixture.executor.gate, gate = None, fixture.executor.gate
+    poll, gate = await fixture.begin_poll()
     assert fixture.executor.sent[-1].cursor == 1
     fixture.executor.incarnation = 2
     await fixture.session.request_report()
@@ -180,6 +188,23 @@
     assert fixture.list_started() == [run.key]
 
 
+async def test_a_call_that_may_forget_an_end_is_cancelled_as_another_life_answers():
+    # Guards against a second run of a task that is done (TWICE): the new incarnation
+    # has carried out a start, and may carry out the call after the run has ended.
+    fixture = SessionFixture()
+    fixture.acknowledge_one_end()
+    await fixture.poll()
+    poll, _ = await fixture.begin_poll()
+    assert fixture.executor.sent[-1].cursor == 1
+    add_job(fixture.ledger, job_id="a" * 16)
+    run, *_ = start_all(fixture.ledger, 100.0)
+    fixture.executor.clock = 40
+    await fixture.session.start(run)
+    async with asyncio.timeout(20):
+        assert await poll is False
+    assert await fixture.poll() == 0
+
+
 @pytest.mark.parametrize(("pause", "cursor"), [(0.05, 1), (2.5, 0)])
 async def test_an_unreported_run_delays_the_cursor_unless_the_answer_is_recent(
     pause, cursor
