Show that a gang does not run again while one of its runs may be done

One run is lost with its executor's restart; the other ends `done` later and stands for the gang. The test passes on the code as it was: this road to TWICE is closed.

--- a/peridotspoke/workloads/tests/test_unlisted_runs.py
+++ b/peridotspoke/workloads/tests/test_unlisted_runs.py
@@ -8,7 +8,7 @@
 
 from peridotspoke.workloads.executors import EndKind, StopOrder
 from peridotspoke.workloads.jobs import Need, Step
-from peridotspoke.workloads.progress import TaskStatus
+from peridotspoke.workloads.progress import JobOutcome, TaskStatus
 from peridotspoke.workloads.tests.ledgers import (
     RULES,
     add_job,
@@ -130,3 +130,20 @@
     ledger.request_due_reports(3.0)
     report(ledger, "e1", 3.5, incarnation=2)
     assert run.task.status is TaskStatus.WAITING
+
+
+def test_a_gang_that_has_lost_a_run_does_not_run_again_while_another_may_be_done():
+    # Guards against second runs of tasks that are done (TWICE): one end stands for all,
+    # and it may come from any of the gang's executors.
+    ledger = make_ledger("e1", "e2")
+    step = Step(2, Need(5000, 100), gang=True)
+    progress = add_job(ledger, step)
+    first, second = start_all(ledger, 0.0)
+    assert {first.executor_id, second.executor_id} == {"e1", "e2"}
+    for run in (first, second):
+        report(ledger, run.executor_id, 0.5, [run])
+    report(ledger, first.executor_id, 1.0, incarnation=2)
+    assert first.task.status is TaskStatus.WAITING
+    assert start_all(ledger, 1.1) == []
+    report(ledger, second.executor_id, 1.2, ended=[end(1, second)])
+    assert progress.outcome is JobOutcome.COMPLETED
