--- a/peridotspoke/nodes/tests/test_sessions.py
+++ b/peridotspoke/nodes/tests/test_sessions.py
@@ -18,6 +18,7 @@
     ThrottleOrder,
 )
 from peridotspoke.workloads.tests.ledgers import (
+    RULES,
     add_job,
     end,
     make_ledger,
@@ -65,9 +66,9 @@
 class SessionFixture:
     """A session with a fake executor, and a permission that tests can withdraw."""
 
-    def __init__(self):
+    def __init__(self, rules=RULES):
         self.clock = ManualClock(100.0)
-        self.ledger = make_ledger("e1", now=100.0)
+        self.ledger = make_ledger("e1", now=100.0, rules=rules)
         self.executor = FakeExecutor()
         self.permitted = True
         self.messages = []
