--- a/peridotspoke/nodes/tests/test_review35.py
+++ b/peridotspoke/nodes/tests/test_review35.py
@@ -109,7 +109,7 @@
     supervisor._tasks.cancel()
 
 
-async def test_an_answer_of_another_executor_releases_no_life_that_began_after_its_call():
+async def test_an_answer_of_another_executor_releases_no_life_that_is_newer():
     """The address is given back while the answer is under way (TWICE).
 
     The reports that make the next life known come on another connection.
@@ -192,3 +192,18 @@
         assert recorded >= longest
     gate.set()
     await poll
+
+
+def test_a_poll_that_a_later_life_carries_out_is_awaited_in_full():
+    """A poll is under way for the limit of a call and its wait (TWICE).
+
+    It states its lease on the former life's clock, which gives the longest one.
+    """
+    parts = make_parts()
+    holding = Holding("pool", 9, parts.clock.read_monotonic())
+    supervisor = PoolSupervisor(parts, holding, PoolJobs("pool"))
+    timing, rules = parts.settings.timing, supervisor._ledger.rules
+    longest = parts.settings.bounds.max_run_lease / 0.98
+    under_way = timing.call + supervisor._rules.poll_wait
+    awaited = rules.run_lease + rules.restart_excess + rules.margin
+    assert awaited >= under_way + longest
--- a/peridotspoke/workloads/tests/test_review35.py
+++ b/peridotspoke/workloads/tests/test_review35.py
@@ -1,4 +1,4 @@
-"""Review of issue 35: an answer from a former address, in the product's order of calls."""
+"""Review of issue 35: an answer from a former address, in the real order."""
 
 from dataclasses import replace
 
