--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -111,6 +111,10 @@
         """The executor's identity."""
         return self._state.executor_id
 
+    def follows(self, state):
+        """Return whether the session gives an `ExecutorState`'s runs and ends."""
+        return self._state is state
+
     def wake(self):
         """Poll an idle executor without waiting for the interval to end."""
         self._wake.set()
@@ -138,7 +142,10 @@
             incarnation != self._state.incarnation
             for incarnation in self._forgetful_calls.values()
         )
-        if not self._clock_bounds.is_known or not may_send or may_be_forgotten:
+        is_clock_known = (
+            self._clock_bounds.is_known and self._incarnation == self._state.incarnation
+        )
+        if not is_clock_known or not may_send or may_be_forgotten:
             self._post(StartAnswered(run, Refusal.LATE))
             return
         bounds = self._clock_bounds
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -314,8 +314,8 @@
 
     def _send_stops(self):
         for command in self._ledger.list_stops():
-            task_name = (command.executor_id, command.order)
             session = self._sessions.get(command.executor_id)
+            task_name = (command.executor_id, command.order, session and session[2])
             if session is not None and task_name not in self._tasks.running_names:
                 stop = session[0].stop(command.order, self._ledger.is_stop_due)
                 self._tasks.spawn_once(task_name, stop)
@@ -350,8 +350,8 @@
             if state.entry is None:
                 continue
             if executor_id in self._sessions:
-                address = self._sessions[executor_id][2]
-                if address == state.entry.address:
+                session, _, address = self._sessions[executor_id]
+                if address == state.entry.address and session.follows(state):
                     continue
                 self._close_session(executor_id)
             self._open_session(state)
@@ -388,7 +388,9 @@
     """Return the `LedgerRules` for the leases that sessions grant to runs."""
     run_lease = settings.run_lease
     longest_lease = (
-        settings.bounds.max_run_lease * SLOW_CLOCK_FACTOR + settings.timing.call
+        settings.bounds.max_run_lease * SLOW_CLOCK_FACTOR
+        + settings.timing.call
+        + settings.timing.poll_wait
     )
     return LedgerRules(
         inherited_lease=(run_lease + settings.timing.extension_limit)
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -66,6 +66,9 @@
         if state is None:
             state = ExecutorState(task.executor, incarnation=task.incarnation)
             self.executors[task.executor] = state
+        self._update_incarnation(
+            state, task.incarnation, self.taken_over_at, "progress"
+        )
         stated_end = self.stated_ends.get(task.executor, self.former_lease_end)
         inherited_end = min(self.former_lease_end, stated_end)
         state.inherited_end = max(state.inherited_end, inherited_end)
