--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -14,6 +14,7 @@
     OwnershipLostError,
     ProgressWriter,
 )
+from peridotspoke.nodes.leaserules import derive_ledger_rules
 from peridotspoke.nodes.messages import (
     CommitDone,
     ExecutorCallFailed,
@@ -40,7 +41,6 @@
 from peridotspoke.workloads.evacuation import plan_evacuation
 from peridotspoke.workloads.executors import Refusal, ThrottleOrder
 from peridotspoke.workloads.ledger import PoolLedger
-from peridotspoke.workloads.ledgertypes import LedgerRules
 from peridotspoke.workloads.progress import decode_progress
 from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.throttling import plan_throttling
@@ -49,7 +49,6 @@
 
 MESSAGE_TIMEOUT = 0.1  # seconds after which a round runs without a message
 ROUND_PAUSE = 0.01  # seconds between two rounds
-SLOW_CLOCK_FACTOR = 1.0 / 0.98  # of a duration; executors' clocks may be 2% slow
 
 
 class PoolSupervisor:
@@ -84,7 +83,7 @@
         self._ledger = PoolLedger(
             holding.unit,
             holding.fence,
-            _make_ledger_rules(settings),
+            derive_ledger_rules(settings),
             node.clock.read_monotonic(),
             self._log,
         )
@@ -382,19 +381,3 @@
         run = keep_running(f"session with {state.executor_id}", session.run)
         task = self._tasks.spawn(run)
         self._sessions[state.executor_id] = (session, task, state.entry.address)
-
-
-def _make_ledger_rules(settings):
-    """Return the `LedgerRules` for the leases that sessions grant to runs."""
-    run_lease = settings.run_lease
-    longest_lease = (
-        settings.bounds.max_run_lease * SLOW_CLOCK_FACTOR + settings.timing.call
-    )
-    return LedgerRules(
-        inherited_lease=(run_lease + settings.timing.extension_limit)
-        * SLOW_CLOCK_FACTOR,
-        margin=(SLOW_CLOCK_FACTOR - 1.0) * run_lease,
-        restart_excess=max(0.0, longest_lease - run_lease),
-        run_lease=run_lease,
-        stop_limit=settings.bounds.stop * SLOW_CLOCK_FACTOR,
-    )
