--- a/peridotspoke/nodes/tests/test_review35.py
+++ b/peridotspoke/nodes/tests/test_later_lives.py
@@ -1,4 +1,4 @@
-"""Review of issue 35: sessions and supervisors around restarts at other addresses."""
+"""Tests of sessions and supervisors as executors start again, also elsewhere."""
 
 import asyncio
 from dataclasses import replace
--- a/peridotspoke/workloads/tests/test_addresses.py
+++ b/peridotspoke/workloads/tests/test_addresses.py
@@ -61,3 +61,19 @@
     second.see_entry(make_moved_entry(), 0.3)
     second.release_departed("e1", ADDRESS, 0.4)
     assert [task.status for task in tasks] == [TaskStatus.WAITING] * 2
+
+
+def test_an_old_entry_that_is_read_before_the_jobs_releases_no_later_life():
+    """A supervisor's round applies the entries first and the jobs after them."""
+    first = make_ledger()
+    first.see_entry(make_moved_entry(), 0.0)
+    report(first, "e1", 0.0, incarnation=2)
+    progress = add_job(first)
+    plan(first, 0.0)
+    store(first)
+    second = make_ledger(fence=8)
+    second.see_entry(make_entry("e1", incarnation=1), 0.1)
+    second.add_job(progress)
+    second.release_departed("e1", FORMER_ADDRESS, 0.2)
+    tasks = list(progress.list_tasks())
+    assert [task.status for task in tasks] == [TaskStatus.ASSIGNED] * 2
