Know the life of an inherited run also where an older entry is read first

Callers would see two runs of one task at once (TWICE): a new owner reads an entry from before an executor's restart, then the jobs, whose runs name the later life; an answer of another executor at the former address released these runs. Cause: the run's life was taken over only where the executor had no entry yet, and a round applies entries before jobs.

--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -64,8 +64,9 @@
         """
         state = self.executors.get(task.executor)
         if state is None:
-            state = ExecutorState(task.executor, incarnation=task.incarnation)
+            state = ExecutorState(task.executor)
             self.executors[task.executor] = state
+        state.incarnation = max(state.incarnation, task.incarnation)
         stated_end = self.stated_ends.get(task.executor, self.former_lease_end)
         inherited_end = min(self.former_lease_end, stated_end)
         state.inherited_end = max(state.inherited_end, inherited_end)
