End the stops of a session with it

Callers would see a task that stands (LOST): a stop that gets no answer is repeated until it is answered. Where its executor starts again at another address, the supervisor opens a new session, but the stop went on at the former address, and as it counted as under way no other was sent. Now it ends with its session, and the next round sends it at the new address.

--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -104,6 +104,7 @@
         self._answered_at = float("-inf")
         self._forgotten = (0, 0)  # incarnation, and number of its last forgotten end
         self._forgetful_calls = {}  # task to the incarnation that it is meant for
+        self._is_closed = False
         self._wake = asyncio.Event()
 
     @property
@@ -117,11 +118,13 @@
 
     async def run(self):
         """Poll the executor until cancelled."""
+        self._is_closed = False
         try:
             while True:
                 answered = await self._poll()
                 await self._wait_for_next_poll(answered)
         finally:
+            self._is_closed = True
             await self._calls.close()
 
     async def start(self, run):
@@ -176,7 +179,8 @@
     async def stop(self, order, is_due):
         """Send the order to stop a run until it is answered or no longer due.
 
-        Nothing is sent while this node may not order.
+        Nothing is sent while this node may not order. It ends with the session, as the
+        executor may have another address by then.
 
         Parameters
         ----------
@@ -184,7 +188,7 @@
         is_due : callable
             Called with the executor's identity and the order.
         """
-        while is_due(self.executor_id, order):
+        while not self._is_closed and is_due(self.executor_id, order):
             if not self._may_order():
                 await asyncio.sleep(self._rules.retry)
                 continue
