Open a new session for an executor that is listed again at once

Callers would see ends that are never acknowledged (Acks), on an executor that is polled as if it were idle: another one answered at its address while it was unlisted, so that the ledger dropped its state, and it was listed again at that address before the next round looked at the sessions. The session then kept the dropped state. Now a session is replaced where its state is another one.

--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -112,6 +112,10 @@
         """The executor's identity."""
         return self._state.executor_id
 
+    def follows(self, state):
+        """Return whether this is the session of an `ExecutorState`."""
+        return self._state is state
+
     def wake(self):
         """Poll an idle executor without waiting for the interval to end."""
         self._wake.set()
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -349,8 +349,8 @@
             if state.entry is None:
                 continue
             if executor_id in self._sessions:
-                address = self._sessions[executor_id][2]
-                if address == state.entry.address:
+                session, _, address = self._sessions[executor_id]
+                if address == state.entry.address and session.follows(state):
                     continue
                 self._close_session(executor_id)
             self._open_session(state)
