Release no run for an answer that was asked for before its life began

Callers would see two runs of one task at once (TWICE): another executor answers at an address, which the former executor then gets back; the answer comes late, and released the runs that the new life had begun meanwhile. Now the message names the life that was known as the call was sent, and counts for no later one.

--- a/peridotspoke/nodes/messages.py
+++ b/peridotspoke/nodes/messages.py
@@ -52,10 +52,13 @@
     executor_id : str
     address : str
         The address at which the other executor answered.
+    incarnation : int or None, optional
+        The incarnation that was known as the call was sent; None if any is meant.
     """
 
     executor_id: str
     address: str
+    incarnation: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -294,12 +294,13 @@
         wait = self._rules.poll_wait if busy and self._failures == 0 else 0.0
         cursor = self._choose_cursor(asked_at)
         order = LeaseRenewal(self._fence, cursor, lease_end_ms, wait)
+        incarnation = self._state.incarnation
         try:
             report = await self._renew_leases(order)
         except (AnswerLostError, PlatformUnavailableError) as error:
             return self._handle_failure(error)
         if report.refusal is not None:
-            return self._handle_refusal(report.refusal)
+            return self._handle_refusal(report.refusal, incarnation)
         self._failures = 0
         self._update_clock_bounds(report, asked_at)
         self._post(ReportArrived(self.executor_id, report, asked_at))
@@ -317,13 +318,14 @@
         self._post(ExecutorCallFailed(self.executor_id, error.message))
         return False
 
-    def _handle_refusal(self, refusal):
+    def _handle_refusal(self, refusal, incarnation):
         self._failures += 1
         if refusal is Refusal.FENCED:
             self._post(Fenced(self.executor_id))
         else:
             if refusal is Refusal.OTHER_INCARNATION:
-                self._post(ExecutorLeft(self.executor_id, self._calls.address))
+                address = self._calls.address
+                self._post(ExecutorLeft(self.executor_id, address, incarnation))
             self._post(ExecutorCallFailed(self.executor_id, str(refusal)))
         return False
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -184,8 +184,8 @@
                 ledger.apply_stop_answer(executor_id, order, now, refusal)
             case ExecutorCallFailed(executor_id, reason):
                 ledger.note_unreachable(executor_id, reason, now)
-            case ExecutorLeft(executor_id, address):
-                ledger.release_departed(executor_id, address, now)
+            case ExecutorLeft(executor_id, address, incarnation):
+                ledger.release_departed(executor_id, address, now, incarnation)
             case Fenced(executor_id):
                 log_event("fenced", "WARNING", pool=self.pool, executor=executor_id)
                 self._node.ownership.give_up(self._holding, "fenced by an executor")
--- a/peridotspoke/nodes/tests/test_later_lives.py
+++ b/peridotspoke/nodes/tests/test_later_lives.py
@@ -137,7 +137,9 @@
     await poll
     for message in fixture.messages:
         if type(message) is ExecutorLeft:
-            ledger.release_departed(message.executor_id, message.address, 100.5)
+            ledger.release_departed(
+                message.executor_id, message.address, 100.5, message.incarnation
+            )
     tasks = list(progress.list_tasks())
     assert [task.status for task in tasks] == [TaskStatus.ASSIGNED] * 2
 
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -68,7 +68,7 @@
         state = self.executors.get(executor_id)
         return state is None or not (state.runs or state.foreign)
 
-    def release_departed(self, executor_id, address, now):
+    def release_departed(self, executor_id, address, now, incarnation=None):
         """Release the runs of an executor at whose address another one answers.
 
         The answer says nothing about an incarnation that is listed at another address,
@@ -81,6 +81,9 @@
             As ``host:port``.
         now : float
             Monotonic seconds.
+        incarnation : int or None, optional
+            The executor's incarnation that was known as the call was sent: a later one
+            may have the address again. None if any is meant.
         """
         state = self.executors.get(executor_id)
         if state is None:
@@ -92,7 +95,8 @@
             listed=state.entry is not None and state.entry.address,
             runs=len(state.runs),
         )
-        if not state.has_address(address):
+        is_outdated = incarnation not in (None, state.incarnation)
+        if is_outdated or not state.has_address(address):
             return
         for run in list(state.runs.values()):
             self.requeue(run, now, "executor left")
