Start nothing by the clock of a former life

Callers would see two runs of one task at once (TWICE): a requested report makes a later life known while the poll to the former one is still under way. Now it is refused as late until a poll has answered for the present life, and that poll is made at once.

--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -135,9 +135,9 @@
         """Send the order to start a run, once, and post its outcome.
 
         Posts `StartLost` where the outcome is unknown. The order is refused as late,
-        without a call, while the executor's clock is unknown, or orders may not be
-        sent, or leases may not be extended. Likewise while a call under way could make
-        a new incarnation forget the end of this run.
+        without a call, while the clock of the executor's incarnation is unknown, or
+        orders may not be sent, or leases may not be extended. Likewise while a call
+        under way could make a new incarnation forget the end of this run.
         """
         now = self._clock.read_monotonic()
         may_send = self._may_order() and self._may_extend_leases()
@@ -145,8 +145,12 @@
             incarnation != self._state.incarnation
             for incarnation in self._forgetful_calls.values()
         )
-        if not self._clock_bounds.is_known or not may_send or may_be_forgotten:
+        # An executor's reports may leave its incarnation out, which is 0 then.
+        is_present_clock = self._incarnation in (0, self._state.incarnation)
+        knows_clock = self._clock_bounds.is_known and is_present_clock
+        if not knows_clock or not may_send or may_be_forgotten:
             self._post(StartAnswered(run, Refusal.LATE))
+            self.wake()
             return
         bounds = self._clock_bounds
         order = StartOrder(
