--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -104,6 +104,7 @@
         self._answered_at = float("-inf")
         self._forgotten = (0, 0)  # incarnation, and number of its last forgotten end
         self._forgetful_calls = {}  # task to the incarnation that it is meant for
+        self._is_closed = False
         self._wake = asyncio.Event()
 
     @property
@@ -112,7 +113,7 @@
         return self._state.executor_id
 
     def follows(self, state):
-        """Return whether the session gives an `ExecutorState`'s runs and ends."""
+        """Return whether this is the session of an `ExecutorState`."""
         return self._state is state
 
     def wake(self):
@@ -121,20 +122,22 @@
 
     async def run(self):
         """Poll the executor until cancelled."""
+        self._is_closed = False
         try:
             while True:
                 answered = await self._poll()
                 await self._wait_for_next_poll(answered)
         finally:
+            self._is_closed = True
             await self._calls.close()
 
     async def start(self, run):
         """Send the order to start a run, once, and post its outcome.
 
         Posts `StartLost` where the outcome is unknown. The order is refused as late,
-        without a call, while the executor's clock is unknown, or orders may not be
-        sent, or leases may not be extended. Likewise while a call under way could make
-        a new incarnation forget the end of this run.
+        without a call, while the clock of the executor's incarnation is unknown, or
+        orders may not be sent, or leases may not be extended. Likewise while a call
+        under way could make a new incarnation forget the end of this run.
         """
         now = self._clock.read_monotonic()
         may_send = self._may_order() and self._may_extend_leases()
@@ -142,11 +145,12 @@
             incarnation != self._state.incarnation
             for incarnation in self._forgetful_calls.values()
         )
-        is_clock_known = (
-            self._clock_bounds.is_known and self._incarnation == self._state.incarnation
-        )
-        if not is_clock_known or not may_send or may_be_forgotten:
+        # An executor's reports may leave its incarnation out, which is 0 then.
+        is_present_clock = self._incarnation in (0, self._state.incarnation)
+        knows_clock = self._clock_bounds.is_known and is_present_clock
+        if not knows_clock or not may_send or may_be_forgotten:
             self._post(StartAnswered(run, Refusal.LATE))
+            self.wake()
             return
         bounds = self._clock_bounds
         order = StartOrder(
@@ -183,7 +187,8 @@
     async def stop(self, order, is_due):
         """Send the order to stop a run until it is answered or no longer due.
 
-        Nothing is sent while this node may not order.
+        Nothing is sent while this node may not order. It ends with the session, as the
+        executor may have another address by then.
 
         Parameters
         ----------
@@ -191,7 +196,7 @@
         is_due : callable
             Called with the executor's identity and the order.
         """
-        while is_due(self.executor_id, order):
+        while not self._is_closed and is_due(self.executor_id, order):
             if not self._may_order():
                 await asyncio.sleep(self._rules.retry)
                 continue
@@ -293,12 +298,13 @@
         wait = self._rules.poll_wait if busy and self._failures == 0 else 0.0
         cursor = self._choose_cursor(asked_at)
         order = LeaseRenewal(self._fence, cursor, lease_end_ms, wait)
+        incarnation = self._state.incarnation
         try:
             report = await self._renew_leases(order)
         except (AnswerLostError, PlatformUnavailableError) as error:
             return self._handle_failure(error)
         if report.refusal is not None:
-            return self._handle_refusal(report.refusal)
+            return self._handle_refusal(report.refusal, incarnation)
         self._failures = 0
         self._update_clock_bounds(report, asked_at)
         self._post(ReportArrived(self.executor_id, report, asked_at))
@@ -316,13 +322,14 @@
         self._post(ExecutorCallFailed(self.executor_id, error.message))
         return False
 
-    def _handle_refusal(self, refusal):
+    def _handle_refusal(self, refusal, incarnation):
         self._failures += 1
         if refusal is Refusal.FENCED:
             self._post(Fenced(self.executor_id))
         else:
             if refusal is Refusal.OTHER_INCARNATION:
-                self._post(ExecutorLeft(self.executor_id, self._calls.address))
+                address = self._calls.address
+                self._post(ExecutorLeft(self.executor_id, address, incarnation))
             self._post(ExecutorCallFailed(self.executor_id, str(refusal)))
         return False
 
