--- a/peridotspoke/nodes/tests/test_later_lives.py
+++ b/peridotspoke/nodes/tests/test_later_lives.py
@@ -209,3 +209,17 @@
     under_way = timing.call + supervisor._rules.poll_wait
     awaited = rules.run_lease + rules.restart_excess + rules.margin
     assert awaited >= under_way + longest
+
+
+async def test_a_poll_states_no_lease_by_the_clock_of_a_former_life():
+    """A report has made the next life known, but no poll has been answered by it.
+
+    The next life would hold its runs for the longest lease, and the owner awaits that
+    of the poll (TWICE).
+    """
+    fixture = SessionFixture()
+    fixture.executor.clock = 500_000
+    await fixture.poll()
+    report(fixture.ledger, "e1", 100.6, incarnation=2)
+    await fixture.poll()
+    assert fixture.executor.sent[-1].lease_end_ms is None
