Extend no lease by the clock of a former life

Callers would see two runs of one task at once (TWICE): a report or an entry makes a later life known, and the next poll still stated its lease on the former life's clock, for which the later one grants the longest lease while the owner records its own. The guard of starts stands for polls too now; the poll's answer makes the clock known.

--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -145,10 +145,7 @@
             incarnation != self._state.incarnation
             for incarnation in self._forgetful_calls.values()
         )
-        # An executor's reports may leave its incarnation out, which is 0 then.
-        is_present_clock = self._incarnation in (0, self._state.incarnation)
-        knows_clock = self._clock_bounds.is_known and is_present_clock
-        if not knows_clock or not may_send or may_be_forgotten:
+        if not self._knows_clock() or not may_send or may_be_forgotten:
             self._post(StartAnswered(run, Refusal.LATE))
             self.wake()
             return
@@ -224,6 +221,14 @@
         except (AnswerLostError, PlatformUnavailableError) as error:
             self._post(ExecutorCallFailed(self.executor_id, error.message))
 
+    def _knows_clock(self):
+        """Return whether the clock of the executor's present incarnation is known.
+
+        An executor's reports may leave its incarnation out, which is 0 then.
+        """
+        is_present = self._incarnation in (0, self._state.incarnation)
+        return self._clock_bounds.is_known and is_present
+
     def _extend_leases(self, now):
         self._record_lease_end(self.executor_id, now + self._rules.run_lease)
         return self._clock_bounds.to_executor_time(now, self._rules.run_lease)
@@ -288,11 +293,7 @@
     async def _poll(self):
         asked_at = self._clock.read_monotonic()
         lease_end_ms = None
-        if (
-            self._failures == 0
-            and self._clock_bounds.is_known
-            and self._may_extend_leases()
-        ):
+        if self._failures == 0 and self._knows_clock() and self._may_extend_leases():
             lease_end_ms = self._extend_leases(asked_at)
         busy = bool(self._state.runs) and self._clock_bounds.is_known
         wait = self._rules.poll_wait if busy and self._failures == 0 else 0.0
