--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -42,6 +42,8 @@
         Delay between attempts while the executor does not answer.
     min_interval : float
         Minimum interval between polls.
+    call : float
+        Limit of a call, in addition to the wait that it asks for.
     """
 
     run_lease: float
@@ -49,6 +51,7 @@
     idle_interval: float = 3.0
     retry: float = 0.3
     min_interval: float = 0.04
+    call: float = 0.7
 
 
 class ExecutorSession:
@@ -104,6 +107,7 @@
         self._answered_at = float("-inf")
         self._forgotten = (0, 0)  # incarnation, and number of its last forgotten end
         self._forgetful_calls = {}  # task to the incarnation that it is meant for
+        self._lost_calls = {}  # incarnation to when its lost calls count as over
         self._is_closed = False
         self._wake = asyncio.Event()
 
@@ -141,11 +145,7 @@
         """
         now = self._clock.read_monotonic()
         may_send = self._may_order() and self._may_extend_leases()
-        may_be_forgotten = any(
-            incarnation != self._state.incarnation
-            for incarnation in self._forgetful_calls.values()
-        )
-        if not self._knows_clock() or not may_send or may_be_forgotten:
+        if not self._knows_clock() or not may_send or self._may_forget(now):
             self._post(StartAnswered(run, Refusal.LATE))
             self.wake()
             return
@@ -267,18 +267,37 @@
             return 0
         return self._state.acknowledged
 
+    def _may_forget(self, now):
+        """Return whether a call that is meant for another life may still arrive.
+
+        One that has got no answer counts until its limit has passed.
+        """
+        present = self._state.incarnation
+        self._lost_calls = {
+            incarnation: until
+            for incarnation, until in self._lost_calls.items()
+            if now < until
+        }
+        others = {*self._forgetful_calls.values(), *self._lost_calls} - {present}
+        return bool(others)
+
     async def _renew_leases(self, order):
         """Send a `LeaseRenewal`, and record what its call can let be forgotten."""
         if not order.cursor:
             return await self._calls.renew_leases(order)
         incarnation = self._state.incarnation
+        limit = self._clock.read_monotonic() + self._rules.call + order.wait
         call = asyncio.ensure_future(self._calls.renew_leases(order))
         self._forgetful_calls[call] = incarnation
         try:
             report = await call
+        except AnswerLostError:
+            self._lost_calls[incarnation] = limit
+            raise
         except asyncio.CancelledError:
             if asyncio.current_task().cancelling():
                 raise
+            self._lost_calls[incarnation] = limit
             raise AnswerLostError(
                 "cancelled as another incarnation may have answered",
                 step="renew leases",
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -78,7 +78,9 @@
         self._revisions = {}
         settings = node.settings
         self._rules = SessionRules(
-            run_lease=settings.run_lease, poll_wait=settings.timing.poll_wait
+            run_lease=settings.run_lease,
+            poll_wait=settings.timing.poll_wait,
+            call=settings.timing.call,
         )
         self._ledger = PoolLedger(
             holding.unit,
