Let a node whose log reader has gone stop without a traceback

Operators would see a node end with an error after an orderly stop: writing the lines that wait raised BrokenPipeError.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -3,6 +3,7 @@
 import os
 import select
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass
 
 from peridotspoke.leftout import OTHER, LeftOutLines
@@ -162,6 +163,8 @@
     def finish(self, limit):
         """Write what waits, for an orderly stop of the process.
 
+        Nothing is written where the reader has gone.
+
         Parameters
         ----------
         limit : float
@@ -170,10 +173,11 @@
         deadline = self._clock.read_monotonic() + limit
         poll = select.poll()
         poll.register(self._descriptor, select.POLLOUT)
-        while not self._flush(float("inf")):
-            left = deadline - self._clock.read_monotonic()
-            if left <= 0 or not poll.poll(left * 1000):
-                return
+        with suppress(BrokenPipeError):
+            while not self._flush(float("inf")):
+                left = deadline - self._clock.read_monotonic()
+                if left <= 0 or not poll.poll(left * 1000):
+                    return
 
     def _count_waiting(self):
         return len(self._essential) + len(self._ordinary)
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -212,6 +212,18 @@
     assert sink.finish(0.01) is None and read_all(reader) == ""
 
 
+def test_a_stop_whose_reader_has_gone_ends_without_an_error():
+    """A node that stopped after its reader ended with a traceback."""
+    reader, writer = os.pipe()
+    rules = SinkRules(rate=1e6, burst=1e6)
+    sink = BoundedSink(writer, ManualClock(), rules)
+    for _ in range(1_000):
+        sink.put(LINE, INFO, "event=run-paced")
+    os.close(reader)
+    sink.finish(0.01)
+    os.close(writer)
+
+
 def test_the_node_program_writes_what_waits_and_counts_what_is_left_out(
     pipe, monkeypatch
 ):
