Count the time that an inherited run is missing from its present life on

Callers could see two runs of one task at once (TWICE): an inherited run that the former life did not list counted as missing since then, so that the later life's second report released it, although an earlier owner's stop could have reached that life until its first report.

--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -154,6 +154,7 @@
         owner's fence.
         """
         if run.phase is RunPhase.INHERITED:
+            run.missing_since = None
             return
         if run.start_unconfirmed or run.phase is RunPhase.STARTING:
             run.start_unconfirmed = True
--- a/peridotspoke/workloads/tests/test_unlisted_runs.py
+++ b/peridotspoke/workloads/tests/test_unlisted_runs.py
@@ -90,6 +90,22 @@
     assert {run.task.status for run in runs} == {TaskStatus.WAITING}
 
 
+def test_a_later_life_may_still_stop_an_inherited_run_that_was_missing_before():
+    # Guards against two runs at once (TWICE): an earlier owner's orders may reach the
+    # later life up to its first report.
+    first = make_ledger("e1")
+    progress = add_job(first)
+    runs = start_all(first, 0.0)
+    second = make_ledger(fence=8, rules=SLOW_STOPS)
+    second.add_job(progress)
+    report(second, "e1", 1.0, asked_at=0.9)
+    report(second, "e1", 1.45, asked_at=1.42, incarnation=2)
+    report(second, "e1", 1.6, asked_at=1.5, incarnation=2)
+    assert {run.task.status for run in runs} == {TaskStatus.ASSIGNED}
+    report(second, "e1", 2.0, asked_at=1.9, incarnation=2)
+    assert {run.task.status for run in runs} == {TaskStatus.WAITING}
+
+
 def test_a_run_that_is_listed_again_has_not_been_missing():
     # Guards against taking two reports without the run, one long before, for its end.
     ledger = make_ledger("e1", rules=SLOW_STOPS)
