--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -338,9 +338,10 @@
         They tell a run that has ended from one that may go on. Of the run: when it was
         ordered, or this owner took it over, for which incarnation, what confirmed it,
         when its stop was answered, and since when reports don't list it. Of the
-        executor: the incarnation that the owner knows, whether it is listed and
-        answers, the age of its report before, and what is left of the lease on its
-        confirmed runs. Ages are in seconds.
+        executor: the incarnation that the owner knows, up to which number its ends are
+        handled and may be forgotten, whether it is listed and answers, the age of its
+        report before, and what is left of the lease on its confirmed runs. Ages are in
+        seconds.
         """
         state = self.executors[run.executor_id]
         return {
@@ -350,6 +351,8 @@
             "stop_age": _compute_age(run.stop_answered_at, now),
             "missing_age": _compute_age(run.missing_since, now),
             "born": state.incarnation,
+            "cursor": state.cursor,
+            "acknowledged": state.acknowledged,
             "listed": state.entry is not None,
             "reachable": state.reachable,
             "report_age": _compute_age(state.reported_at, now),
--- a/peridotspoke/workloads/tests/test_notes.py
+++ b/peridotspoke/workloads/tests/test_notes.py
@@ -99,6 +99,8 @@
         "stop_age": None,
         "missing_age": None,
         "born": 1,
+        "cursor": 0,
+        "acknowledged": 0,
         "listed": False,
         "reachable": False,
         "report_age": 20.0,
