--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -13,7 +13,6 @@
 
 import asyncio
 import multiprocessing
-import random
 import time
 
 import aiohttp
@@ -23,27 +22,15 @@
 from aiohttp import web
 from hdrh.histogram import HdrHistogram
 
-from peridotspoke.clock import SystemClock
 from peridotspoke.declarations import Configuration
 from peridotspoke.declarations.schema import (
     DeploymentDeclaration,
     RequestsDeclaration,
     ServiceDeclaration,
 )
-from peridotspoke.metrics import MetricsRegistry
-from peridotspoke.programs.callers import CallerServer
 from peridotspoke.programs.settings import EntrySettings
-from peridotspoke.requests import (
-    BodyMemory,
-    ClaimRecord,
-    FixedShares,
-    Forwarder,
-    IdempotentRunner,
-    NoAnswerDirectory,
-    RequestPipeline,
-    RoutingTable,
-    Upstream,
-)
+from peridotspoke.requests import RoutingTable, Upstream
+from peridotspoke.requests.tests.entries import assemble_entry
 
 MICROSECONDS = 1_000_000  # in a second
 ROUNDS = 5
@@ -72,25 +59,17 @@
 
 async def _serve_entry(ready, ports):
     settings = EntrySettings(name="entry", zone="z", listen="127.0.0.1:0")
-    clock = SystemClock()
-    rng = random.Random(1)
-    memory = BodyMemory(settings.body_memory)
-    forwarder = Forwarder(settings, clock, memory)
-    identity = ClaimRecord("entry", 1, "127.0.0.1:1")
-    keyed = IdempotentRunner(settings, clock, rng, None, NoAnswerDirectory(), identity)
-    shares = FixedShares(1)
-    pipeline = RequestPipeline(settings, clock, rng, forwarder, shares, keyed)
+    entry = assemble_entry(settings)
     rules = RequestsDeclaration(queue_limit=10_000)
     services = {SERVICE: ServiceDeclaration(service=SERVICE, requests=rules)}
     deployment = DeploymentDeclaration(deployment="vorarlberg")
-    pipeline.configuration = Configuration(1, deployment, services)
+    entry.pipeline.configuration = Configuration(1, deployment, services)
     upstreams = tuple(
         Upstream(f"i{port}", f"127.0.0.1:{port}", "z", "r", 8, 64) for port in ports
     )
-    pipeline.routes = RoutingTable({SERVICE: upstreams})
-    callers = CallerServer(settings, clock, rng, pipeline, memory, MetricsRegistry())
-    await callers.start()
-    ready.send(int(callers.address.rpartition(":")[2]))
+    entry.pipeline.routes = RoutingTable({SERVICE: upstreams})
+    await entry.callers.start()
+    ready.send(int(entry.callers.address.rpartition(":")[2]))
     await asyncio.Event().wait()
 
 
--- a/peridotspoke/requests/tests/entries.py
+++ b/peridotspoke/requests/tests/entries.py
@@ -2,6 +2,7 @@
 
 import random
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 
 import aiohttp
 
@@ -52,6 +53,45 @@
     return Upstream(instance, address, zone, "r1", slots, 64)
 
 
+@dataclass(frozen=True, slots=True)
+class EntryParts:
+    """Parts of an entry instance that are used after it is assembled."""
+
+    forwarder: Forwarder
+    pipeline: RequestPipeline
+    callers: CallerServer
+
+
+def assemble_entry(settings, store=None, directory=None, shares=None):
+    """Assemble an entry instance that has no configuration and no routes yet.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    store : KeyValueService, optional
+        Store of the claims on idempotency keys.
+    directory : AnswerDirectory, optional
+        By default one without answers.
+    shares : SlotShares, optional
+        By default those of the only entry instance.
+
+    Returns
+    -------
+    EntryParts
+    """
+    clock = SystemClock()
+    rng = random.Random(1)
+    memory = BodyMemory(settings.body_memory)
+    forwarder = Forwarder(settings, clock, memory)
+    directory = directory or NoAnswerDirectory()
+    identity = ClaimRecord(settings.name, 1, "127.0.0.1:1")
+    keyed = IdempotentRunner(settings, clock, rng, store, directory, identity)
+    shares = shares or FixedShares(1)
+    pipeline = RequestPipeline(settings, clock, rng, forwarder, shares, keyed)
+    callers = CallerServer(settings, clock, rng, pipeline, memory, MetricsRegistry())
+    return EntryParts(forwarder, pipeline, callers)
+
+
 class EntryUnderTest:
     """Entry instance that serves callers on loopback, with stand-in upstreams.
 
@@ -76,34 +116,9 @@
             name=name, zone="vlbg-a", listen="127.0.0.1:0", **flags
         )
         self.standins = []
-        self.clock = SystemClock()
-        rng = random.Random(1)
-        self.memory = BodyMemory(self.settings.body_memory)
-        self.forwarder = Forwarder(self.settings, self.clock, self.memory)
-        self.keyed = IdempotentRunner(
-            self.settings,
-            self.clock,
-            rng,
-            store,
-            directory or NoAnswerDirectory(),
-            ClaimRecord(name, 1, "127.0.0.1:1"),
-        )
-        self.pipeline = RequestPipeline(
-            self.settings,
-            self.clock,
-            rng,
-            self.forwarder,
-            shares or FixedShares(1),
-            self.keyed,
-        )
-        self.callers = CallerServer(
-            self.settings,
-            self.clock,
-            rng,
-            self.pipeline,
-            self.memory,
-            MetricsRegistry(),
-        )
+        parts = assemble_entry(self.settings, store, directory, shares)
+        self.forwarder, self.pipeline = parts.forwarder, parts.pipeline
+        self.callers = parts.callers
         self._stack = AsyncExitStack()
 
     async def start(self, upstreams=1, **rules):
