--- a/peridotspoke/platform/tests/playchecks.py
+++ b/peridotspoke/platform/tests/playchecks.py
@@ -184,9 +184,7 @@
     # is in use"
     pool = job.path.split("/")[1].partition("-")[2]
     executors = [
-        item
-        for item in play.site.executors
-        if item.pool == pool and not (item.down or item.has_left)
+        item for item in play.site.executors if item.pool == pool and item.is_alive
     ]
     used = sum(item.specs[task].cpu for item in executors for task in item.running)
     return 1 - used / (len(executors) * CAPACITY_CPU) if executors else 0.0
--- a/peridotspoke/platform/tests/playexecutors.py
+++ b/peridotspoke/platform/tests/playexecutors.py
@@ -73,6 +73,16 @@
         self.open_records, self.end_records, self.specs = {}, [], {}
         self._begin_life()
 
+    @property
+    def is_alive(self):
+        """Whether it runs tasks: its machine is neither down nor replaced."""
+        return not (self.down or self.has_left)
+
+    @property
+    def is_reachable(self):
+        """Whether it is alive and no cut keeps it from the nodes and the store."""
+        return self.is_alive and not self.cut
+
     def _begin_life(self):
         self.life += 1
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
@@ -97,7 +107,7 @@
 
     def beat(self):
         """Write the entry, unless the executor or the store is away."""
-        if not (self.cut or self.down or self.has_left or self.site.store.is_away):
+        if self.is_reachable and not self.site.store.is_away:
             self.beaten_at = time.monotonic()
             self.site.store.put(f"servers/{self.executor_id}", self.describe())
 
@@ -129,7 +139,7 @@
 
     def advance(self):
         """End what is due, and beat or lapse."""
-        if self.down or self.has_left:
+        if not self.is_alive:
             return
         self._advance()
         age = time.monotonic() - self.beaten_at
@@ -140,7 +150,7 @@
 
     async def handle(self, request):
         """Handle a call, maybe late, maybe with an answer that others overtake."""
-        if self.cut or self.down or self.has_left:
+        if not self.is_reachable:
             await asyncio.sleep(NEVER)
         await request.read()
         if random.random() < self.late_share:
@@ -149,13 +159,13 @@
         response = await super().handle(request)
         if random.random() < OVERTAKEN_SHARE:
             await asyncio.sleep(random.uniform(0, 0.6))
-        if self.cut or self.down or self.has_left:
+        if not self.is_reachable:
             await asyncio.sleep(NEVER)
         return response
 
     async def _carry_out_late(self, request, life):
         await asyncio.sleep(random.uniform(1.0, 4.0))
-        if self.life == life and not (self.cut or self.down or self.has_left):
+        if self.life == life and self.is_reachable:
             before = len(self.site.runs)
             await super().handle(request)
             for run in self.site.runs[before:]:
--- a/peridotspoke/platform/tests/playsite.py
+++ b/peridotspoke/platform/tests/playsite.py
@@ -176,7 +176,7 @@
             return make_response({"reason": "wave"}, 409)
         if self._is_done(name, body, executor):
             return make_response({})
-        is_up = executor.is_off or not (executor.has_left or executor.down)
+        is_up = executor.is_off or executor.is_alive
         if not is_up or executor.state != "ready":
             return make_response({"reason": "busy"}, 409)
         holder = request.headers["X-Lease-Holder"]
--- a/peridotspoke/platform/tests/playtroubles.py
+++ b/peridotspoke/platform/tests/playtroubles.py
@@ -84,7 +84,7 @@
         ready = [
             item
             for item in self.site.executors
-            if item.state == "ready" and not (item.cut or item.down or item.has_left)
+            if item.state == "ready" and item.is_reachable
         ]
         return self.chance.choice(ready) if ready else None
 
@@ -95,7 +95,7 @@
         drained_at = time.monotonic()
         await asyncio.sleep(self.chance.uniform(1.5, 5.0))
         self.drains.append((executor.executor_id, drained_at, time.monotonic()))
-        if executor.has_left or executor.down or executor.cut:
+        if not executor.is_reachable:
             executor.state = "ready"
         elif self.chance.random() < 0.4:
             await self._end_life(executor)
@@ -147,17 +147,17 @@
         """Replace a pool's executors in turn; addresses go to the other pool."""
         pool = self.chance.choice(POOLS[:2])
         for executor in [item for item in self.site.executors if item.pool == pool]:
-            if executor.has_left or executor.down or executor.state != "ready":
+            if not executor.is_alive or executor.state != "ready":
                 continue
             executor.drain()
             await asyncio.sleep(self.chance.uniform(0.3, 1.0))
-            if executor.has_left or executor.down:
+            if not executor.is_alive:
                 executor.state = "ready"
                 continue
             others = [
                 item
                 for item in self.site.executors
-                if item.pool != pool and not (item.has_left or item.down or item.cut)
+                if item.pool != pool and item.is_reachable
             ]
             executor.crash()
             other = self.chance.choice(others) if others else None
