Look for disruptions near a run in one place

Cause: _is_calm_beside_drains repeated is_calm with one more kind; the job of a run was looked up in the same words three times.

Change: _is_calm takes the kinds that don't count; _find_job looks the job up.

--- a/peridotspoke/platform/tests/playchecks.py
+++ b/peridotspoke/platform/tests/playchecks.py
@@ -15,6 +15,7 @@
 STOP = 0.4  # seconds, as stopMs
 UPKEEP = 2.0  # seconds, as upkeepS
 CALM_KINDS = {"config"}  # changes of the configuration are no disruption
+KINDS_BESIDE_DRAINS = CALM_KINDS | {"drain"}  # may be near a drain that is judged
 STANDING = 3.0  # seconds in which a job that stands has nothing running
 
 
@@ -80,9 +81,14 @@
     return any(run.kind == "done" and run.ended_at <= at for run in runs)
 
 
+def _find_job(play, run):
+    """Return the `Job` of a run, or None if no client sent it."""
+    return play.jobs.get(run.task.partition(".")[0])
+
+
 def _find_refused(play, runs):
     for run in runs:
-        job = play.jobs.get(run.task.partition(".")[0])
+        job = _find_job(play, run)
         if job is None:
             yield f"UNASKED {run.task}: no client sent its job"
         elif job.answers and all(status in (404, 429, 503) for status in job.answers):
@@ -91,30 +97,30 @@
             yield f"REFUSED {run.task}: its job's hand-ins got {job.answers}"
 
 
-def is_calm(play, begin, end):
+def _is_calm(play, begin, end, calm_kinds=CALM_KINDS):
     """Return whether no disruption is near a span of monotonic seconds."""
     return not any(
-        kind not in CALM_KINDS and began_at < end and ended_at > begin - CONTACT
+        kind not in calm_kinds and began_at < end and ended_at > begin - CONTACT
         for kind, began_at, ended_at in play.troubles.spans
     )
 
 
 def _find_unasked(play, runs):
     for run in runs:
-        job = play.jobs.get(run.task.partition(".")[0])
+        job = _find_job(play, run)
         if job is None or job.cancelled_at is None or run.was_late:
             # "those with a time bound not for orders that an executor carried out late"
             continue
         limit = job.cancelled_at + CANCEL
         # "a machine in touch starts a task later than `cancel_ms`"
-        if run.began_at > limit and is_calm(play, run.began_at, run.began_at):
+        if run.began_at > limit and _is_calm(play, run.began_at, run.began_at):
             yield f"UNASKED {run.task}: run {run.run} began after the cancel"
 
 
 def _find_running_on(play, runs):
     last_trouble = max((end for _, _, end in play.troubles.spans), default=0.0)
     for run in runs:
-        job = play.jobs.get(run.task.partition(".")[0])
+        job = _find_job(play, run)
         if job is not None and job.cancelled_at is not None:
             # "a task of a cancelled job has to be gone after any such stretch of
             # `cancel_ms` + `stopMs`"
@@ -132,7 +138,7 @@
         # "before its job is cancelled, with its sender in touch and no disruption near"
         is_cancelled = job.cancel_sent_at is not None
         if run.kind == "alone" and not is_cancelled:
-            if is_calm(play, run.began_at, run.ended_at):
+            if _is_calm(play, run.began_at, run.ended_at):
                 yield f"GANG {run.task}: run {run.run} ended alone"
 
 
@@ -164,7 +170,7 @@
         for asked_at, _, status, state in job.states:
             if asked_at > job.accepted_at + CONTACT and status == 410:
                 # "410 by a machine in touch, later than `visible_ms`"
-                if is_calm(play, asked_at, asked_at) or asked_at > play.asked_at:
+                if _is_calm(play, asked_at, asked_at) or asked_at > play.asked_at:
                     yield f"LOST {job.job_id}: unknown"
                     break
             if state in ("failed", "cancelled"):
@@ -221,15 +227,8 @@
                 run.executor_id == executor_id
                 and drained_at + DRAIN < run.began_at < ended_at
                 and not run.was_late
-                and _is_calm_beside_drains(play, run.began_at - DRAIN, run.began_at)
+                and _is_calm(
+                    play, run.began_at - DRAIN, run.began_at, KINDS_BESIDE_DRAINS
+                )
             ):
                 yield f"DRAIN {run.task}: run {run.run} began on {executor_id}"
-
-
-def _is_calm_beside_drains(play, begin, end):
-    return not any(
-        kind not in CALM_KINDS | {"drain"}
-        and began_at < end
-        and ended_at > begin - CONTACT
-        for kind, began_at, ended_at in play.troubles.spans
-    )
