--- a/peridotspoke/platform/tests/fleetplay.py
+++ b/peridotspoke/platform/tests/fleetplay.py
@@ -46,7 +46,26 @@
 
 
 class FleetPlay:
-    """One play; `troubles` has the spans of its disruptions."""
+    """One play.
+
+    Parameters
+    ----------
+    site : PlaySite
+    seed : int
+    kinds : sequence of str
+        Disruptions to draw from.
+    traffic : float
+        Seconds in which jobs and disruptions come.
+
+    Attributes
+    ----------
+    jobs : dict of str to Job
+        The jobs that clients sent, by id.
+    troubles : Troubles
+        The disruptions; they have a random source of their own.
+    asked_at : float
+        When all owed jobs are due, monotonic seconds; set once the traffic has ended.
+    """
 
     def __init__(self, site, seed, kinds, traffic):
         self.site, self.traffic, self.jobs = site, traffic, {}
--- a/peridotspoke/platform/tests/platforms.py
+++ b/peridotspoke/platform/tests/platforms.py
@@ -43,6 +43,7 @@
         self.runners, self.nodes = [], {}
 
     async def open(self):
+        """Serve the stand-ins, and write the configuration and the entries."""
         self.store.put("op/config", CONFIG)
         self.store_address = await self._serve(self.store.handle)
         self.machines_address = await self._serve(MachinesStandIn().handle)
@@ -56,6 +57,7 @@
         return address
 
     async def start_node(self, name):
+        """Start a node in this process and return its address for callers."""
         settings = NodeSettings(
             name,
             "zone",
@@ -73,12 +75,14 @@
         return ingress.addresses[0]
 
     async def kill_node(self, name):
+        """Stop a node without handing its units over."""
         node, ingress, parts = self.nodes.pop(name)
         await node.stop()
         await parts.store.close()
         await ingress.close()
 
     async def close(self):
+        """Stop the nodes and the stand-ins."""
         for name in list(self.nodes):
             await self.kill_node(name)
         for runner in self.runners:
@@ -86,6 +90,7 @@
 
 
 async def call(address, method, job_id=JOB_ID, steps=None, spec="s"):
+    """Call a node as a client; return the status and the decoded answer, or None."""
     body = msgspec.json.encode({"spec": spec, "steps": steps}) if steps else None
     async with (
         aiohttp.ClientSession() as session,
@@ -108,6 +113,7 @@
 
 
 async def wait_for_state(address, state):
+    """Wait until the node at an address shows the job `JOB_ID` in a state."""
     async with asyncio.timeout(20):
         while (await call(address, "GET"))[1] != {"state": state}:
             await asyncio.sleep(0.02)
--- a/peridotspoke/platform/tests/playexecutors.py
+++ b/peridotspoke/platform/tests/playexecutors.py
@@ -62,6 +62,31 @@
         Keeps the records, the gangs and the store.
     machine : str
     rack : str
+
+    Attributes
+    ----------
+    state : str
+        What it reports: "ready" or "draining".
+    cut : bool
+        Whether neither the nodes nor the store reach it, while it works on.
+    down : bool
+        Whether it has crashed, or its machine is off.
+    is_off : bool
+        Whether its machine is off, as those of the spare pool are.
+    has_left : bool
+        Whether a move or an upkeep has ended it for good.
+    in_upkeep : bool
+        Whether that was an upkeep.
+    late_share : float
+        Share of the calls that are carried out seconds late, without an answer.
+    rate : float
+        Rate of its clock; 1.0 is exact.
+    life : int
+        Number of its life, from 1; a restart begins the next one.
+    open_records, end_records : dict of str to RunRecord, list of RunRecord
+        The runs that go on, by task, and those that have ended in this life.
+    specs : dict of str to TaskSpec
+        By task.
     """
 
     def __init__(self, executor_id, pool, site, machine, rack):
--- a/peridotspoke/platform/tests/playsite.py
+++ b/peridotspoke/platform/tests/playsite.py
@@ -111,7 +111,18 @@
 
 
 class Listener:
-    """An address that one executor after another has."""
+    """An address that one executor after another has.
+
+    Parameters
+    ----------
+    executor : PlayExecutor
+        The one that has the address now.
+
+    Attributes
+    ----------
+    transports : set of asyncio.Transport
+        Connections that calls came on.
+    """
 
     def __init__(self, executor):
         self.executor, self.transports = executor, set()
@@ -232,6 +243,29 @@
     folder : pathlib.Path
         Gets ``record.txt`` and the log of each node.
     node_count : int
+
+    Attributes
+    ----------
+    executors : list of PlayExecutor
+        The present executor of each machine.
+    listeners : dict of PlayExecutor to Listener
+        The address that each of them has.
+    runs : list of RunRecord
+        All runs so far.
+    waves : dict of int to dict
+        The maintenance waves that were asked for, by number.
+    processes : dict of str to subprocess.Popen
+        The latest process of each node.
+    fronts : dict of str to str
+        Address of each node for callers.
+    lines : list of str
+        The record so far.
+    life_count : int
+        Number of executors that a move or an upkeep has started.
+    runners : list of ServerRunner
+        Servers of the stand-ins.
+    tasks : set of asyncio.Task
+        What runs beside the play.
     """
 
     def __init__(self, folder, node_count):
