Log what bounds the lease of an inherited run, and how old that is

Change: bound_by and bound_age beside it; the ledger keeps its bound as a LeaseBound. No decision changes.

--- a/peridotspoke/nodes/predecessors.py
+++ b/peridotspoke/nodes/predecessors.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from peridotspoke.logs import log_event
+from peridotspoke.workloads.ledgertypes import LeaseBound
 
 __all__ = ["InheritedLeases", "Predecessor", "find_lease_bound", "has_ended"]
 
@@ -138,7 +139,8 @@
             rules.run_lease + rules.restart_excess,
         )
         if bound is not None:
-            self._ledger.limit_inherited_leases(bound)
+            found = LeaseBound(bound, "ended process", now)
+            self._ledger.limit_inherited_leases(found)
         log_event(
             "predecessor-ended",
             pool=self._holding.unit,
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -322,17 +322,17 @@
                 waits[state.executor_id] = max(ends) - now
         return waits
 
-    def limit_inherited_leases(self, lease_end):
+    def limit_inherited_leases(self, bound):
         """Record that no lease which earlier owners granted lasts longer.
 
         Parameters
         ----------
-        lease_end : float
-            Monotonic seconds.
+        bound : LeaseBound
         """
-        self.former_lease_end = min(self.former_lease_end, lease_end)
+        if bound.end < self.former_bound.end:
+            self.former_bound = bound
         for state in self.executors.values():
-            longest = lease_end + state.restart_excess
+            longest = bound.end + state.restart_excess
             state.inherited_end = min(state.inherited_end, longest)
 
     def limit_former_leases(self, state, now):
@@ -365,7 +365,8 @@
         if lapsed and not state.reachable:
             self.note("leases-expired", executor=state.executor_id)
         for run in lapsed:
-            self.requeue(run, now, "lease expired", **self._describe_hold(state, run))
+            hold = self._describe_hold(state, run, now)
+            self.requeue(run, now, "lease expired", **hold)
 
     def _compute_run_end(self, state, run):
         """Return the time at which the lease of a run has ended, monotonic seconds.
@@ -382,14 +383,21 @@
             return longest
         return longest + self.rules.restart_excess
 
-    def _describe_hold(self, state, run):
+    def _describe_hold(self, state, run, now):
         """Return the log's fields about the lease that held a run.
 
         They are ``held_until``, monotonic seconds, and ``bound``: ``inherited`` if the
-        lease is one that an earlier owner can have granted, else ``own``.
+        lease is one that an earlier owner can have granted, else ``own``. What bounds
+        an inherited one, and the age of that in seconds, is told as well.
         """
-        is_inherited = not run.is_confirmed and state.inherited_end >= state.lease_end
+        held_until = self._compute_run_end(state, run) + self.rules.margin
+        if run.is_confirmed or state.inherited_end < state.lease_end:
+            return {"held_until": held_until, "bound": "own"}
+        bound = self.former_bound
+        is_stated = run.executor_id in self.stated_ends
         return {
-            "held_until": self._compute_run_end(state, run) + self.rules.margin,
-            "bound": "inherited" if is_inherited else "own",
+            "held_until": held_until,
+            "bound": "inherited",
+            "bound_by": "statement" if is_stated else bound.source,
+            "bound_age": now - bound.seen_at,
         }
--- a/peridotspoke/workloads/ledgertypes.py
+++ b/peridotspoke/workloads/ledgertypes.py
@@ -5,7 +5,7 @@
 from peridotspoke.workloads.executors import StopOrder
 from peridotspoke.workloads.runs import Run
 
-__all__ = ["JobRuns", "LedgerRules", "StopCommand", "StoredBatch"]
+__all__ = ["JobRuns", "LeaseBound", "LedgerRules", "StopCommand", "StoredBatch"]
 
 
 @dataclass(slots=True)
@@ -44,6 +44,25 @@
         return ", ".join(f"{cause}={count}" for cause, count in ranked) or None
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseBound:
+    """A time at which every lease that earlier owners granted has ended.
+
+    Parameters
+    ----------
+    end : float
+        Monotonic seconds.
+    source : str
+        What it is derived from, for the log.
+    seen_at : float
+        When this owner saw that, monotonic seconds.
+    """
+
+    end: float
+    source: str
+    seen_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class LedgerRules:
     """How long a ledger waits before it takes leases for expired.
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -2,7 +2,12 @@
 
 from peridotspoke.workloads.estimation import DurationModel
 from peridotspoke.workloads.executors import StopOrder
-from peridotspoke.workloads.ledgertypes import JobRuns, StopCommand, StoredBatch
+from peridotspoke.workloads.ledgertypes import (
+    JobRuns,
+    LeaseBound,
+    StopCommand,
+    StoredBatch,
+)
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, encode_progress
 from peridotspoke.workloads.runs import Run, RunPhase
 
@@ -58,8 +63,8 @@
         Runs, by task and run number, that were given up so that a copy could start.
     taken_over_at : float
         Monotonic time at which the pool was taken over, seconds.
-    former_lease_end : float
-        Monotonic time at which all leases that earlier owners granted have ended.
+    former_bound : LeaseBound
+        Bounds the leases that earlier owners granted.
     stated_ends : dict of str to float
         By executor, when every lease has ended by the last owner's statement, seconds.
     """
@@ -82,10 +87,15 @@
         self.copied_runs = set()
         self.rules = rules
         self.taken_over_at = now
-        self.former_lease_end = now + rules.inherited_lease
+        self.former_bound = LeaseBound(now + rules.inherited_lease, "takeover", now)
         self.stated_ends = {}
         self.note = note or (lambda event, **fields: None)
 
+    @property
+    def former_lease_end(self):
+        """When all leases that earlier owners granted have ended, monotonic seconds."""
+        return self.former_bound.end
+
     def mark_changed(self, job_id):
         """Record that a job's progress has changed and is to be stored."""
         self.dirty.add(job_id)
--- a/peridotspoke/workloads/tests/modelowners.py
+++ b/peridotspoke/workloads/tests/modelowners.py
@@ -5,7 +5,7 @@
 from peridotspoke.nodes.committing import MAX_JOBS_PER_COMMIT
 from peridotspoke.nodes.predecessors import Predecessor, find_lease_bound
 from peridotspoke.nodes.records import ProcessRecord, QueueCounts
-from peridotspoke.workloads.ledgertypes import LedgerRules
+from peridotspoke.workloads.ledgertypes import LeaseBound, LedgerRules
 from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.tests.ledgers import WALL_EPOCH
 from peridotspoke.workloads.tests.modelexecutors import MAX_LEASE_S
@@ -101,7 +101,7 @@
             seen_at,
             RULES.run_lease + RULES.restart_excess,
         )
-        self.ledger.limit_inherited_leases(bound)
+        self.ledger.limit_inherited_leases(LeaseBound(bound, "ended process", seen_at))
 
     def plan(self):
         """Plan runs, begin to store the changes and acknowledge what is stored."""
--- a/peridotspoke/workloads/tests/test_notes.py
+++ b/peridotspoke/workloads/tests/test_notes.py
@@ -88,6 +88,7 @@
     ledger.expire_leases(20.0)
     (over,) = ledger.note.find("run-over")
     held_until = 5.0 if bound == "own" else RULES.inherited_lease
+    source = {"bound_by": "takeover", "bound_age": 20.0}
     assert over == {
         "task": run.key,
         "run": 1,
@@ -107,6 +108,7 @@
         "lease_left": -15.0,
         "held_until": held_until + RULES.margin,
         "bound": bound,
+        **({} if bound == "own" else source),
     }
 
 
