Store that a lasting run is confirmed, so that its lease is awaited and no longer one

Cause: a start that got no answer may be carried out by a later life of the executor, with the longest lease that it grants. Change: a task's record says whether the life that its start was sent to has carried it out; for steps that last it is stored at once. Only runs without it get the excess, in whichever phase. Why it works: a run belongs to one life and ends with it, so that no lease on a later one holds it. Records of earlier builds lack the field and count as unconfirmed; those builds skip it.

--- a/peridotspoke/nodes/predecessors.py
+++ b/peridotspoke/nodes/predecessors.py
@@ -53,9 +53,11 @@
     )
 
 
-def find_lease_bound(predecessor, counts, since, now, longest_lease):
+def find_lease_bound(predecessor, counts, since, now, run_lease):
     """Return when the leases of all earlier owners have ended, or None if unknown.
 
+    Those on a later incarnation of an executor than the owner knew may last longer.
+
     Parameters
     ----------
     predecessor : Predecessor
@@ -66,9 +68,8 @@
         When the pool was taken over, monotonic seconds.
     now : float
         Monotonic seconds.
-    longest_lease : float
-        Longest lease that a start of the predecessor can have got, seconds: a later
-        incarnation of the executor may have carried it out, whose clock starts anew.
+    run_lease : float
+        Duration of the leases that the predecessor granted, seconds.
 
     Returns
     -------
@@ -81,14 +82,14 @@
     >>> from peridotspoke.nodes.records import ProcessRecord, QueueCounts
     >>> predecessor = Predecessor(ProcessRecord("n1", "i1", "127.0.0.1:1"), fence=7)
     >>> counts = QueueCounts(7, {}, earlier_leases=0.0)
-    >>> find_lease_bound(predecessor, counts, since=10.0, now=10.5, longest_lease=7.0)
+    >>> find_lease_bound(predecessor, counts, since=10.0, now=10.5, run_lease=7.0)
     17.5
     """
     if counts is None or counts.fence != predecessor.fence:
         return None
     if counts.earlier_leases is None:
         return None
-    return max(now + longest_lease, since + counts.earlier_leases)
+    return max(now + run_lease, since + counts.earlier_leases)
 
 
 class InheritedLeases:
@@ -136,7 +137,7 @@
             self._counts,
             self._holding.since,
             now,
-            rules.run_lease + rules.restart_excess,
+            rules.run_lease,
         )
         if bound is not None:
             found = LeaseBound(bound, "ended process", now)
--- a/peridotspoke/nodes/tests/stores.py
+++ b/peridotspoke/nodes/tests/stores.py
@@ -10,6 +10,7 @@
 )
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.commits import TimedCommits
+from peridotspoke.nodes.keys import key_owner
 from peridotspoke.nodes.parts import NodeParts
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
@@ -106,6 +107,13 @@
         raise NotImplementedError
 
 
+def own_unit(store, unit, fence):
+    """Let an `InMemoryStore` hold the record of a unit's owner."""
+    key = key_owner(unit)
+    store.records[key] = Record(key, b"", fence, create_revision=fence)
+    store.revision = max(store.revision, fence)
+
+
 def make_settings(name="n1"):
     return NodeSettings(name, "zone", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
 
--- a/peridotspoke/nodes/tests/test_former_leases.py
+++ b/peridotspoke/nodes/tests/test_former_leases.py
@@ -8,7 +8,7 @@
 from peridotspoke.nodes.sessions import ExecutorSession
 from peridotspoke.nodes.supervising import PoolSupervisor
 from peridotspoke.nodes.tests.doubles import RunningCalls
-from peridotspoke.nodes.tests.stores import make_parts
+from peridotspoke.nodes.tests.stores import make_parts, own_unit
 from peridotspoke.nodes.tests.test_supervising import (
     FENCE,
     follow_entries,
@@ -39,6 +39,7 @@
         on_lost=lambda holding: task.cancel(),
         list_lease_waits=lambda holding: supervisor.list_lease_waits(),
     )
+    own_unit(parts.store, "pool", FENCE)
     holding = ownership.holdings["pool"] = Holding("pool", FENCE, 100.0)
     supervisor = PoolSupervisor(parts, holding, jobs)
     follow_entries(parts, "e1")
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -372,16 +372,15 @@
         """Return the time at which the lease of a run has ended, monotonic seconds.
 
         Earlier owners may extend the leases of runs that no report or answer has
-        confirmed. A start of this owner that is not confirmed may also be on a later
-        incarnation, where its lease can last longer; the time that inherited runs are
-        given covers that.
+        confirmed. A start that is not known to be confirmed may also be on a later
+        incarnation, where its lease can last longer.
         """
         if run.is_confirmed:
             return state.lease_end
-        longest = max(state.lease_end, state.inherited_end)
-        if run.phase is RunPhase.INHERITED:
-            return longest
-        return longest + self.rules.restart_excess
+        excess = run.lease_excess
+        if excess is None:
+            excess = self.rules.restart_excess
+        return max(state.lease_end, state.inherited_end) + excess
 
     def _describe_hold(self, state, run, now):
         """Return the log's fields about the lease that held a run.
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -59,16 +59,18 @@
     def _add_inherited_run(self, progress, task):
         """Add the run of a task that an earlier owner assigned.
 
-        Its lease is taken to last as long as the last owner stated when it stopped, or
-        else as long as an earlier owner can have extended it.
+        Its lease is taken to last as long as the last owner stated, or else as long as
+        an earlier owner can have extended it. A later incarnation may have carried out
+        a start that is not known to be confirmed.
         """
         state = self.executors.get(task.executor)
         if state is None:
             state = ExecutorState(task.executor)
             self.executors[task.executor] = state
         state.incarnation = max(state.incarnation, task.incarnation)
-        stated_end = self.stated_ends.get(task.executor, self.former_lease_end)
-        inherited_end = min(self.former_lease_end, stated_end)
+        excess = 0.0 if task.confirmed else self.rules.restart_excess
+        stated_end = self.stated_ends.get(task.executor, float("inf"))
+        inherited_end = min(self.former_lease_end, stated_end - excess)
         state.inherited_end = max(state.inherited_end, inherited_end)
         step = progress.job.steps[task.key.step]
         state.runs[task.key] = Run(
@@ -79,6 +81,7 @@
             task.executor,
             RunPhase.INHERITED,
             self.taken_over_at,
+            lease_excess=excess,
         )
 
     def end_job(self, progress, outcome, wall):
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -129,14 +129,20 @@
     def _confirm(self, run, source):
         """Record which incarnation carries out a run, and log it for a lasting task.
 
-        Tasks that last are few and start seldom, so that these lines stay few under
-        any load.
+        Tasks that last are few and start seldom, so that these lines, and the writes
+        by which a later owner knows of it, stay few under any load.
         """
-        if run.step.lasting and not run.is_confirmed:
+        if run.is_confirmed:
+            return
+        run.is_confirmed, run.confirmed_by = True, source
+        if run.step.lasting:
             self._note_run("run-confirmed", run, by=source)
-        if not run.is_confirmed:
-            run.confirmed_by = source
-        run.is_confirmed = True
+        task, state = run.task, self.executors[run.executor_id]
+        if task.incarnation != state.incarnation or not task.incarnation:
+            return
+        if run.step.lasting and not task.confirmed:
+            self.mark_changed(run.key.job_id)
+        task.confirmed = True
 
     def _handle_unlisted_runs(self, state, listed, asked_at, now):
         """Release the runs that have certainly ended, as a report does not list them.
--- a/peridotspoke/workloads/progress.py
+++ b/peridotspoke/workloads/progress.py
@@ -63,6 +63,9 @@
         Start of that executor's incarnation at the time, Unix milliseconds.
     checkpoint : str
         Checkpoint from which the next run resumes; empty to start from the beginning.
+    confirmed : bool
+        Whether that incarnation is known to have carried out the latest run, so that no
+        later one does. It is stored at once only for a step that lasts.
     """
 
     key: TaskKey
@@ -72,6 +75,7 @@
     executor: str = ""
     incarnation: int = 0
     checkpoint: str = ""
+    confirmed: bool = False
 
 
 @dataclass(slots=True)
@@ -166,6 +170,7 @@
     executor: str
     incarnation: int
     checkpoint: str
+    confirmed: bool = False
 
 
 class _StoredTasks(msgspec.Struct, frozen=True, array_like=True):
@@ -224,6 +229,7 @@
                 task.executor,
                 task.incarnation,
                 task.checkpoint,
+                task.confirmed,
             )
             for task in progress.list_tasks()
             if task.run
@@ -287,6 +293,7 @@
     task.executor = row.executor
     task.incarnation = row.incarnation
     task.checkpoint = row.checkpoint
+    task.confirmed = row.confirmed
 
 
 def _decode_choice(choices, value, key):
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -173,6 +173,7 @@
         task.run += 1
         task.executor = executor_id
         task.incarnation = state.incarnation
+        task.confirmed = False
         step = progress.job.steps[task.key.step]
         run = Run(task, progress, step, task.run, executor_id, RunPhase.PLANNED, now)
         run.ticket = ticket
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -65,6 +65,9 @@
     load : int
         Load as last reported: the tail latency in milliseconds for a task with a
         target, the thousandths of a core in use for any other.
+    lease_excess : float or None
+        By how much the run may outlast the leases that are recorded for its executor
+        as long as it is not confirmed, seconds; by default as much as any run may.
     first_percent : int
         Completion in the first report that lists the run, percent.
     reported_at : float
@@ -109,6 +112,7 @@
     throttled_at: float = float("-inf")
     ticket: str = ""
     resumed: bool = False
+    lease_excess: float | None = None
 
     @property
     def key(self):
