Count the leases of a lost owner from its last publication

Cause: a new owner counted 12.75 s from its own takeover for what any earlier owner may do without the store. What the lost owner had known, that it had extended nothing on the executor since, was lost with it; and an owner's time ran from renewals of its lease, which nobody else sees. Change: an owner grants no lease that lasts longer than 9.5 s after its last acknowledged publication (the record of queue counts, written each second anyway), and none before the first. Its successor counts from when it saw that one. The record also names the executors with runs that don't answer, and how long leases there last; none is granted there until a publication without them is stored. Why it works: everything a lost owner can still grant is bounded by a record that all nodes saw; what nobody can extend is stated, also by owners that never had an answer, and only ages.

--- a/peridotspoke/nodes/leaserules.py
+++ b/peridotspoke/nodes/leaserules.py
@@ -2,11 +2,16 @@
 
 from peridotspoke.workloads.ledgertypes import LedgerRules
 
-__all__ = ["derive_ledger_rules"]
+__all__ = ["derive_ledger_rules", "stretch_lease"]
 
 SLOW_CLOCK_FACTOR = 1.0 / 0.98  # of a duration; executors' clocks may be 2% slow
 
 
+def stretch_lease(seconds):
+    """Return how long a lease lasts on the slowest clock of an executor, seconds."""
+    return seconds * SLOW_CLOCK_FACTOR
+
+
 def derive_ledger_rules(settings):
     """Return the `LedgerRules` for the leases that sessions grant to runs.
 
@@ -21,14 +26,11 @@
         an executor.
     """
     run_lease = settings.run_lease
-    longest_lease = (
-        settings.bounds.max_run_lease * SLOW_CLOCK_FACTOR + settings.timing.call
-    )
+    longest_lease = stretch_lease(settings.bounds.max_run_lease) + settings.timing.call
     return LedgerRules(
-        inherited_lease=(run_lease + settings.timing.extension_limit)
-        * SLOW_CLOCK_FACTOR,
+        inherited_lease=stretch_lease(settings.timing.unstated_lease),
         margin=(SLOW_CLOCK_FACTOR - 1.0) * run_lease,
         restart_excess=max(0.0, longest_lease - run_lease),
         run_lease=run_lease,
-        stop_limit=settings.bounds.stop * SLOW_CLOCK_FACTOR,
+        stop_limit=stretch_lease(settings.bounds.stop),
     )
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -199,8 +199,11 @@
             log_event("wave-announced", wave=wave.number, machines=len(wave.machines))
 
     async def _follow_work(self):
+        parts = self._parts
         async for followed in self._follow(WORK_PREFIX):
-            self._parts.view.apply_work(followed)
+            parts.view.apply_work(followed)
+            now = parts.clock.read_monotonic()
+            parts.publication_times.note(parts.view.counts, now)
             await asyncio.sleep(
                 OWNER_POLL_INTERVAL if self._supervisors else IDLE_POLL_INTERVAL
             )
--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -100,7 +100,6 @@
         self._list_lease_waits = list_lease_waits
         self._statements = StatementReader(self.incarnation)
         self._lease, self._registered_revision = None, 0
-        self._last_contact_at = clock.read_monotonic()
         self._granted_at = float("-inf")
         self._unowned_since = {}
         self._pending_units, self._released_fences = set(), set()
@@ -123,14 +122,10 @@
     def may_extend_leases(self):
         """Return whether this node may still extend the leases of executors' runs.
 
-        False once the store has been unreachable for `extension_limit` seconds, and
-        while the process is stopping, so that the statement of its leases holds.
+        False while the process is stopping, so that the statement of its leases holds.
+        How long leases may last depends on what a pool's owner has published.
         """
-        now = self._clock.read_monotonic()
-        return (
-            not self._stopping
-            and now < self._last_contact_at + self._settings.timing.extension_limit
-        )
+        return not self._stopping
 
     def is_held(self, holding):
         """Return whether this node still owns the unit under this holding."""
@@ -268,7 +263,7 @@
             await self._store.revoke_lease(lease)
             return
         self._lease, self._registered_revision = lease, result.revision
-        self._granted_at = self._last_contact_at = lease.requested_at
+        self._granted_at = lease.requested_at
         log_event("lease-granted", lease=lease.lease_id, ttl=lease.ttl)
 
     async def _renew_lease(self, failures):
@@ -284,7 +279,6 @@
             return
         self._lease = renewed
         if renewed is not None:
-            self._last_contact_at = renewed.requested_at
             return
         log_event("lease-ended", "WARNING", lease=lease.lease_id)
         self._give_up_all("the lease has ended")
@@ -371,7 +365,7 @@
         previous = self._view.last_owners.get(unit, "")
         key, owner = key_owner(unit), OwnerRecord(settings.name, self.incarnation)
         process = ProcessRecord(settings.name, self.incarnation, settings.front)
-        statement = encode_value(LeaseStatement(0, {}, process))
+        statement = encode_value(LeaseStatement(0, {}, process, True))
         puts = (
             Put(key, encode_value(owner), lease.lease_id),
             Put(statement_key, statement),
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -11,6 +11,7 @@
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.commits import TimedCommits
+from peridotspoke.nodes.predecessors import PublicationTimes
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
 from peridotspoke.workloads.returning import RefusedJobs
@@ -88,6 +89,8 @@
         Set, and replaced, as the store serves again after an outage.
     refused_jobs : RefusedJobs
         The jobs that were refused while the store was away, until they are told.
+    publication_times : PublicationTimes
+        When this node saw what the pools' owners have published.
     peers : tuple, optional
         Connections to the platform's services, closed as the node ends.
     """
@@ -109,6 +112,7 @@
     regained_at: float = field(default=float("-inf"))
     regained: asyncio.Event = field(default_factory=asyncio.Event)
     refused_jobs: RefusedJobs = field(default_factory=RefusedJobs)
+    publication_times: PublicationTimes = field(default_factory=PublicationTimes)
     peers: tuple = ()
 
     async def close_connections(self):
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -15,12 +15,11 @@
     key_identity,
     key_job,
     key_owner,
-    key_pool_demand,
     key_progress,
-    key_queue_counts,
     key_withdrawal,
 )
-from peridotspoke.nodes.records import QueueCounts, encode_value
+from peridotspoke.nodes.publishing import PoolPublisher
+from peridotspoke.nodes.records import encode_value
 from peridotspoke.nodes.refusedwork import list_told
 from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.demand import ArrivalRate, count_executors, estimate_demand
@@ -68,6 +67,7 @@
         self._ledger = ledger
         self._tasks = tasks
         self._forget = forget
+        self._publisher = PoolPublisher(node, holding, jobs, ledger)
         self._machines_being_marked = set()
         lead = ORDER_DELAY + node.settings.bounds.move
         self._arrivals = ArrivalRate(SizingRules().window, lead)
@@ -77,6 +77,11 @@
         self._last_estimate_at = float("-inf")
         self._last_removal_at = node.clock.read_monotonic()
 
+    @property
+    def grants(self):
+        """The `LeaseGrants` by what has been published."""
+        return self._publisher.grants
+
     def apply_withdrawals(self):
         """Apply the fleet owner's withdrawals to the ledger, and mark empty executors.
 
@@ -140,7 +145,7 @@
         self._arrivals.record(arrival.work, now, arrival.wait)
 
     def update_demand(self, now):
-        """Store the pool's demand for the fleet's owner if it has changed or is old.
+        """Publish the pool's demand and leases if they have changed or are old.
 
         While the store is away the demand is only logged: a write that hangs would hold
         back the first one after the store's return.
@@ -159,7 +164,9 @@
         has_store = self._node.has_store()
         is_missed = has_store and not self._is_demand_sent
         is_recent = now - self._last_demand_at < MAX_DEMAND_INTERVAL
-        if is_recent and not is_missed and not _has_changed(self._last_demand, demand):
+        has_changed = _has_changed(self._last_demand, demand)
+        has_changed = has_changed or self._publisher.has_changed(now)
+        if is_recent and not is_missed and not has_changed:
             return
         if "demand" not in self._tasks.running_names:
             self._last_demand, self._last_demand_at = demand, now
@@ -223,26 +230,8 @@
         return ATTAINABLE_SHARE * sum(capacities) / 1000
 
     async def _store_demand(self, demand):
-        owner = Condition(key_owner(self._pool), self._holding.fence)
-        age = self._jobs.find_age(self._node.clock.read_monotonic())
-        waiting = dict(self._jobs.count_waiting())
-        counts = QueueCounts(
-            self._holding.fence, waiting, age, self._compute_earlier_leases()
-        )
-        puts = (
-            Put(key_pool_demand(self._pool), encode_value(demand)),
-            Put(key_queue_counts(self._pool), encode_value(counts)),
-        )
-        try:
-            await self._node.store.commit(Transaction((owner,), puts))
-        except PlatformError as error:
+        if not await self._publisher.store(demand):
             self._last_demand = None
-            log_event("demand-not-stored", "WARNING", pool=self._pool, error=error)
-
-    def _compute_earlier_leases(self):
-        """Return the seconds after which the leases of earlier owners have ended."""
-        now = self._node.clock.read_monotonic()
-        return max(0.0, self._ledger.former_lease_end + self._ledger.rules.margin - now)
 
     def remove_old_jobs(self, now):
         """Start to remove the records of jobs that callers can no longer ask for.
--- a/peridotspoke/nodes/predecessors.py
+++ b/peridotspoke/nodes/predecessors.py
@@ -1,17 +1,26 @@
 """The owner of a unit just before this node, and how its end becomes known.
 
 It answers processes that are killed while executors are lost: without a word from its
-predecessor, a new owner waits for as long as that one may extend leases without the
-store. A process that has been replaced at its address extends none any more, and
-neither does this process under a holding that it has given up.
+predecessor, a new owner waits for as long as that one may let leases last. It has
+published how long that is, counted from its last publication. A process that has been
+replaced at its address extends none any more, and neither does this process under a
+holding that it has given up.
 """
 
 from dataclasses import dataclass
 
 from peridotspoke.logs import log_event
+from peridotspoke.nodes.leaserules import stretch_lease
 from peridotspoke.workloads.ledgertypes import LeaseBound
 
-__all__ = ["InheritedLeases", "Predecessor", "find_lease_bound", "has_ended"]
+__all__ = [
+    "InheritedLeases",
+    "Predecessor",
+    "PublicationTimes",
+    "find_lease_bound",
+    "find_published_bound",
+    "has_ended",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,10 +32,48 @@
     process : ProcessRecord
     fence : int
         Its fencing token.
+    publishes_first : bool, optional
+        Whether it grants no lease before its first publication.
     """
 
     process: object
     fence: int
+    publishes_first: bool = False
+
+
+class PublicationTimes:
+    """When this node first saw the latest publication of each pool's owner."""
+
+    def __init__(self):
+        self._seen = {}
+
+    def note(self, counts, now):
+        """Take the publications that the node's view holds.
+
+        Parameters
+        ----------
+        counts : dict of str to tuple
+            As `StoreView.counts`.
+        now : float
+            Monotonic seconds.
+        """
+        for pool, (published, _) in counts.items():
+            known, _ = self._seen.get(pool, (None, now))
+            if known is not published:
+                self._seen[pool] = (published, now)
+
+    def find(self, pool, published, now):
+        """Return when a publication was first seen, monotonic seconds.
+
+        Parameters
+        ----------
+        pool : str
+        published : QueueCounts
+        now : float
+            Monotonic seconds; returned if it was not noted.
+        """
+        known, seen_at = self._seen.get(pool, (None, now))
+        return seen_at if known is published else now
 
 
 def has_ended(process, nodes):
@@ -92,6 +139,40 @@
     return max(now + run_lease, since + counts.earlier_leases)
 
 
+def find_published_bound(predecessor, counts, seen_at):
+    """Return how long leases may last by the last publication, or None if unknown.
+
+    Owners before the predecessor published before it claimed, and count from an
+    earlier publication, so that their leases end no later.
+
+    Parameters
+    ----------
+    predecessor : Predecessor or None
+    counts : QueueCounts or None
+        The last counts that were published for the pool before it was taken over.
+    seen_at : float
+        When this node first saw them, monotonic seconds.
+
+    Returns
+    -------
+    LeaseBound or None
+
+    Examples
+    --------
+    >>> from peridotspoke.nodes.records import ProcessRecord, QueueCounts
+    >>> predecessor = Predecessor(ProcessRecord("n1", "i1", "127.0.0.1:1"), fence=7)
+    >>> counts = QueueCounts(7, {}, earlier_leases=0.0, lease_horizon=9.8)
+    >>> find_published_bound(predecessor, counts, seen_at=50.0)
+    LeaseBound(end=60.0, source='publication', seen_at=50.0)
+    """
+    if predecessor is None or counts is None or counts.lease_horizon is None:
+        return None
+    if counts.fence != predecessor.fence and not predecessor.publishes_first:
+        return None
+    longest = max(stretch_lease(counts.lease_horizon), counts.earlier_leases or 0.0)
+    return LeaseBound(seen_at + longest, "publication", seen_at)
+
+
 class InheritedLeases:
     """Limits the leases that a pool's ledger awaits once its predecessor has ended.
 
@@ -111,11 +192,30 @@
         self._is_open = holding.predecessor is not None
 
     def begin(self):
-        """Take the predecessor's counts, before this owner publishes its own.
+        """Take what earlier owners published, before this owner publishes anything.
 
-        The view must include this owner's claim.
+        The view must include this owner's claim, and the ledger no jobs yet.
         """
-        self._counts, _ = self._node.view.counts.get(self._holding.unit, (None, 0.0))
+        unit, now = self._holding.unit, self._node.clock.read_monotonic()
+        self._counts, _ = self._node.view.counts.get(unit, (None, 0.0))
+        seen_at = self._node.publication_times.find(unit, self._counts, now)
+        predecessor = self._holding.predecessor
+        bound = find_published_bound(predecessor, self._counts, seen_at)
+        if bound is not None:
+            self._ledger.limit_inherited_leases(bound)
+            silent = self._counts.silent
+            ends = {name: seen_at + wait for name, wait in silent.items()}
+            self._ledger.expect_lease_ends({**ends, **self._holding.lease_ends})
+        former = self._ledger.former_bound
+        log_event(
+            "leases-inherited",
+            pool=unit,
+            bound_by=former.source,
+            bound_age=now - former.seen_at,
+            wait=former.end - now,
+            silent=len(self._counts.silent) if bound is not None else 0,
+            stated=len(self._holding.lease_ends),
+        )
 
     def update(self, now):
         """Limit the ledger's inherited leases once the predecessor has ended.
--- a/peridotspoke/nodes/records.py
+++ b/peridotspoke/nodes/records.py
@@ -72,11 +72,14 @@
         executor; empty unless the owner has stopped and extends no lease any more.
     owner : ProcessRecord, optional
         Set while the owner has not stopped.
+    publishes_first : bool, optional
+        Whether the owner grants no lease before it has published a `lease_horizon`.
     """
 
     fence: int
     waits: dict[str, float]
     owner: ProcessRecord | None = None
+    publishes_first: bool = False
 
 
 class Withdrawal(msgspec.Struct, frozen=True):
@@ -103,12 +106,21 @@
     earlier_leases : float or None
         Seconds from the writing after which all leases that earlier owners granted
         have ended; None if the owner does not say.
+    lease_horizon : float or None
+        Longest time, seconds on an executor's clock, from the writing to the end of a
+        lease that this owner grants by virtue of this record; it grants none without
+        such a record. None if the owner does not say.
+    silent : dict of str to float
+        Seconds from the writing after which all leases on an executor have ended, by
+        executor. The owner grants none there until a later record leaves it out.
     """
 
     fence: int
     waiting: dict[str, int]
     age: float = 0.0
     earlier_leases: float | None = None
+    lease_horizon: float | None = None
+    silent: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class RefusedRecord(msgspec.Struct, frozen=True):
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -71,8 +71,9 @@
     may_order : callable
         Returns whether this node may still send orders. Called just before each order
         is sent, since the process may have been paused after the order was planned.
-    may_extend_leases : callable
-        Returns whether the leases of runs may still be extended.
+    find_lease_limit : callable
+        Returns until when the leases of runs may last, monotonic seconds; minus
+        infinity if none may be granted.
     post : callable
         Called with each message to the supervisor.
     record_lease_end : callable
@@ -88,7 +89,7 @@
         rules,
         clock,
         may_order,
-        may_extend_leases,
+        find_lease_limit,
         post,
         record_lease_end,
     ):
@@ -98,7 +99,7 @@
         self._rules = rules
         self._clock = clock
         self._may_order = may_order
-        self._may_extend_leases = may_extend_leases
+        self._find_lease_limit = find_lease_limit
         self._post = post
         self._record_lease_end = record_lease_end
         self._clock_bounds = ClockBounds()
@@ -140,11 +141,12 @@
 
         Posts `StartLost` where the outcome is unknown. The order is refused as late,
         without a call, while the clock of the executor's incarnation is unknown, or
-        orders may not be sent, or leases may not be extended. Likewise while a call
-        under way could make a new incarnation forget the end of this run.
+        orders may not be sent, or no lease of full length may be granted. Likewise
+        while a call under way could make a new incarnation forget the end of this run.
         """
         now = self._clock.read_monotonic()
-        may_send = self._may_order() and self._may_extend_leases()
+        has_full_lease = self._find_lease_limit() >= now + self._rules.run_lease
+        may_send = self._may_order() and has_full_lease
         if not self._knows_clock() or not may_send or self._may_forget(now):
             self._post(StartAnswered(run, Refusal.LATE))
             self.wake()
@@ -230,8 +232,10 @@
         return self._clock_bounds.is_known and is_present
 
     def _extend_leases(self, now):
-        self._record_lease_end(self.executor_id, now + self._rules.run_lease)
-        return self._clock_bounds.to_executor_time(now, self._rules.run_lease)
+        """Return the end of the leases that may be granted, on the executor's clock."""
+        duration = min(self._rules.run_lease, self._find_lease_limit() - now)
+        self._record_lease_end(self.executor_id, now + duration)
+        return self._clock_bounds.to_executor_time(now, duration)
 
     async def request_report(self):
         """Request a report at once, even while a poll is waiting for one.
@@ -312,7 +316,8 @@
     async def _poll(self):
         asked_at = self._clock.read_monotonic()
         lease_end_ms = None
-        if self._failures == 0 and self._knows_clock() and self._may_extend_leases():
+        may_extend = self._find_lease_limit() > asked_at
+        if self._failures == 0 and self._knows_clock() and may_extend:
             lease_end_ms = self._extend_leases(asked_at)
         busy = bool(self._state.runs) and self._clock_bounds.is_known
         wait = self._rules.poll_wait if busy and self._failures == 0 else 0.0
--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -67,9 +67,12 @@
         Time to live of the node's lease in the store.
     run_lease : float
         Duration of the leases on the runs of an executor.
-    extension_limit : float
-        How long an owner keeps extending these leases after its last contact with the
-        store.
+    lease_horizon : float
+        Longest time for which these leases last after their owner's last publication
+        that the store has acknowledged.
+    unstated_lease : float
+        How long leases may last after a takeover from an owner that published no
+        horizon, as owners of earlier builds don't.
     poll_wait : float
         Longest wait of a long poll for an executor's report.
     call : float
@@ -80,7 +83,8 @@
 
     lease: float = 1.6
     run_lease: float = 5.0
-    extension_limit: float = 7.5
+    lease_horizon: float = 9.5
+    unstated_lease: float = 12.5
     poll_wait: float = 1.0
     call: float = 0.7
     store_call: float = 0.8
--- a/peridotspoke/nodes/statements.py
+++ b/peridotspoke/nodes/statements.py
@@ -144,7 +144,9 @@
                 continue
             ends = {name: now + wait for name, wait in statement.waits.items()}
             fence = statement.fence or revision
-            owner = statement.owner and Predecessor(statement.owner, fence)
+            owner = statement.owner and Predecessor(
+                statement.owner, fence, statement.publishes_first
+            )
             seen[unit] = KnownStatement(revision, fence, ends, owner)
         self._seen = seen
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from functools import partial
 
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
@@ -14,6 +15,7 @@
     OwnershipLostError,
     ProgressWriter,
 )
+from peridotspoke.nodes.grants import NEVER
 from peridotspoke.nodes.leaserules import derive_ledger_rules
 from peridotspoke.nodes.messages import (
     CommitDone,
@@ -205,8 +207,9 @@
         if self._node.ownership.may_order():
             for run in plan_evacuation(self._ledger, now):
                 self._ledger.stop_run(run, "the executor is leaving")
-            wall = self._node.clock.read_wall()
-            plan_runs(self._ledger, now, wall, self._tickets.find)
+            if self._records.grants.allow_starts(now + self._rules.run_lease):
+                wall = self._node.clock.read_wall()
+                plan_runs(self._ledger, now, wall, self._tickets.find)
             self._send_throttling(now)
         self._ledger.request_due_reports(now)
         self._update_sessions()
@@ -363,10 +366,15 @@
         task = self._sessions.pop(executor_id)[1]
         task.cancel()
 
-    def _may_extend_leases(self):
-        """Return whether leases may be extended: not once the pool is given up."""
+    def _find_lease_limit(self, executor_id):
+        """Return until when leases on an executor may last, monotonic seconds.
+
+        None is granted any more once the pool is given up.
+        """
         ownership = self._node.ownership
-        return ownership.is_held(self._holding) and ownership.may_extend_leases()
+        if not ownership.is_held(self._holding) or not ownership.may_extend_leases():
+            return NEVER
+        return self._records.grants.find_limit(executor_id)
 
     def _open_session(self, state):
         session = ExecutorSession(
@@ -376,7 +384,7 @@
             self._rules,
             self._node.clock,
             self._node.ownership.may_order,
-            self._may_extend_leases,
+            partial(self._find_lease_limit, state.executor_id),
             self._queue.put_nowait,
             self._ledger.extend_lease,
         )
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -6,6 +6,7 @@
 
 __all__ = ["ExecutorLedger"]
 
+SILENCE_DELAY_S = 0.3  # longer than a lost connection takes to be replaced
 COPY_DELAY_S = 0.5  # since it became unreachable; a poll's time-out comes before it
 STALL_PENALTY = 2.0  # added for each report that shows stalled runs
 
@@ -317,11 +318,42 @@
         if not self.jobs:
             waits = {name: end - now for name, end in self.stated_ends.items()}
         for state in self.executors.values():
-            ends = [self._compute_run_end(state, run) for run in state.runs.values()]
-            if ends:
-                waits[state.executor_id] = max(ends) - now
+            if state.runs:
+                waits[state.executor_id] = self._compute_lease_wait(state, now)
         return waits
 
+    def _compute_lease_wait(self, state, now):
+        """Return after how many seconds the leases of an executor's runs have ended."""
+        runs = state.runs.values()
+        return max(self._compute_run_end(state, run) for run in runs) - now
+
+    def list_silent(self, now):
+        """Return how long the leases on executors may last that don't answer.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        dict of str to float
+            Seconds by executor, as in `list_lease_waits`, for those that have not
+            answered this owner for `SILENCE_DELAY_S`, or not at all.
+        """
+        waits = {}
+        if not self.jobs:
+            waits = {name: end - now for name, end in self.stated_ends.items()}
+        for state in self.executors.values():
+            if state.runs and self._is_silent(state, now):
+                waits[state.executor_id] = self._compute_lease_wait(state, now)
+        return waits
+
+    def _is_silent(self, state, now):
+        if state.reported_at is None:
+            return now - self.taken_over_at >= SILENCE_DELAY_S
+        return not state.reachable and now - state.unreachable_since >= SILENCE_DELAY_S
+
     def limit_inherited_leases(self, bound):
         """Record that no lease which earlier owners granted lasts longer.
 
@@ -350,7 +382,7 @@
         """
         phases = {run.phase for run in state.runs.values()}
         is_first = state.reported_at is None or RunPhase.INHERITED in phases
-        longest_end = self.taken_over_at + self.rules.inherited_lease
+        longest_end = self.former_lease_end
         if state.has_inherited and is_first and now < longest_end:
             lease_end = min(longest_end, now + self.rules.run_lease)
             lease_end += self.rules.restart_excess
