Adopt a claim with what was known of the owner before it

What callers would see: LOST, a task that lasts stands longer after its owner is lost, where the answer to its successor's claim is lost as well. Cause: a claim without an answer that is found in the view was adopted without the statement on which it had been made, as if nothing were known of the predecessor. Evidence: test_an_adopted_claim_knows_the_owner_before_it failed on the commit before (no predecessor). Change: the owner keeps what its last claim was made on. Why it works: the claim takes effect only while the statement that it names is in the store. Measured: peridotspoke/nodes/tests/test_ownership.py passes. Found by reading, not seen in a play.

--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -102,6 +102,7 @@
         self._lease, self._registered_revision = None, 0
         self._granted_at = float("-inf")
         self._unowned_since = {}
+        self._last_claims = {}
         self._pending_units, self._released_fences = set(), set()
         self._stopping = False
         self._has_revoked_former_lease = False
@@ -314,12 +315,14 @@
         """Handle an owner record of this process for a unit that it does not hold.
 
         A claim whose answer was lost is adopted, unless it was made under an earlier
-        lease, with which it has ended. The record of a unit that was given up is
-        deleted: orders sent under its fence may still arrive.
+        lease, with which it has ended. It took effect only on the statement that it
+        named. The record of a unit that was given up is deleted: orders sent under its
+        fence may still arrive.
         """
         is_current = self._lease and create_revision > self._registered_revision
         if is_current and create_revision not in self._released_fences:
-            self._add_holding(unit, create_revision)
+            previous, found = self._last_claims.get(unit, ("", KnownStatement()))
+            self._add_holding(unit, create_revision, previous, found)
         elif unit not in self._pending_units:
             self._start_transaction(
                 unit, self._delete_owner_record(unit, create_revision)
@@ -363,6 +366,7 @@
         found = self._statements.find(unit, self._view.last_fences.get(unit, 0))
         statement_key = key_lease_statement(unit)
         previous = self._view.last_owners.get(unit, "")
+        self._last_claims[unit] = (previous, found)
         key, owner = key_owner(unit), OwnerRecord(settings.name, self.incarnation)
         process = ProcessRecord(settings.name, self.incarnation, settings.front)
         statement = encode_value(LeaseStatement(0, {}, process, True))
--- a/peridotspoke/nodes/tests/test_ownership.py
+++ b/peridotspoke/nodes/tests/test_ownership.py
@@ -99,6 +99,23 @@
     assert node.gained[0].fence == store.records[key_owner("pool")].create_revision
 
 
+async def test_an_adopted_claim_knows_the_owner_before_it():
+    # Guards against tasks that last and stand (LOST): an owner whose claim got no
+    # answer waited for its predecessor's leases as if it had said nothing of them.
+    store = InMemoryStore()
+    first, second = NodeDouble("n1", store), NodeDouble("n2", store)
+    for node in (first, second):
+        await node.acquire_lease()
+        await node.check_owners()
+    store.end_lease(first.ownership._lease.lease_id)
+    store.faults = ["lost"]
+    await second.check_owners()
+    predecessor = second.gained[0].predecessor
+    assert predecessor.process.incarnation == first.ownership.incarnation
+    assert predecessor.fence == first.gained[0].fence
+    assert predecessor.publishes_first
+
+
 async def test_a_claim_under_a_lease_that_has_ended_is_not_adopted():
     """The node has another lease by the time its late view shows the claim.
 
