Hold a poll that extends no lease back for a moment only

What callers would see: tasks that last lapse at a takeover of a slow node. A new owner's second poll may come before its first publication is acknowledged, extends nothing then, and was held back by the executor for up to 1 s, with leases that were last extended up to 3 s before. Change: such a poll asks to be held back for 0.1 s. An executor that has not answered a new owner counts as silent after 1 s, not 0.3 s: each taking back costs a write and such a poll. Publications are counted by result.

--- a/peridotspoke/nodes/publishing.py
+++ b/peridotspoke/nodes/publishing.py
@@ -67,13 +67,19 @@
                 if result.succeeded:
                     self._revision = result.revision
                     self.grants.confirm(publication)
+                    self._count("stored")
                     return True
                 if not self._learn_revision(result.current):
-                    return False
+                    break
+            self._count("refused")
         except PlatformError as error:
+            self._count("unanswered")
             log_event("demand-not-stored", "WARNING", pool=pool, error=error)
         return False
 
+    def _count(self, result):
+        self._node.metrics.count("lease_publications", result=result)
+
     def _begin(self):
         """Return a `LeasePublication` of this moment, by which leases are withheld."""
         now = self._node.clock.read_monotonic()
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -22,6 +22,7 @@
 
 __all__ = ["ExecutorSession", "SessionRules"]
 
+WITHHELD_POLL_WAIT_S = 0.1  # of a poll that extends no lease: the next one may
 RECENT_ANSWER_S = 0.2  # less than an executor's restart and a run on it take
 
 
@@ -321,6 +322,8 @@
             lease_end_ms = self._extend_leases(asked_at)
         busy = bool(self._state.runs) and self._clock_bounds.is_known
         wait = self._rules.poll_wait if busy and self._failures == 0 else 0.0
+        if lease_end_ms is None:
+            wait = min(wait, WITHHELD_POLL_WAIT_S)
         cursor = self._choose_cursor(asked_at)
         order = LeaseRenewal(self._fence, cursor, lease_end_ms, wait)
         incarnation = self._state.incarnation
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -7,6 +7,7 @@
 __all__ = ["ExecutorLedger"]
 
 SILENCE_DELAY_S = 0.3  # longer than a lost connection takes to be replaced
+FIRST_ANSWER_LIMIT_S = 1.0  # for the answers of a pool's executors to a new owner
 COPY_DELAY_S = 0.5  # since it became unreachable; a poll's time-out comes before it
 STALL_PENALTY = 2.0  # added for each report that shows stalled runs
 
@@ -339,7 +340,8 @@
         -------
         dict of str to float
             Seconds by executor, as in `list_lease_waits`, for those that have not
-            answered this owner for `SILENCE_DELAY_S`, or not at all.
+            answered for `SILENCE_DELAY_S`, or not for `FIRST_ANSWER_LIMIT_S` since
+            the takeover.
         """
         waits = {}
         if not self.jobs:
@@ -351,7 +353,7 @@
 
     def _is_silent(self, state, now):
         if state.reported_at is None:
-            return now - self.taken_over_at >= SILENCE_DELAY_S
+            return now - self.taken_over_at >= FIRST_ANSWER_LIMIT_S
         return not state.reachable and now - state.unreachable_since >= SILENCE_DELAY_S
 
     def limit_inherited_leases(self, bound):
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -6,6 +6,7 @@
 """
 
 from peridotspoke.nodes.committing import CommitTracker
+from peridotspoke.nodes.grants import LeaseGrants
 from peridotspoke.store import Record
 from peridotspoke.workloads.executors import EndKind, Refusal
 from peridotspoke.workloads.ledger import PoolLedger
@@ -67,6 +68,8 @@
         Makes the ledger of each new owner.
     make_tracker : callable
         Makes the tracker of each new owner's writes.
+    make_grants : callable
+        Makes the grants of each new owner.
     checks_fence : bool
         Whether the store rejects the writes of former owners.
     raises_fence : bool
@@ -107,6 +110,7 @@
         self.done, self.acknowledged, self.restarted = {}, set(), set()
         self.make_ledger = PoolLedger
         self.make_tracker = CommitTracker
+        self.make_grants = LeaseGrants
         self.checks_fence = self.raises_fence = self.checks_permission = True
         self.limits_cursor = self.stops_extending = True
         self.counts_from_sight = self.states_earlier = True
