--- a/peridotspoke/nodes/tests/test_publishing.py
+++ b/peridotspoke/nodes/tests/test_publishing.py
@@ -20,7 +20,7 @@
     make_jobs,
 )
 from peridotspoke.store import FollowedRecords
-from peridotspoke.workloads.executorledger import (
+from peridotspoke.workloads.leaseledger import (
     FIRST_ANSWER_LIMIT_S,
     SILENCE_DELAY_S,
 )
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -56,7 +56,7 @@
                 self._note_missing_ends(state, end.number)
                 state.cursor = end.number
                 self._handle_ended_run(state, end, now, wall)
-        self.limit_former_leases(state, now)
+        self.bound_late_extensions(state, now)
         listed = {(reported.key, reported.run): reported for reported in report.running}
         self._match_listed_runs(state, listed, report.clock, asked_at, now)
         self._retry_stops(state, listed, asked_at)
--- a/peridotspoke/workloads/tests/weakenedowners.py
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -73,7 +73,7 @@
 class LateExtensionIgnoringLedger(PoolLedger):
     """Forgets what an earlier owner extended just before this one's first answer."""
 
-    def limit_former_leases(self, state, now):
+    def bound_late_extensions(self, state, now):
         return None
 
 
@@ -246,7 +246,7 @@
     Weakening("inherited runs are dropped", 1, ledger=InheritedRunDroppingLedger),
     Weakening(
         "inherited leases are short",
-        1,
+        2,
         ledger=ShortInheritanceLedger,
         focus=CUT_OFF_KINDS,
     ),
@@ -271,7 +271,7 @@
     ),
     Weakening(
         "late extensions are ignored",
-        1,
+        2,
         ledger=LateExtensionIgnoringLedger,
         focus=CUT_OFF_KINDS,
     ),
