--- a/peridotspoke/nodes/ownership.py
+++ b/peridotspoke/nodes/ownership.py
@@ -369,7 +369,7 @@
         self._last_claims[unit] = (previous, found)
         key, owner = key_owner(unit), OwnerRecord(settings.name, self.incarnation)
         process = ProcessRecord(settings.name, self.incarnation, settings.front)
-        statement = encode_value(LeaseStatement(0, {}, process, True))
+        statement = encode_value(LeaseStatement(0, {}, process, publishes_first=True))
         puts = (
             Put(key, encode_value(owner), lease.lease_id),
             Put(statement_key, statement),
