List lease waits in one place, and hand over the moved executor once in tests

Cause: list_silent wrote the loop of list_lease_waits again, and two tests of addresses set up the same hand-over. Change: _list_waits serves both; hand_over_moved_executor serves both tests. Behaviour and assertions are as before.

--- a/peridotspoke/workloads/leaseledger.py
+++ b/peridotspoke/workloads/leaseledger.py
@@ -63,19 +63,18 @@
             slow clock. They hold only if this owner extends no lease from now on. An
             owner that has taken no jobs in yet repeats what it was told.
         """
+        return self._list_waits(self.executors.values(), now)
+
+    def _list_waits(self, states, now):
         waits = {}
         if not self.jobs:
             waits = {name: end - now for name, end in self.stated_ends.items()}
-        for state in self.executors.values():
-            if state.runs:
-                waits[state.executor_id] = self._compute_lease_wait(state, now)
+        for state in states:
+            ends = [self._compute_run_end(state, run) for run in state.runs.values()]
+            if ends:
+                waits[state.executor_id] = max(ends) - now
         return waits
 
-    def _compute_lease_wait(self, state, now):
-        """Return after how many seconds the leases of an executor's runs have ended."""
-        runs = state.runs.values()
-        return max(self._compute_run_end(state, run) for run in runs) - now
-
     def list_silent(self, now):
         """Return how long the leases on executors may last that don't answer.
 
@@ -91,13 +90,9 @@
             answered for `SILENCE_DELAY_S`, or not for `FIRST_ANSWER_LIMIT_S` since
             the takeover.
         """
-        waits = {}
-        if not self.jobs:
-            waits = {name: end - now for name, end in self.stated_ends.items()}
-        for state in self.executors.values():
-            if state.runs and self._is_silent(state, now):
-                waits[state.executor_id] = self._compute_lease_wait(state, now)
-        return waits
+        states = self.executors.values()
+        silent = [state for state in states if self._is_silent(state, now)]
+        return self._list_waits(silent, now)
 
     def _is_silent(self, state, now):
         if state.reported_at is None:
--- a/peridotspoke/workloads/tests/test_addresses.py
+++ b/peridotspoke/workloads/tests/test_addresses.py
@@ -43,16 +43,24 @@
     assert [task.status for task in tasks] == [TaskStatus.WAITING] * 2
 
 
-def test_an_owner_with_an_old_entry_holds_the_runs_of_the_later_incarnation():
-    # Guards against two runs at once (TWICE): the new owner still reads the entry from
-    # before the restart, and another executor answers at that address.
+def hand_over_moved_executor():
+    """Return the ledger of an executor's next owner, and a job planned on its new life.
+
+    The executor has started again at another address; the next owner has read nothing.
+    """
     first = make_ledger()
     first.see_entry(make_moved_entry(), 0.0)
     report(first, "e1", 0.0, incarnation=2)
     progress = add_job(first)
     plan(first, 0.0)
     store(first)
-    second = make_ledger(fence=8)
+    return make_ledger(fence=8), progress
+
+
+def test_an_owner_with_an_old_entry_holds_the_runs_of_the_later_incarnation():
+    # Guards against two runs at once (TWICE): the new owner still reads the entry from
+    # before the restart, and another executor answers at that address.
+    second, progress = hand_over_moved_executor()
     second.add_job(progress)
     second.see_entry(make_entry("e1", incarnation=1), 0.1)
     second.release_departed("e1", FORMER_ADDRESS, 0.2)
@@ -65,13 +73,7 @@
 
 def test_an_old_entry_that_is_read_before_the_jobs_releases_no_later_life():
     """A supervisor's round applies the entries first and the jobs after them."""
-    first = make_ledger()
-    first.see_entry(make_moved_entry(), 0.0)
-    report(first, "e1", 0.0, incarnation=2)
-    progress = add_job(first)
-    plan(first, 0.0)
-    store(first)
-    second = make_ledger(fence=8)
+    second, progress = hand_over_moved_executor()
     second.see_entry(make_entry("e1", incarnation=1), 0.1)
     second.add_job(progress)
     second.release_departed("e1", FORMER_ADDRESS, 0.2)
