--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -1,6 +1,7 @@
 """The executors of a pool: whether they are listed and answer, and their restarts."""
 
 from peridotspoke.workloads.leaseledger import LeaseLedger
+from peridotspoke.workloads.runledger import compute_age
 from peridotspoke.workloads.runs import ExecutorState, RunPhase
 from peridotspoke.workloads.slowruns import find_slow_runs
 
@@ -120,6 +121,8 @@
                 before=state.incarnation,
                 by=source,
                 runs=len(state.runs),
+                unanswered_age=compute_age(state.unanswered_at, now),
+                lease_left=state.lease_end - now,
             )
             state.cursor = state.acknowledged = 0
             state.foreign.clear()
@@ -130,6 +133,7 @@
             for run in list(state.runs.values()):
                 self._handle_run_after_restart(run, now)
         state.incarnation = incarnation
+        state.known_since = now
 
     def _note_ignored(self, state, incarnation, source):
         """Log, unless it was just done, that word of an earlier incarnation came."""
@@ -178,7 +182,10 @@
             Monotonic seconds.
         """
         state = self.executors.get(executor_id)
-        if state is not None and state.reachable:
+        if state is None:
+            return
+        state.unanswered_at = now
+        if state.reachable:
             state.reachable = False
             state.unreachable_since = now
             self.note("executor-unreachable", executor=executor_id, reason=reason)
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -135,6 +135,11 @@
         The entry that was seen last, also while it is not listed.
     incarnation : int
         Start of the executor's present incarnation, Unix milliseconds; 0 if unknown.
+    known_since : float or None
+        When this owner learned of that incarnation; None if it is unknown.
+    unanswered_at : float or None
+        When a call last got no answer, so that it may be carried out late; None if
+        each was answered.
     lease_end : float
         Time after which every lease has expired that this owner granted, or that
         confirmed runs have from earlier owners.
@@ -176,6 +181,8 @@
     entry: ExecutorEntry | None = None
     last_entry: ExecutorEntry | None = None
     incarnation: int = 0
+    known_since: float | None = None
+    unanswered_at: float | None = None
     lease_end: float = 0.0
     inherited_end: float = float("-inf")
     restart_excess: float = 0.0
