Let late calls reach the next lives of an executor in the model of owners

The model dropped polls that got no answer and let orders for a former life arrive within the limit of a call only, so that neither walks nor scenarios could show this class. Now a poll without an answer stays under way for 12 s and is carried out by whichever life is there, with its cursor and its lease on that life's clock; stops and starts of former lives arrive as long, also once their owner has been replaced. Two limits of starts are told in ModelNetwork.may_arrive.

--- a/peridotspoke/workloads/tests/modelexecutors.py
+++ b/peridotspoke/workloads/tests/modelexecutors.py
@@ -88,6 +88,21 @@
             self.finish(key, EndKind.STOPPED)
         return None
 
+    def answer_poll(self, poll):
+        """Carry out a `ModelPoll` and return a report, whichever life it was meant for.
+
+        Its lease is limited as it is carried out, on the clock of the present life.
+        """
+        lease_end = poll.lease_end
+        if lease_end is not None:
+            lease_end = self.limit_lease(lease_end, poll.incarnation)
+        return self.renew_leases(poll.fence, poll.cursor, lease_end)
+
+    def refuses_start(self, order):
+        """Return whether a `ModelOrder` is a start that this incarnation refuses."""
+        is_superseded = order.number <= self.latest.get(order.key, 0)
+        return order.run is not None and (order.fence < self.fence or is_superseded)
+
     def renew_leases(self, fence, cursor, lease_end):
         """Forget the ended runs up to `cursor`, extend the lease and return a report.
 
@@ -128,6 +143,9 @@
     def restart(self):
         """Begin a new incarnation, which has no runs and knows no fence."""
         self.world.pass_time(RESTART_S)
+        for order in self.world.orders:
+            if order.executor == self.name and self.refuses_start(order):
+                order.was_refused = True
         self.incarnation += 1
         self.fence = self.number = 0
         self.lease_end = self.world.now
--- a/peridotspoke/workloads/tests/modelowners.py
+++ b/peridotspoke/workloads/tests/modelowners.py
@@ -1,6 +1,4 @@
-"""An owner of the pool in the histories of `ownershipmodel`, and its orders."""
-
-from dataclasses import dataclass
+"""An owner of the pool in the histories of `ownershipmodel`."""
 
 from peridotspoke.nodes.committing import MAX_JOBS_PER_COMMIT
 from peridotspoke.nodes.grants import LeasePublication
@@ -13,12 +11,17 @@
 from peridotspoke.workloads.ledgertypes import LeaseBound, LedgerRules
 from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.tests.ledgers import WALL_EPOCH
+from peridotspoke.workloads.tests.modelcalls import (
+    CALL_S,
+    ModelOrder,
+    ModelPoll,
+    ModelPublication,
+)
 from peridotspoke.workloads.tests.modelexecutors import MAX_LEASE_S
 
-__all__ = ["CALL_S", "LEASE_TTL_S", "ModelOrder", "ModelOwner", "ModelPublication"]
+__all__ = ["LEASE_TTL_S", "ModelOwner"]
 
 LEASE_TTL_S = 5.0
-CALL_S = 1.0  # limit of a call, after which its connection is closed
 HORIZON_S = 9.5  # longest time from an owner's publication to the end of a lease
 UNSTATED_S = 12.5  # wait for the leases of an owner that published nothing
 CLOCK_FACTOR = 1.0 / 0.98  # of a duration, as an executor's clock may be 2% slow
@@ -33,68 +36,6 @@
 PROCESS = ProcessRecord("n1", "i1", "")
 
 
-@dataclass(eq=False)
-class ModelOrder:
-    """A start or a stop that is sent and not carried out yet.
-
-    Parameters
-    ----------
-    owner : ModelOwner
-    executor : str
-    key : TaskKey
-    number : int
-        Number of the run.
-    run : Run or None
-        None for a stop.
-    stop : StopOrder or None
-        None for a start.
-    lease_end : float
-        When the lease of a start expires, seconds.
-    timed_out : bool
-        Whether the owner no longer waits for the answer.
-    incarnation : int
-        Incarnation of the executor as the owner knew it when it sent the order.
-    sent_to : int
-        Incarnation of the executor when the order was sent.
-    sent_at : float
-        Seconds.
-    """
-
-    owner: object
-    executor: str
-    key: object
-    number: int
-    run: object = None
-    stop: object = None
-    lease_end: float = 0.0
-    timed_out: bool = False
-    incarnation: int = 0
-    sent_to: int = 0
-    sent_at: float = 0.0
-
-
-@dataclass(eq=False)
-class ModelPublication:
-    """A write of an owner's publication that is sent and not carried out yet.
-
-    Parameters
-    ----------
-    owner : ModelOwner
-    publication : LeasePublication
-    counts : QueueCounts
-    replaces : int
-        Number of the publication in the store that it names as the one before.
-    timed_out : bool
-        Whether the owner no longer waits for the answer.
-    """
-
-    owner: object
-    publication: LeasePublication
-    counts: QueueCounts
-    replaces: int
-    timed_out: bool = False
-
-
 class ModelOwner:
     """An owner of the pool, with its ledger and the `CommitTracker` of its writes."""
 
@@ -195,8 +136,12 @@
             self.ledger.acknowledge_ends(cursors)
 
     def send_stops(self):
-        """Send each stop that is due and not under way."""
-        under_way = {order.stop for order in self.world.orders if order.owner is self}
+        """Send each stop that is due and whose answer is not awaited."""
+        under_way = {
+            order.stop
+            for order in self.world.orders
+            if order.owner is self and not order.timed_out
+        }
         for command in self.ledger.list_stops():
             order = command.order
             if order not in under_way:
@@ -206,7 +151,11 @@
                     )
                 )
 
-    def get_cursor(self, state):
+    def choose_fence(self, state):
+        """Return the fence of a call to an executor with its `ExecutorState`."""
+        return self.fence
+
+    def choose_cursor(self, state):
         """Return the cursor that is sent to an executor with its `ExecutorState`.
 
         As in `ExecutorSession`, it is 0 if the executor may have restarted and run
@@ -220,17 +169,44 @@
                 return 0
         return state.acknowledged
 
-    def look(self, executor, extend):
-        """Request a report, which is delivered later, and extend the lease if asked."""
+    def make_poll(self, executor, extend):
+        """Return a `ModelPoll`, and record the lease that it extends if asked.
+
+        It is None if the ledger does not have the executor.
+        """
         state = self.ledger.executors.get(executor.name)
         if state is None:
-            return
+            return None
         lease_end = None
         if extend and self.limit_lease(executor.name) > self.world.now:
             lease_end = self.limit_lease(executor.name)
             self.ledger.extend_lease(executor.name, lease_end)
-            lease_end = executor.limit_lease(lease_end, state.incarnation)
-        report = executor.renew_leases(self.fence, self.get_cursor(state), lease_end)
+        return ModelPoll(
+            self,
+            executor.name,
+            self.choose_fence(state),
+            self.choose_cursor(state),
+            lease_end,
+            state.incarnation,
+            self.world.now,
+        )
+
+    def look(self, executor, extend):
+        """Request a report, which is delivered later, and extend the lease if asked."""
+        poll = self.make_poll(executor, extend)
+        if poll is None:
+            return
+        report = executor.answer_poll(poll)
         if report.refusal is None:
             self.answered_at[executor.name] = self.world.now
             self.world.reports.append((self, executor.name, report, self.world.now))
+
+    def lose_poll(self, executor, extend):
+        """Send a poll that gets no answer, and may be carried out late.
+
+        As in `ExecutorSession`, the executor is unreachable from then on.
+        """
+        poll = self.make_poll(executor, extend)
+        if poll is not None:
+            self.world.polls.append(poll)
+            self.ledger.note_unreachable(executor.name, "no answer", self.world.now)
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -11,14 +11,11 @@
 from peridotspoke.workloads.executors import EndKind, Refusal
 from peridotspoke.workloads.ledger import PoolLedger
 from peridotspoke.workloads.progress import decode_progress
-from peridotspoke.workloads.tests.ledgers import WALL_EPOCH, make_entry
+from peridotspoke.workloads.tests.ledgers import make_entry
+from peridotspoke.workloads.tests.modelcalls import ModelOrder
 from peridotspoke.workloads.tests.modelexecutors import ModelExecutor
-from peridotspoke.workloads.tests.modelowners import (
-    CALL_S,
-    LEASE_TTL_S,
-    ModelOrder,
-    ModelOwner,
-)
+from peridotspoke.workloads.tests.modelnetwork import ModelNetwork
+from peridotspoke.workloads.tests.modelowners import LEASE_TTL_S, ModelOwner
 
 __all__ = ["ViolationError", "World"]
 
@@ -27,7 +24,7 @@
     """A task ran twice at the same time, or again after its end was acknowledged."""
 
 
-class World:
+class World(ModelNetwork):
     """The whole state of the model, which no owner knows; it checks the rules.
 
     Attributes
@@ -40,10 +37,15 @@
         Former owners that may extend leases.
     stored : bytes or None
         Stored progress of the job.
+    revision : int
+        Counts the writes of owners' records and publications, as the store does;
+        owners' fences are taken from it.
     fence : int
         Fence of the latest owner.
     orders : list of ModelOrder
         Orders under way.
+    polls : list of ModelPoll
+        Polls under way, which get no answer any more.
     reports : list of tuple
         Reports under way: the owner, the executor's name, the `RunReport` and when
         it was requested.
@@ -52,7 +54,7 @@
     published : QueueCounts or None
         The latest publication in the store.
     publication_number : int
-        Counts the publications that the store has taken.
+        Revision of the latest publication that the store has taken.
     published_at : float
         When all nodes saw the latest one, seconds.
     commits : list of tuple
@@ -103,8 +105,8 @@
         self.job = job
         self.executors = [ModelExecutor(f"i{n}", self) for n in range(executors)]
         self.stored = None
-        self.fence = 0
-        self.orders, self.reports, self.commits = [], [], []
+        self.revision = self.fence = 0
+        self.orders, self.polls, self.reports, self.commits = [], [], [], []
         self.publications, self.published = [], None
         self.publication_number, self.published_at = 0, 0.0
         self.done, self.acknowledged, self.restarted = {}, set(), set()
@@ -149,7 +151,9 @@
             owner.look(self.executors[index % count], extend=True)
 
     def _begin_ownership(self, stated_ends, former=None):
-        self.fence += 1 if self.raises_fence or not self.fence else 0
+        if self.raises_fence or not self.fence:
+            self.revision += 1
+            self.fence = self.revision
         self.owner = ModelOwner(self, self.fence)
         self.owner.ledger.expect_lease_ends(stated_ends)
         if former is not None:
@@ -174,7 +178,8 @@
             if not self.ages_from_sight:
                 self.published_at = previous_at
             self.published = write.counts
-            self.publication_number += 1
+            self.revision += 1
+            self.publication_number = self.revision
         if not write.timed_out:
             write.owner.known_number = self.publication_number
             if is_taken:
@@ -207,69 +212,6 @@
             order.lease_end = lease_end
             self.send(order)
 
-    def send(self, order):
-        """Add an order to those under way."""
-        order.incarnation = order.owner.ledger.executors[order.executor].incarnation
-        order.sent_at = self.now
-        order.sent_to = self.find_executor(order.executor).incarnation
-        self.orders.append(order)
-
-    def find_executor(self, name):
-        """Return the executor of this name."""
-        return next(item for item in self.executors if item.name == name)
-
-    def deliver_order(self, index):
-        """Let an order be carried out, and answered unless it has timed out."""
-        order = self.orders.pop(index)
-        executor = self.find_executor(order.executor)
-        if not self.may_arrive(order, executor):
-            return
-        if order.run is not None:
-            lease_end = executor.limit_lease(order.lease_end, order.incarnation)
-            refusal = executor.start(
-                order.key, order.number, order.owner.fence, lease_end
-            )
-        else:
-            refusal = executor.stop(order.key, order.number, order.owner.fence)
-        if order.timed_out:
-            return
-        if order.run is not None:
-            known = order.incarnation == executor.incarnation
-            order.owner.ledger.apply_start_answer(
-                order.run, refusal, self.now, by_known_incarnation=known
-            )
-        elif refusal is None:
-            order.owner.ledger.apply_stop_answer(executor.name, order.stop, self.now)
-
-    def may_arrive(self, order, executor):
-        """Return whether an order reaches the executor's present incarnation.
-
-        What was sent to an earlier one is lost with its connection, but for an order
-        whose connection was still being opened within the limit of the call. An owner
-        checks just before it sends whether it may still order; a former owner opens no
-        connection any more. An order whose time is not on the executor's clock is
-        carried out within the limit of the call, or not at all.
-        """
-        if order.incarnation == order.sent_to == executor.incarnation:
-            return True
-        if order.owner is not self.owner:
-            return not self.checks_permission
-        return self.now <= order.sent_at + CALL_S
-
-    def give_up_order(self, index):
-        """Let the answer to an order time out; the order may still be carried out."""
-        order = self.orders[index]
-        if not order.timed_out and order.run is not None:
-            order.owner.ledger.handle_start_timeout(order.run)
-        order.timed_out = True
-
-    def deliver_report(self, index):
-        """Let an owner receive a report."""
-        owner, name, report, asked_at = self.reports.pop(index)
-        owner.ledger.apply_report(
-            name, report, asked_at, self.now, WALL_EPOCH + self.now
-        )
-
     def work(self, executors):
         """Exchange all messages between the owner and some executors, without loss."""
         self.publish()
@@ -284,7 +226,7 @@
         names = {executor.name for executor in executors}
         for order in [order for order in self.orders if order.owner is self.owner]:
             if order.executor in names:
-                self.deliver_order(self.orders.index(order))
+                self.deliver_promptly(order)
 
     def pass_time(self, seconds):
         """Let time pass, leases expire and the owner note it."""
@@ -294,13 +236,19 @@
         self.owner.ledger.expire_leases(self.now)
 
     def settle(self):
-        """Deliver all that is under way, in order, and exchange messages twice."""
+        """Deliver all that is under way, in order, and exchange messages twice.
+
+        Orders whose call to an earlier life is over are lost.
+        """
+        while self.polls:
+            self.deliver_poll(0)
         while self.reports:
             self.deliver_report(0)
         while self.commits:
             self.deliver_commit(0)
-        while self.orders:
-            self.deliver_order(0)
+        for order in list(self.orders):
+            self.deliver_promptly(order)
+        self.orders.clear()
         for _ in range(2):
             self.work(self.executors)
 
--- a/peridotspoke/workloads/tests/ownershipwalks.py
+++ b/peridotspoke/workloads/tests/ownershipwalks.py
@@ -21,12 +21,14 @@
 NEED = Need(1000, 100)
 ONE_TASK = (Step(1, NEED),)
 TWO_STEPS = (Step(2, NEED), Step(1, NEED, after=(0,)))
+TWO_TASKS = (Step(1, NEED), Step(1, NEED, after=(0,)))
 LASTING_TASK = (Step(1, NEED, lasting=True),)
 ONE_TASK_SHARE = 0.6  # of the walks; the others run TWO_STEPS
 KIND_SHARE = 0.75  # of the kinds of action that a walk uses
 ACTIONS = range(6, 26)  # number of actions in a walk
 MAX_INDEX = 60
 PAUSES = (0.1, 1.0, 4.0, 13.0)  # seconds
+WORKED_S = 4  # that `work_a_while` lasts
 ENDS = (EndKind.DONE, EndKind.FAILED)
 
 
@@ -165,6 +167,68 @@
         write.timed_out = True
 
 
+def lose_poll(world, index):
+    world.lose_poll(index)
+
+
+def deliver_poll(world, index):
+    if world.polls:
+        world.deliver_poll(index % len(world.polls))
+
+
+def restart_with_lost_poll(world, index):
+    executor = pick(world.executors, index)
+    world.publish()
+    world.owner.lose_poll(executor, extend=True)
+    executor.restart()
+
+
+def deliver_poll_cut_off(world, index):
+    if world.polls:
+        poll = pick(world.polls, index)
+        world.deliver_poll(world.polls.index(poll))
+        world.owner.ledger.note_unreachable(poll.executor, "cut", world.now)
+
+
+def replace_owner_after_polls(world, index):
+    while world.polls:
+        world.deliver_poll(0)
+    world.take_over()
+    world.kill_former_owner(len(world.retired) - 1)
+    lose_contact(world, index)
+    world.publish()
+    world.owner.learn_of_end()
+
+
+def send_starts(world, index):
+    for executor in world.executors:
+        world.owner.look(executor, extend=True)
+    while world.reports:
+        world.deliver_report(0)
+    for _ in range(2):  # the second time lets the stored ends be forgotten
+        world.owner.plan()
+        while world.commits:
+            world.deliver_commit(0)
+
+
+def lose_start_that_ends(world, index):
+    if not world.orders:
+        return
+    order = pick(world.orders, index)
+    world.give_up_order(world.orders.index(order))
+    executor = world.find_executor(order.executor)
+    executor.restart()
+    world.deliver_order(world.orders.index(order))
+    if order.key in executor.running:
+        executor.finish(order.key, EndKind.DONE)
+
+
+def work_a_while(world, index):
+    for _ in range(WORKED_S):
+        world.pass_time(1.0)
+        world.work(world.executors)
+
+
 def see_entries(world, index):
     for executor in world.executors:
         world.owner.ledger.see_entry(world.describe(executor), world.now)
@@ -193,10 +257,19 @@
 )
 STOP_KINDS = (hand_over,)
 KILL_KINDS = (kill_former_owner, learn_of_end, take_over_cut_off, kill_with_notice)
-RESTART_KINDS = (restart_executor, see_entries)
+RESTART_KINDS = (restart_executor, see_entries, lose_poll, deliver_poll)
+# Several actions each, without which late calls to later lives hardly ever do harm
+LATE_KINDS = (
+    restart_with_lost_poll,
+    deliver_poll_cut_off,
+    replace_owner_after_polls,
+    send_starts,
+    lose_start_that_ends,
+    work_a_while,
+)
 KINDS = {
     kind.__name__: kind
-    for kind in (*STEADY_KINDS, *STOP_KINDS, *KILL_KINDS, *RESTART_KINDS)
+    for kind in (*STEADY_KINDS, *STOP_KINDS, *KILL_KINDS, *RESTART_KINDS, *LATE_KINDS)
 }
 
 
@@ -267,7 +340,7 @@
     world.settle()
 
 
-def find_violation(seed, walks, restarts, weakening=None, steps=()):
+def find_violation(seed, walks, restarts, weakening=None, steps=(), focus=()):
     """Return the first of a number of walks that breaks a rule.
 
     Parameters
@@ -279,6 +352,8 @@
     weakening : Weakening, optional
     steps : tuple of Step, optional
         Of the job that the owners run; drawn by default.
+    focus : tuple of str, optional
+        Names of the kinds of action to draw from; by default those of the weakening.
 
     Returns
     -------
@@ -288,7 +363,8 @@
     """
     source = random.Random(seed)
     stops = weakening is None or weakening.stops
-    focus = () if weakening is None else weakening.focus
+    if weakening is not None:
+        focus = focus or weakening.focus
     for _ in range(walks):
         job_steps, actions = draw_walk(source, restarts, stops, focus, steps)
         try:
--- a/peridotspoke/workloads/tests/test_ownership_machine.py
+++ b/peridotspoke/workloads/tests/test_ownership_machine.py
@@ -150,13 +150,25 @@
 
 
 class RestartingMachine(OwnershipMachine):
-    """Executors also start again under their identity, and forget everything."""
+    """Executors also start again under their identity, and forget everything.
+
+    Their next life may carry out late polls.
+    """
 
     @rule(index=INDEX)
     def restart_an_executor(self, index):
         executors = self.world.executors
         executors[index % len(executors)].restart()
 
+    @rule(index=INDEX)
+    def lose_poll(self, index):
+        self.world.lose_poll(index)
+
+    @precondition(lambda self: self.world.polls)
+    @rule(index=INDEX)
+    def deliver_poll(self, index):
+        self.world.deliver_poll(index % len(self.world.polls))
+
     @rule()
     def see_entries(self):
         world = self.world
--- a/peridotspoke/workloads/tests/test_ownership_walks.py
+++ b/peridotspoke/workloads/tests/test_ownership_walks.py
@@ -10,6 +10,7 @@
     LASTING_TASK,
     ONE_TASK,
     TWO_STEPS,
+    TWO_TASKS,
     Action,
     find_violation,
     play_walk,
@@ -41,6 +42,110 @@
     assert find_violation(3, WALKS, restarts, steps=LASTING_TASK) is None
 
 
+LATE_POLL_KINDS = ("work_with_one", "work_a_while", "restart_with_lost_poll")
+
+
+@pytest.mark.parametrize(
+    ("seed", "steps", "restarts", "focus"),
+    [
+        pytest.param(
+            1,
+            ONE_TASK,
+            True,
+            (*LATE_POLL_KINDS, "deliver_poll_cut_off", "pass_time"),
+            id="a poll of the former life extends a lease",
+        ),
+        pytest.param(
+            1,
+            LASTING_TASK,
+            True,
+            (
+                "work_with_one",
+                "restart_with_lost_poll",
+                "replace_owner_after_polls",
+                "pass_time",
+            ),
+            id="its owner is killed",
+        ),
+        pytest.param(
+            1,
+            ONE_TASK,
+            True,
+            (*LATE_POLL_KINDS, "deliver_poll_cut_off", "hand_over", "pass_time"),
+            id="its owner hands over",
+        ),
+        pytest.param(
+            1,
+            LASTING_TASK,
+            True,
+            (
+                "work_with_one",
+                "lose_poll",
+                "restart_executor",
+                "deliver_poll",
+                "take_over_cut_off",
+                "pass_time",
+            ),
+            id="a former owner loses polls",
+        ),
+        pytest.param(
+            1,
+            TWO_TASKS,
+            True,
+            (
+                "work_with_one",
+                "work_a_while",
+                "finish_run",
+                "send_starts",
+                "lose_poll",
+                "lose_start_that_ends",
+                "deliver_poll",
+            ),
+            id="a cursor for the former life meets an end",
+        ),
+        pytest.param(
+            1,
+            ONE_TASK,
+            True,
+            (
+                "work_with_one",
+                "work_with_all",
+                "plan",
+                "send_stops",
+                "deliver_commit",
+                "deliver_order",
+                "give_up_order",
+                "lose_contact",
+                "restart_executor",
+                "take_over_cut_off",
+                "pass_time",
+            ),
+            id="an order for the former life arrives",
+        ),
+        pytest.param(
+            1,
+            ONE_TASK,
+            False,
+            (
+                "work_with_one",
+                "work_with_all",
+                "finish_run",
+                "lose_poll",
+                "deliver_poll",
+                "lose_contact",
+                "take_over_cut_off",
+                "hand_over",
+                "pass_time",
+            ),
+            id="a poll is late on the life that it is meant for",
+        ),
+    ],
+)
+def test_no_walk_of_late_calls_breaks_a_rule(seed, steps, restarts, focus):
+    """Each draws from the few kinds of action that such a fault needs."""
+    assert find_violation(seed, WALKS, restarts, steps=steps, focus=focus) is None
+
+
 @pytest.mark.parametrize(
     ("steps", "actions", "safeguard"),
     [
--- a/peridotspoke/workloads/tests/weakenedowners.py
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -335,9 +335,36 @@
         True,
         ledger=UnconfirmedStartDroppingLedger,
     ),
-    Weakening("leases keep to earlier clocks", 1, True, ledger=ShortRestartLedger),
     Weakening(
-        "former owners reach restarted executors", 6, True, checks_permission=False
+        "leases keep to earlier clocks",
+        2,
+        True,
+        ledger=ShortRestartLedger,
+        focus=(
+            "work_with_all",
+            "work_with_one",
+            "request_report",
+            "restart_executor",
+            "lose_contact",
+            "pass_time",
+        ),
+    ),
+    Weakening(
+        "former owners reach restarted executors",
+        3,
+        True,
+        checks_permission=False,
+        focus=(
+            "work_with_one",
+            "request_report",
+            "deliver_report",
+            "plan",
+            "publish",
+            "deliver_commit",
+            "take_over",
+            "restart_executor",
+            "deliver_order",
+        ),
     ),
     Weakening(
         "cursors reach restarted executors",
