--- a/peridotspoke/platform/tests/fleetplay.py
+++ b/peridotspoke/platform/tests/fleetplay.py
@@ -11,9 +11,13 @@
 import aiohttp
 import msgspec
 
-from peridotspoke.platform.tests.playchecks import find_breaks
+from peridotspoke.platform.tests.playchecks import find_breaks, find_late_pairs
 from peridotspoke.platform.tests.playsite import HOST, POOLS, PlaySite
-from peridotspoke.platform.tests.playtroubles import KINDS, Troubles
+from peridotspoke.platform.tests.playtroubles import (
+    KINDS,
+    LONG_TASK_KINDS,
+    Troubles,
+)
 
 __all__ = ["FleetPlay", "Job", "play_seed"]
 
@@ -23,6 +27,9 @@
 HAND_INS = 5  # times that a client hands a job in, at most
 CALL_TIMEOUT = 3.0  # seconds
 MANY_NODES = 8
+LONGEST_LEASES = (6.0, 10.0)  # seconds; those of the users' sites
+LONG_SHARE = 0.2  # share of the jobs whose tasks outlast leases
+LONG_DURATIONS = (5000, 12000)  # ms
 
 
 @dataclass(slots=True)
@@ -71,6 +78,7 @@
         self.site, self.traffic, self.jobs = site, traffic, {}
         self.chance = random.Random(seed)
         self.troubles = Troubles(site, random.Random(-seed - 1), kinds)
+        self.has_long_tasks = not LONG_TASK_KINDS.isdisjoint(kinds)
 
     async def run(self):
         """Send jobs beside disruptions, rest, and return the broken rules."""
@@ -122,6 +130,8 @@
         kind = chance.choice(["plain", "plain", "gang", "steps", "timed", "lasting"])
         duration, cpu = chance.choice([300, 800, 1500, 3000]), chance.choice([1, 2, 4])
         count = chance.randint(2, 5)
+        if self.has_long_tasks and chance.random() < LONG_SHARE:
+            duration, cpu = chance.randint(*LONG_DURATIONS), 1
         spec = {"ms": duration, "cpu": 1000 * cpu}
         need = {"cpu": 1000 * cpu, "memMb": 100, "estimateMs": duration}
         steps, times = [{"count": count, **need}], {}
@@ -157,7 +167,7 @@
         if chance.random() < 0.1:  # "such a request also arrives seconds after the 2xx"
             await asyncio.sleep(chance.uniform(0.5, 3.0))
             job.answers.append((await self.call("POST", job, job.body))[0])
-        patience = chance.uniform(1.0, 6.0)
+        patience = chance.uniform(*(5.0, 20.0) if self.has_long_tasks else (1.0, 6.0))
         if job.kind == "lasting" or chance.random() < 0.1:
             await asyncio.sleep(patience)
             await self._cancel(job)
@@ -188,7 +198,7 @@
             await asyncio.sleep(1.0)
 
 
-async def play_seed(seed, folder, kinds=KINDS, traffic=25.0):
+async def play_seed(seed, folder, kinds=KINDS, traffic=25.0, longest_lease=None):
     """Play one seed.
 
     Parameters
@@ -200,6 +210,8 @@
         Disruptions to draw from.
     traffic : float, optional
         Seconds in which jobs and disruptions come.
+    longest_lease : float, optional
+        Seconds, as holdMaxMs; drawn from the seed if None.
 
     Returns
     -------
@@ -208,11 +220,13 @@
         What broke a rule.
     """
     random.seed(seed)
-    site = PlaySite(folder, MANY_NODES if seed % 8 == 0 else 3)
+    if longest_lease is None:
+        longest_lease = random.Random(f"lease {seed}").choice(LONGEST_LEASES)
+    site = PlaySite(folder, MANY_NODES if seed % 8 == 0 else 3, longest_lease)
     play = FleetPlay(site, seed, kinds, traffic)
     try:
         breaks = await play.run()
-        for text in breaks:
+        for text in breaks + find_late_pairs(play):
             site.record("judge", text)
     finally:
         await site.close()
--- a/peridotspoke/platform/tests/playchecks.py
+++ b/peridotspoke/platform/tests/playchecks.py
@@ -7,7 +7,7 @@
 
 from peridotspoke.platform.tests.playexecutors import CAPACITY_CPU
 
-__all__ = ["find_breaks"]
+__all__ = ["find_breaks", "find_late_pairs"]
 
 CONTACT = 3.0  # seconds, as contactMs
 DRAIN = 2.0  # seconds, as drainMs
@@ -16,17 +16,17 @@
 UPKEEP = 2.0  # seconds, as upkeepS
 CALM_KINDS = {"config"}  # changes of the configuration are no disruption
 KINDS_BESIDE_DRAINS = CALM_KINDS | {"drain"}  # may be near a drain that is judged
+SHOWN = 1.0  # second in which starts may follow once a job was shown as completed
 STANDING = 3.0  # seconds in which a job that stands has nothing running
 
 
 def find_breaks(play):
     """Return what broke a rule, each with the rule's name first."""
+    by_task = _sort_runs(play)
     runs = sorted(play.site.runs, key=lambda run: run.began_at)
-    by_task = {}
-    for run in runs:
-        by_task.setdefault(run.task, []).append(run)
     checks = [
         _find_twice(by_task),
+        _find_started_after_completion(play, runs),
         _find_orders_out_of_turn(play, by_task),
         _find_refused(play, runs),
         _find_unasked(play, runs),
@@ -41,19 +41,80 @@
     return [text for check in checks for text in check]
 
 
+def find_late_pairs(play):
+    """Return the pairs of runs beside `TWICE` that no owner can prevent.
+
+    One run of each pair was started late, by a life that the order was not meant for.
+    Before that, and before the other run began, a life that it was meant for or one
+    between the two had answered the stop by which the owner gave the run up, and would
+    have refused it from then on. The next life knows neither the stop nor a fence, and
+    no call of the owner is certain to reach it before the late order does: the owner
+    could only wait for as long as calls may be late before each second run. Such a pair
+    is listed, but is no break here, unless the late run's end was taken note of before
+    the other run began, which the owner could then leave undone.
+
+    All other pairs with such a start are breaks: without the answer to a stop the owner
+    knows that the order may still be carried out.
+    """
+    return [
+        f"LATE-START on a later life: {text}"
+        for run, later, text in _list_pairs(_sort_runs(play))
+        if _is_beyond_prevention(run, later)
+    ]
+
+
+def _sort_runs(play):
+    """Return the runs of each task in the order in which they began."""
+    by_task = {}
+    for run in sorted(play.site.runs, key=lambda run: run.began_at):
+        by_task.setdefault(run.task, []).append(run)
+    return by_task
+
+
 def _find_twice(by_task):
+    for run, later, text in _list_pairs(by_task):
+        if not _is_beyond_prevention(run, later):
+            yield f"TWICE {text}"
+
+
+def _is_beyond_prevention(run, later):
+    return any(
+        late.was_late
+        and late.was_for_former
+        and late.given_up_at < other.began_at < late.noted_at
+        for late, other in ((run, later), (later, run))
+    )
+
+
+def _list_pairs(by_task):
+    """Yield the pairs of runs of a task of which there may be only one, with a text."""
     for task, runs in by_task.items():
         for number, run in enumerate(runs):
             for later in runs[number + 1 :]:
-                name = f"{task}: run {later.run} on {later.executor_id} began"
-                first = f"run {run.run} on {run.executor_id}"
-                if later.began_at < run.ended_at:
-                    overlap = run.ended_at - later.began_at
-                    yield f"TWICE {name} {overlap:.2f} s before {first} ({run.kind})"
-                elif _is_done_and_noted(run):
-                    yield f"TWICE {name} after {first} was done and noted"
-                elif run.run == later.run:
-                    yield f"TWICE {name} with the number of {first}"
+                if text := _describe_pair(run, later):
+                    yield run, later, f"{task}: {text}"
+
+
+def _describe_pair(run, later):
+    name = f"run {later.run} on {later.executor_id}{_describe_order(later)} began"
+    first = f"run {run.run} on {run.executor_id}{_describe_order(run)}"
+    if later.began_at < run.ended_at:
+        overlap = run.ended_at - later.began_at
+        return f"{name} {overlap:.2f} s before {first} ({run.kind})"
+    if _is_done_and_noted(run):
+        return f"{name} after {first} was done and noted"
+    # The next life carries out one order once more after the life that it was meant
+    # for, which the rule allows; that life can't.
+    is_one_order = later.was_for_former and later.executor_id == run.executor_id
+    if run.run == later.run and not is_one_order:
+        return f"{name} with the number of {first}"
+    return None
+
+
+def _describe_order(run):
+    if not run.was_late:
+        return ""
+    return f" (late {run.late_by:.1f} s{', former life' * run.was_for_former})"
 
 
 def _is_done_and_noted(run):
@@ -62,6 +123,19 @@
     return run.kind == "done" and run.noted_at < math.inf and not run.has_lapsed
 
 
+def _find_started_after_completion(play, runs):
+    for run in runs:
+        job = _find_job(play, run)
+        if job is None or run.was_late:
+            continue  # "not for orders that an executor carried out late"
+        told = [at for _, at, _, state in job.states if state == "completed"]
+        # "a start by a machine in touch, over a second after [...] the job was shown as
+        # `completed`"
+        if told and run.began_at > min(told) + SHOWN:
+            if _is_calm(play, run.began_at, run.began_at):
+                yield f"TWICE {run.task}: run {run.run} began after its job's end"
+
+
 def _find_orders_out_of_turn(play, by_task):
     for task, runs in by_task.items():
         job_id, occurrence, step, _ = task.split(".")
--- a/peridotspoke/platform/tests/playexecutors.py
+++ b/peridotspoke/platform/tests/playexecutors.py
@@ -18,13 +18,16 @@
 __all__ = ["PlayExecutor", "RunRecord", "TaskSpec"]
 
 HEARTBEAT = 1.5  # seconds, as heartbeatMs
-MAX_LEASE = 6.0  # seconds, as holdMaxMs
 GANG_WAIT = 3.0  # seconds, as gangMs
 LONGEST_STOP = 0.38  # seconds; stopMs is 400
 SLOWEST_CLOCK = 0.98  # "its own steady clock, which may be 2% slow" (PROTOCOL.md)
+LATE, LATEST = 4.0, 12.0  # seconds; how late most calls, and all, are carried out
+LATEST_SHARE = 0.25  # share of the late calls that are later than most
 OVERTAKEN_SHARE = 0.05  # share of the answers that come up to 0.6 s late
 CAPACITY_CPU = 8000  # thousandths of a core
 NEVER = 3600.0  # seconds
+LOGGED_FIELDS = ("task", "run", "fence", "untilMs", "ackCursor", "percent")
+START_PATH, STOP_PATH = PATH_PREFIX + "run-start", PATH_PREFIX + "run-stop"
 
 
 class TaskSpec(msgspec.Struct):
@@ -45,6 +48,9 @@
     pool: str
     began_at: float
     was_late: bool = False  # ordered seconds before it was carried out
+    late_by: float = 0.0  # seconds from the order to the start, if it was late
+    was_for_former: bool = False  # the order was meant for a former life
+    given_up_at: float = math.inf  # when such a life first answered a stop of it
     number: int = 0  # of its end
     ended_at: float = math.inf
     kind: str = "running"
@@ -59,9 +65,11 @@
     ----------
     executor_id, pool : str
     site : PlaySite
-        Keeps the records, the gangs and the store.
+        Keeps the records, the gangs, the store and the longest lease.
     machine : str
     rack : str
+    age : float, optional
+        Seconds for which its first life has gone on; its clock tells them.
 
     Attributes
     ----------
@@ -87,22 +95,32 @@
         The runs that go on, by task, and those that have ended in this life.
     specs : dict of str to TaskSpec
         By task.
+    answered_stops : dict of (str, int) to list of (int, float)
+        The life and time of each answer to a stop that was sent, by task and run.
     """
 
-    def __init__(self, executor_id, pool, site, machine, rack):
+    def __init__(self, executor_id, pool, site, machine, rack, age=0.0):
         super().__init__(executor_id, pool)
         self.site, self.machine, self.rack = site, machine, rack
         self.state, self.seq, self.life, self.beaten_at = "ready", 0, 0, 0.0
         self.cut = self.down = self.has_left = self.is_off = self.in_upkeep = False
         self.late_share = 0.0
         self.open_records, self.end_records, self.specs = {}, [], {}
+        self.answered_stops = {}
         self._begin_life()
+        self.life_began_at -= age
+        self.born -= int(age * MS_PER_SECOND)
 
     @property
     def is_alive(self):
         """Whether it runs tasks: its machine is neither down nor replaced."""
         return not (self.down or self.has_left)
 
+    @property
+    def has_old_clock(self):
+        """Whether a lease on its clock is the longest one on its next life's clock."""
+        return self._clock() > self.site.longest_lease * MS_PER_SECOND
+
     @property
     def is_reachable(self):
         """Whether it is alive and no cut keeps it from the nodes and the store."""
@@ -177,30 +195,59 @@
         """Handle a call, maybe late, maybe with an answer that others overtake."""
         if not self.is_reachable:
             await asyncio.sleep(NEVER)
-        await request.read()
+        data = await request.read()
         if random.random() < self.late_share:
             self.site.spawn(self._carry_out_late(request, self.life))
             await asyncio.sleep(NEVER)
-        response = await super().handle(request)
+        response, life = await super().handle(request), self.life
         if random.random() < OVERTAKEN_SHARE:
             await asyncio.sleep(random.uniform(0, 0.6))
         if not self.is_reachable:
             await asyncio.sleep(NEVER)
+        if request.path == STOP_PATH and response.status == 200:
+            self._note_answered_stop(msgspec.json.decode(data), request, life)
         return response
 
+    def _note_answered_stop(self, body, request, life):
+        if request.transport is not None and not request.transport.is_closing():
+            answers = self.answered_stops.setdefault((body["task"], body["run"]), [])
+            answers.append((life, time.monotonic()))
+
     async def _carry_out_late(self, request, life):
-        await asyncio.sleep(random.uniform(1.0, 4.0))
-        if self.life == life and self.is_reachable:
-            before = len(self.site.runs)
-            await super().handle(request)
+        """Carry a call out seconds later, in whichever life is there then."""
+        is_latest = random.random() < LATEST_SHARE
+        late_by = random.uniform(*((LATE, LATEST) if is_latest else (1.0, LATE)))
+        await asyncio.sleep(late_by)
+        if not self.is_reachable:
+            return
+        if self.life != life:
+            await self._record_call_of(life, request)
+        before = len(self.site.runs)
+        await super().handle(request)
+        if request.path == START_PATH:
             for run in self.site.runs[before:]:
-                run.was_late |= request.path == PATH_PREFIX + "run-start"
+                self._mark_late(run, late_by, life)
+
+    async def _record_call_of(self, life, request):
+        body = msgspec.json.decode(await request.read())
+        fields = {name: body[name] for name in LOGGED_FIELDS if name in body}
+        name = request.path.removeprefix(PATH_PREFIX)
+        text = f"life {self.life} gets {name} of life {life}: {fields}"
+        self.site.record(self.executor_id, text)
+
+    def _mark_late(self, run, late_by, life):
+        run.was_late, run.late_by = True, late_by
+        run.was_for_former = life < self.life
+        for stopped_in, at in self.answered_stops.get((run.task, run.run), ()):
+            if life <= stopped_in < self.life:
+                run.given_up_at = min(run.given_up_at, at)
 
     def _clock(self):
         return int((time.monotonic() - self.life_began_at) * MS_PER_SECOND * self.rate)
 
     def _extend(self, until_ms):
-        until_ms = min(until_ms or 0, self._clock() + MAX_LEASE * MS_PER_SECOND)
+        longest = self.site.longest_lease * MS_PER_SECOND
+        until_ms = min(until_ms or 0, self._clock() + longest)
         end = self.life_began_at + until_ms / MS_PER_SECOND / self.rate
         self.lease_end = max(self.lease_end, end)
 
--- a/peridotspoke/platform/tests/playsite.py
+++ b/peridotspoke/platform/tests/playsite.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from peridotspoke.platform.standins import serve_standin
+from peridotspoke.platform.standins import MS_PER_SECOND, serve_standin
 from peridotspoke.platform.tests.playexecutors import Gangs, PlayExecutor
 from peridotspoke.platform.tests.playservices import (
     Listener,
@@ -28,6 +28,7 @@
 MOVE_DURATION = 1.5  # seconds, as moveS
 UPKEEP_DURATION = 2.0  # seconds, as upkeepS
 TICK = 0.01  # seconds
+AGES = (20.0, 600.0)  # seconds for which executors have run before the play
 READY_TIMEOUT = 40  # seconds
 # The bounds of the users' sites.
 SETTINGS = """\
@@ -38,7 +39,6 @@
 limits.linkMbps=1000.0
 bounds.drainMs=2000
 bounds.graceS=6
-bounds.holdMaxMs=6000
 bounds.stopMs=400
 bounds.gangMs=3000
 bounds.status_s=120
@@ -61,6 +61,8 @@
     folder : pathlib.Path
         Gets ``record.txt`` and the log of each node.
     node_count : int
+    longest_lease : float, optional
+        Seconds, as holdMaxMs.
 
     Attributes
     ----------
@@ -86,8 +88,9 @@
         What runs beside the play.
     """
 
-    def __init__(self, folder, node_count):
+    def __init__(self, folder, node_count, longest_lease=6.0):
         self.folder, self.node_count = folder, node_count
+        self.longest_lease = longest_lease
         self.store, self.machines = PlayStore(self), PlayMachines(self)
         self.gangs = Gangs()
         self.runs, self.lines, self.waves, self.processes = [], [], {}, {}
@@ -98,10 +101,10 @@
         for pool in POOLS:
             for number in range(MACHINES_OF_POOL):
                 rack = f"r-{number // 2}"
-                machine = f"m-{pool}-{number}"
-                self.executors.append(
-                    PlayExecutor(f"i-{pool}-{number}", pool, self, machine, rack)
-                )
+                machine, name = f"m-{pool}-{number}", f"i-{pool}-{number}"
+                age = random.uniform(*AGES)
+                executor = PlayExecutor(name, pool, self, machine, rack, age)
+                self.executors.append(executor)
 
     def record(self, who, text):
         """Add a line to the record."""
@@ -140,6 +143,7 @@
     async def _prepare_node(self, name, host, machines):
         store = await self._serve(self.store.make_handler(name))
         settings = SETTINGS + (
+            f"bounds.holdMaxMs={round(self.longest_lease * MS_PER_SECOND)}\n"
             f"node={name}\nlisten.front={host}:8624\nlisten.ready={host}:8622\n"
             f"platform.address={store}\ncloud.address={machines}\n"
         )
--- a/peridotspoke/platform/tests/playtroubles.py
+++ b/peridotspoke/platform/tests/playtroubles.py
@@ -1,13 +1,18 @@
 """Disruptions and changes of a play, each a coroutine that is named after its kind."""
 
 import asyncio
+import base64
 import math
 import signal
 import time
 
+import msgspec
+
+from peridotspoke.nodes.keys import key_owner
+from peridotspoke.nodes.records import OwnerRecord
 from peridotspoke.platform.tests.playsite import HOST, POOLS, SPARE
 
-__all__ = ["KINDS", "Troubles"]
+__all__ = ["KINDS", "LONG_TASK_KINDS", "Troubles"]
 
 GRACE = 6.0  # seconds, as graceS
 KINDS = (
@@ -15,6 +20,8 @@
     *("store", "lost", "compact", "away", "freeze", "kill", "term", "hup"),
     *("config", "wave", "odd"),
 )
+LONG_TASK_KINDS = {"recut", "recutkill"}  # played with tasks that outlast leases
+MOST_RECUT = 4  # executors at a time; the others have room for second runs
 
 
 class Troubles:
@@ -38,7 +45,7 @@
     def __init__(self, site, chance, kinds):
         self.site, self.chance, self.kinds = site, chance, kinds
         self.spans, self.drains = [], []
-        self.version, self.wave_count = 7, 0
+        self.version, self.wave_count, self.recut_count = 7, 0, 0
 
     def make_config(self):
         """Return the configuration, with terms that are drawn anew."""
@@ -80,11 +87,11 @@
         await getattr(self, f"_{kind}")()
         span[2] = time.monotonic()
 
-    def _draw_executor(self):
+    def _draw_executor(self, is_apt=lambda _: True):
         ready = [
             item
             for item in self.site.executors
-            if item.state == "ready" and item.is_reachable
+            if item.state == "ready" and item.is_reachable and is_apt(item)
         ]
         return self.chance.choice(ready) if ready else None
 
@@ -143,6 +150,58 @@
         if (executor := self._draw_executor()) is not None:
             await self._end_life(executor)
 
+    async def _recut(self):
+        await self._cut_next_life(kills_owner=False)
+
+    async def _recutkill(self):
+        await self._cut_next_life(kills_owner=True)
+
+    async def _cut_next_life(self, kills_owner):
+        """Restart an executor with late calls, then cut it off for about a lease."""
+        executor = self._draw_executor(lambda item: item.has_old_clock)
+        if executor is None or self.recut_count >= MOST_RECUT:
+            return
+        self.recut_count += 1
+        executor.late_share = 0.8
+        await asyncio.sleep(1.0)
+        executor.late_share = 0.0
+        executor.crash()
+        await asyncio.sleep(0.3)
+        if not executor.has_left:
+            executor.restart()
+            wait = self.chance.uniform(1.5, self.chance.choice([3.5, 3.5, 8.0]))
+            kill_wait = wait * self.chance.uniform(0.3, 1.0)
+            cut = self._draw_cut(wait)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._cut_later(executor, wait, cut))
+                if kills_owner:
+                    group.create_task(self._kill_owner(executor.pool, kill_wait))
+        self.recut_count -= 1
+
+    def _draw_cut(self, wait):
+        """Return the seconds of a cut that begins some seconds after a restart."""
+        longest = self.site.longest_lease
+        if self.chance.random() < 0.5:
+            return longest * self.chance.uniform(1.1, 1.2)
+        # Ends behind it still count, if a late call has granted the longest lease.
+        return max(0.6 * longest, longest + self.chance.uniform(0.6, 2.5) - wait)
+
+    async def _cut_later(self, executor, wait, seconds):
+        await asyncio.sleep(wait)
+        executor.cut = True
+        self.site.record(executor.executor_id, f"cut off for {seconds:.2f} s")
+        await asyncio.sleep(seconds)
+        executor.cut = False
+        executor.beat()
+
+    async def _kill_owner(self, pool, wait):
+        await asyncio.sleep(wait)
+        item = self.site.store.items.get(key_owner(pool))
+        if item is not None:
+            value = base64.b64decode(item["value"])
+            owner = msgspec.json.decode(value, type=OwnerRecord)
+            await self._replace_node(owner.name, signal.SIGKILL)
+
     async def _rollout(self):
         """Replace a pool's executors in turn; addresses go to the other pool."""
         pool = self.chance.choice(POOLS[:2])
@@ -221,13 +280,12 @@
             self.site.signal_node(name, signal.SIGCONT)
 
     async def _kill(self):
-        await self._replace_node(signal.SIGKILL)
+        await self._replace_node(self._draw_node(), signal.SIGKILL)
 
     async def _term(self):
-        await self._replace_node(signal.SIGTERM)
+        await self._replace_node(self._draw_node(), signal.SIGTERM)
 
-    async def _replace_node(self, number):
-        name = self._draw_node()
+    async def _replace_node(self, name, number):
         process = self.site.processes[name]
         if process.poll() is not None:
             return
--- a/peridotspoke/platform/tests/test_playchecks.py
+++ b/peridotspoke/platform/tests/test_playchecks.py
@@ -6,7 +6,7 @@
 import pytest
 
 from peridotspoke.platform.tests.fleetplay import Job
-from peridotspoke.platform.tests.playchecks import find_breaks
+from peridotspoke.platform.tests.playchecks import find_breaks, find_late_pairs
 from peridotspoke.platform.tests.playexecutors import RunRecord
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -26,6 +26,11 @@
     )
 
 
+def make_late_run(run, began_at, ended_at, kind="done", **fields):
+    fields = {"was_for_former": True, "given_up_at": 9.0} | fields
+    return make_run(run, began_at, ended_at, kind, was_late=True, **fields)
+
+
 def make_play(runs, answers=(200,), orders=(), spans=(), drains=(), **fields):
     steps = [{"count": 1}, {"count": 1, "after": [0]}]
     job = Job(JOB_ID, f"/urgent-north/{JOB_ID}", {"steps": steps}, "steps")
@@ -47,6 +52,10 @@
         ("TWICE", make_play([make_run(1, 10, 12, "stopped"), make_run(2, 11.9, 13)])),
         ("TWICE", make_play([make_run(1, 10, 12, noted_at=14), make_run(2, 13, 15)])),
         ("TWICE", make_play([make_run(1, 10, 12, "lapsed"), make_run(1, 13, 15)])),
+        (
+            "TWICE",
+            make_play([make_run(2, 12.5, 13)], states=[(10, 11, 200, "completed")]),
+        ),
         ("ORDER", make_play([make_run(1, 10, 12, task=f"{JOB_ID}.0.1.0")])),
         ("REFUSED", make_play([make_run(1, 10, 12)], answers=(503, 429))),
         ("UNASKED", make_play([make_run(1, 10, 12, task=f"{'a' * 16}.0.0.0")])),
@@ -86,3 +95,47 @@
 )
 def test_what_the_rules_allow_is_no_break(play):
     assert not find_breaks(play)
+
+
+def test_one_order_that_two_lives_carry_out_in_turn_is_no_break():
+    runs = [
+        make_run(1, 10, 12, "crashed"),
+        make_late_run(1, 13, 14, given_up_at=math.inf),
+    ]
+    assert not find_breaks(make_play(runs))
+    runs[1].was_for_former = False
+    assert find_breaks(make_play(runs))[0].startswith("TWICE")
+
+
+@pytest.mark.parametrize(
+    "runs",
+    [
+        [make_late_run(1, 10, 12, noted_at=14), make_run(2, 11, 13)],
+        [make_run(2, 10, 12, noted_at=14), make_late_run(1, 15, 16)],
+    ],
+)
+def test_a_late_start_on_a_later_life_after_an_answered_stop_is_listed(runs):
+    play = make_play(runs)
+    assert not any(text.startswith("TWICE") for text in find_breaks(play))
+    (text,) = find_late_pairs(play)
+    assert text.startswith("LATE-START on a later life")
+
+
+@pytest.mark.parametrize(
+    "runs",
+    [
+        [make_late_run(1, 10, 12, given_up_at=math.inf), make_run(2, 11, 13)],
+        [make_run(2, 10, 12), make_late_run(1, 11, 13, given_up_at=10.5)],
+        [make_late_run(1, 10, 12, was_for_former=False), make_run(2, 11, 13)],
+        [make_late_run(1, 10, 12, noted_at=14), make_run(2, 15, 16)],
+        [
+            make_run(1, 10, 12, noted_at=14),
+            make_late_run(2, 15, 16, given_up_at=math.inf),
+        ],
+    ],
+)
+def test_another_pair_with_a_late_start_is_a_break(runs):
+    # Guards against excusing what an owner can prevent.
+    play = make_play(runs)
+    assert any(text.startswith("TWICE") for text in find_breaks(play))
+    assert not find_late_pairs(play)
