Cut the progress off a stop's reason in one place

Cause: runcounters and JobRuns.count_stop each shortened "stalled at N percent" by a rule of its own: one by how the reason begins, the other at " at ". Change: find_cause in ledgertypes serves both. Labels and counts stay as they are: no other reason, kind or source that is counted holds " at ".

--- a/peridotspoke/nodes/runcounters.py
+++ b/peridotspoke/nodes/runcounters.py
@@ -1,5 +1,7 @@
 """Counters of what a pool's owner orders and releases, taken from its events."""
 
+from peridotspoke.workloads.ledgertypes import find_cause
+
 __all__ = ["count_run_event"]
 
 COUNTERS = {  # by event: the counter, and the field that is its label
@@ -12,9 +14,6 @@
     "late-end": ("late_ends", "kind"),
     "executor-reborn": ("executor_restarts", "by"),
 }
-STALLED = (
-    "stalled"  # one label for all reasons that begin with it and tell a percentage
-)
 
 
 def count_run_event(metrics, event, fields):
@@ -44,6 +43,4 @@
     if label is None:
         metrics.count(name, amount)
         return
-    value = str(fields[label])
-    shown = STALLED if value.startswith(STALLED) else value
-    metrics.count(name, amount, **{label: shown})
+    metrics.count(name, amount, **{label: find_cause(str(fields[label]))})
--- a/peridotspoke/workloads/ledgertypes.py
+++ b/peridotspoke/workloads/ledgertypes.py
@@ -5,7 +5,30 @@
 from peridotspoke.workloads.executors import StopOrder
 from peridotspoke.workloads.runs import Run
 
-__all__ = ["JobRuns", "LeaseBound", "LedgerRules", "StopCommand", "StoredBatch"]
+__all__ = [
+    "JobRuns",
+    "LeaseBound",
+    "LedgerRules",
+    "StopCommand",
+    "StoredBatch",
+    "find_cause",
+]
+
+
+def find_cause(reason):
+    """Return the reason of a stop without the progress that it may state.
+
+    Stops are counted by cause; by whole reason, each percentage would be one of its
+    own.
+
+    Examples
+    --------
+    >>> find_cause("stalled at 42 percent")
+    'stalled'
+    >>> find_cause("the executor is leaving")
+    'the executor is leaving'
+    """
+    return reason.partition(" at ")[0]
 
 
 @dataclass(slots=True)
@@ -17,15 +40,15 @@
     most_runs : int, optional
         Highest run number of a task; also runs that were not carried out count.
     stops : dict of str to int, optional
-        Number of runs that this owner stopped, by reason.
+        Number of runs that this owner stopped, by cause.
     """
 
     most_runs: int = 0
     stops: dict[str, int] = field(default_factory=dict)
 
     def count_stop(self, reason):
-        """Count a stop; progress that the reason states is left out of it."""
-        cause = reason.partition(" at ")[0]
+        """Count a stop by its cause."""
+        cause = find_cause(reason)
         self.stops[cause] = self.stops.get(cause, 0) + 1
 
     def describe_stops(self):
