Decode the values of records in one place

Cause: nodes/records.py, platform/configuration.py and store/records.py each turned malformed data into the same RecordError. Change: decode_value stands in store/records.py, below both; decode_record uses it too. nodes/records.py imports it in place of its own, so that its callers stay as they are.

--- a/peridotspoke/nodes/records.py
+++ b/peridotspoke/nodes/records.py
@@ -2,9 +2,8 @@
 
 import msgspec
 
-from peridotspoke.decoding import decode_json
-from peridotspoke.exceptions import MalformedDataError, RecordError
 from peridotspoke.nodes.settings import DEFAULT_LINK, DEFAULT_PROCESSORS
+from peridotspoke.store import decode_value
 
 __all__ = [
     "LeaseStatement",
@@ -141,22 +140,3 @@
 def encode_value(value):
     """Return the JSON encoding of one of this module's records."""
     return msgspec.json.encode(value)
-
-
-def decode_value(record, value_class):
-    """Return the value of a `Record` as one of this module's records.
-
-    Parameters
-    ----------
-    record : Record
-    value_class : type
-
-    Raises
-    ------
-    RecordError
-        If the value does not have the form of `value_class`.
-    """
-    try:
-        return decode_json(record.value, value_class)
-    except MalformedDataError as error:
-        raise RecordError(str(error), step="decode record", peer=record.key) from error
--- a/peridotspoke/platform/configuration.py
+++ b/peridotspoke/platform/configuration.py
@@ -2,8 +2,7 @@
 
 import msgspec
 
-from peridotspoke.decoding import decode_json
-from peridotspoke.exceptions import MalformedDataError, RecordError
+from peridotspoke.store import decode_value
 from peridotspoke.workloads.configuration import (
     Advice,
     Configuration,
@@ -88,7 +87,7 @@
     RecordError
         If the value is not JSON of the expected form.
     """
-    config = _decode(record, _Config)
+    config = decode_value(record, _Config)
     return Configuration(
         config.version,
         tuple(_make_queue(route) for route in config.routes),
@@ -116,7 +115,7 @@
     RecordError
         If the value is not JSON of the expected form.
     """
-    wave = _decode(record, _Wave)
+    wave = decode_value(record, _Wave)
     return MaintenanceWave(
         wave.wave, tuple(wave.machines), wave.duration_s, wave.max_count
     )
@@ -158,10 +157,3 @@
         advice is not None,
     )
     return Queue(route.name, route.host, route.prefix, route.service, terms, advice)
-
-
-def _decode(record, body_class):
-    try:
-        return decode_json(record.value, body_class)
-    except MalformedDataError as error:
-        raise RecordError(str(error), step="decode record", peer=record.key) from error
--- a/peridotspoke/store/__init__.py
+++ b/peridotspoke/store/__init__.py
@@ -43,6 +43,7 @@
     ChangeNote,
     Stored,
     decode_record,
+    decode_value,
     encode_stored,
     swap_stored,
 )
@@ -86,6 +87,7 @@
     "Transaction",
     "WatchBatch",
     "decode_record",
+    "decode_value",
     "encode_stored",
     "follow_prefix",
     "open_service",
--- a/peridotspoke/store/records.py
+++ b/peridotspoke/store/records.py
@@ -22,6 +22,7 @@
     "ChangeNote",
     "Stored",
     "decode_record",
+    "decode_value",
     "describe_change",
     "encode_stored",
     "make_archive_key",
@@ -184,8 +185,29 @@
     RecordError
         If the value is not a valid `Stored` with a body of type `body_class`.
     """
+    return decode_value(record, Stored[body_class])
+
+
+def decode_value(record, value_class):
+    """Decode the value of a record that has no audit trail.
+
+    Parameters
+    ----------
+    record : Record
+    value_class : type
+
+    Returns
+    -------
+    object
+        An instance of `value_class`.
+
+    Raises
+    ------
+    RecordError
+        If the value does not have the form of `value_class`.
+    """
     try:
-        return decode_json(record.value, Stored[body_class])
+        return decode_json(record.value, value_class)
     except MalformedDataError as error:
         raise RecordError(str(error), step="decode record", peer=record.key) from error
 
