--- a/peridotspoke/peers/__init__.py
+++ b/peridotspoke/peers/__init__.py
@@ -1,6 +1,7 @@
 """Communication between the system's own processes: membership, leases, slot loans."""
 
 from peridotspoke.peers.answers import PeerAnswerDirectory
+from peridotspoke.peers.borrowedslots import SlotBorrower
 from peridotspoke.peers.client import GrpcLink, InFlightSource, PeerClient, PeerLink
 from peridotspoke.peers.lease import ProcessLease
 from peridotspoke.peers.leaving import LeavingRules, LeavingView
@@ -35,12 +36,7 @@
     key_keeper,
 )
 from peridotspoke.peers.server import PeerHandlers, PeerServer
-from peridotspoke.peers.slots import (
-    LendingRules,
-    SlotBorrower,
-    SlotKeeper,
-    divide_slots,
-)
+from peridotspoke.peers.slots import LendingRules, SlotKeeper, divide_slots
 
 __all__ = [
     "MEMBERS_PREFIX",
--- a/peridotspoke/peers/lending.py
+++ b/peridotspoke/peers/lending.py
@@ -11,6 +11,7 @@
 )
 from peridotspoke.identities import make_operation_id
 from peridotspoke.logs import log_event
+from peridotspoke.peers.borrowedslots import SlotBorrower
 from peridotspoke.peers.records import MemberRecord, key_member
 from peridotspoke.peers.rights import (
     KEEPERS_PREFIX,
@@ -18,7 +19,7 @@
     LendingRight,
     key_keeper,
 )
-from peridotspoke.peers.slots import LendingRules, SlotBorrower, SlotKeeper
+from peridotspoke.peers.slots import LendingRules, SlotKeeper
 from peridotspoke.requests import SlotShares
 from peridotspoke.store import (
     ChangeNote,
--- a/peridotspoke/peers/tests/test_slots_machine.py
+++ b/peridotspoke/peers/tests/test_slots_machine.py
@@ -11,8 +11,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from peridotspoke.exceptions import PeerError
+from peridotspoke.peers.borrowedslots import SlotBorrower
 from peridotspoke.peers.rights import LendingRight, LendingRightRules
-from peridotspoke.peers.slots import LendingRules, SlotBorrower, SlotKeeper
+from peridotspoke.peers.slots import LendingRules, SlotKeeper
 
 SLOTS = 8
 LEASE_TTL_S = 6.0
