Split the batches in memory from the state of a pool

Cause: jobs/poolstate.py held the cache of batches with its indexes beside the workers and attempts, which do not use it. Change: JobLocation, CachedBatch and BatchCache stand in jobs/batches.py.

--- a/peridotspoke/jobs/board.py
+++ b/peridotspoke/jobs/board.py
@@ -11,6 +11,7 @@
     WriteLost,
     WriteWon,
 )
+from peridotspoke.jobs.batches import JobLocation
 from peridotspoke.jobs.failures import (
     find_workers_to_remove,
     record_outcome,
@@ -20,12 +21,7 @@
 from peridotspoke.jobs.messages import JobPhase, Urgency
 from peridotspoke.jobs.needs import Resources, WorkerCapacity
 from peridotspoke.jobs.placementround import place_jobs
-from peridotspoke.jobs.poolstate import (
-    JobLocation,
-    PoolState,
-    WorkerState,
-    WriteInFlight,
-)
+from peridotspoke.jobs.poolstate import PoolState, WorkerState, WriteInFlight
 from peridotspoke.jobs.records import key_batch
 from peridotspoke.jobs.settings import BoardSettings
 from peridotspoke.jobs.tasks import (
