Split the writes of jobs from the answers to callers

Cause: nodes/jobrequests.py answered callers and also held how a job is written once though answers are lost: repeats, tombstones, cancellations. Change: JobWriter stands in nodes/jobwrites.py; the handler calls store and cancel.

--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -1,11 +1,6 @@
 """Answers callers: accepts jobs, shows their states, cancels them, counts queues."""
 
-from peridotspoke.exceptions import (
-    AnswerLostError,
-    PlatformError,
-    PlatformUnavailableError,
-    RequestError,
-)
+from peridotspoke.exceptions import PlatformError, RequestError
 from peridotspoke.logs import log_event
 from peridotspoke.nodes.jobanswers import (
     Accepted,
@@ -14,23 +9,19 @@
     RefusalCause,
     Refused,
     Shown,
-    Unknown,
     UnknownJob,
     UnknownQueue,
 )
 from peridotspoke.nodes.jobviews import JobView
-from peridotspoke.nodes.keys import key_cancellation, key_identity, key_job
-from peridotspoke.nodes.lookups import TOMBSTONE, JobLookup
+from peridotspoke.nodes.jobwrites import JobWriter
+from peridotspoke.nodes.lookups import JobLookup
 from peridotspoke.nodes.refusals import Refusals
 from peridotspoke.nodes.refusedwork import record_refused_job
-from peridotspoke.store import Condition, Put, Transaction
 from peridotspoke.workloads.admission import compute_retry_delay
 from peridotspoke.workloads.checking import check_job, is_job_id
-from peridotspoke.workloads.progress import encode_job
 
 __all__ = ["JobRequestHandler"]
 
-MAX_WRITE_ATTEMPTS = 3
 MAX_DEMAND_AGE = 5.0  # seconds; a change of the pool's owner takes less
 
 
@@ -50,6 +41,7 @@
         self._decode_submission = decode_submission
         self._lookup = JobLookup(node)
         self._refusals = Refusals(node)
+        self._writer = JobWriter(node, self._refusals)
 
     def is_ready(self):
         """Return whether this node has a configuration and can reach the store."""
@@ -101,7 +93,7 @@
             if refusal.cause is RefusalCause.STORE_AWAY:
                 record_refused_job(self._node, job, refusal.retry_after)
             return self._log("submit", queue, job_id, refusal)
-        answer = await self._store_job(job, 0)
+        answer = await self._writer.store(job)
         if isinstance(answer, Accepted):
             self._node.refused_jobs.discard(job_id)
         return self._log("submit", queue, job_id, answer)
@@ -181,7 +173,7 @@
             return self._log("cancel", queue, job_id, job_view)
         if not job_view.is_open:
             return self._log("cancel", queue, job_id, Accepted(), state=job_view.state)
-        return self._log("cancel", queue, job_id, await self._store_cancel(job_view))
+        return self._log("cancel", queue, job_id, await self._writer.cancel(job_view))
 
     def _find_queue(self, host, path):
         """Return the queue and the rest of the path, or the answer without a queue."""
@@ -245,106 +237,6 @@
         except PlatformError as error:
             return self._refusals.refuse(RefusalCause.STORE_FAILED, str(error))
 
-    async def _store_job(self, job, revision):
-        """Store a job at most once; refuse it only if it certainly will never run.
-
-        Parameters
-        ----------
-        job : Job
-        revision : int
-            Expected revision of the job's identity, 0 if it does not exist.
-        """
-        identity = key_identity(job.job_id)
-        puts = (
-            Put(identity, job.pool.encode()),
-            Put(key_job(job.pool, job.job_id), encode_job(job)),
-        )
-        transaction = Transaction((Condition(identity, revision),), puts)
-        lost_error = None
-        for failures in range(MAX_WRITE_ATTEMPTS):
-            try:
-                result = await self._node.commits.commit(transaction, failures)
-            except AnswerLostError as error:
-                lost_error = error
-                continue
-            except PlatformUnavailableError as error:
-                if lost_error is None:
-                    return self._refuse_failed(error, job)
-                continue
-            if result.succeeded:
-                self._add_to_view(job, result.revision)
-                return Accepted()
-            current = result.find_current(identity)
-            if current is not None and current.value != TOMBSTONE:
-                return Accepted()
-            return await self._retry_store_job(job, current, revision)
-        return await self._write_tombstone(job, revision, lost_error)
-
-    def _add_to_view(self, job, revision):
-        jobs = self._node.view.jobs.get(job.pool)
-        if jobs is not None:
-            jobs.add_job(job, revision)
-
-    async def _retry_store_job(self, job, current, revision):
-        """Store a job with the revision of its identity that a failed write has found.
-
-        `current` is the record of the identity, or None, and `revision` the revision
-        that the failed write expected. A tombstone is replaced.
-        """
-        current_revision = current.revision if current is not None else 0
-        if current_revision == revision:
-            return Unknown("the store contradicts itself")
-        return await self._store_job(job, current_revision)
-
-    async def _write_tombstone(self, job, revision, lost_error):
-        """Invalidate the writes of a job whose answers were lost.
-
-        Both the tombstone and the lost writes expect the same revision of the job's
-        identity, so at most one of them takes effect, even if one is applied late.
-        """
-        key = key_identity(job.job_id)
-        transaction = Transaction((Condition(key, revision),), (Put(key, TOMBSTONE),))
-        try:
-            result = await self._node.commits.commit(transaction, failures=1)
-        except PlatformError as error:
-            return Unknown(f"{lost_error}; {error}")
-        if result.succeeded:
-            return self._refuse_failed(lost_error, job)
-        current = result.find_current(key)
-        if current is not None and current.value != TOMBSTONE:
-            return Accepted()
-        return self._refuse_failed(lost_error, job)
-
-    def _refuse_failed(self, error, job):
-        return self._refusals.refuse(RefusalCause.STORE_FAILED, str(error), job)
-
-    async def _store_cancel(self, job_view):
-        """Store the cancellation of a job, unless its records have been removed."""
-        pool, job_id = job_view.job.pool, job_view.job.job_id
-        key = key_cancellation(pool, job_id)
-        job_exists = Condition(key_job(pool, job_id), job_view.revision)
-        conditions = (job_exists, Condition(key, 0))
-        transaction = Transaction(conditions, (Put(key, b"1"),))
-        if not self._node.has_store():
-            return self._refusals.refuse_away()
-        reason = ""
-        for failures in range(MAX_WRITE_ATTEMPTS):
-            try:
-                result = await self._node.commits.commit(transaction, failures)
-            except PlatformError as error:
-                reason = str(error)
-                continue
-            if result.succeeded or result.find_current(key) is not None:
-                self._cancel_in_view(pool, job_id)
-                return Accepted()
-            return UnknownJob()
-        return self._refusals.refuse(RefusalCause.STORE_FAILED, reason)
-
-    def _cancel_in_view(self, pool, job_id):
-        jobs = self._node.view.jobs.get(pool)
-        if jobs is not None:
-            jobs.mark_cancelled(job_id)
-
     def _log(self, step, queue, job_id, answer, **fields):
         """Log and count an answer to a request about a job, and return it."""
         if isinstance(answer, Refused):
