Split the writes of batches from the job board

Cause: jobs/board.py handled messages and also chose and made the due writes, which need only the pool's state, as the calls to workers in workercalls do. Change: make_due_writes stands in jobs/batchwrites.py.

--- a/peridotspoke/jobs/board.py
+++ b/peridotspoke/jobs/board.py
@@ -7,21 +7,21 @@
     ExchangeFailed,
     ReadBatch,
     ReportSeen,
-    WriteBatch,
     WriteLost,
     WriteWon,
 )
 from peridotspoke.jobs.batches import JobLocation
+from peridotspoke.jobs.batchwrites import make_due_writes
 from peridotspoke.jobs.failures import (
     find_workers_to_remove,
     record_outcome,
     set_aside_unrunnable_jobs,
 )
-from peridotspoke.jobs.lifecycle import JobRunning, JobStarting, WorkerLost
-from peridotspoke.jobs.messages import JobPhase, Urgency
+from peridotspoke.jobs.lifecycle import JobStarting, WorkerLost
+from peridotspoke.jobs.messages import JobPhase
 from peridotspoke.jobs.needs import Resources, WorkerCapacity
 from peridotspoke.jobs.placementround import place_jobs
-from peridotspoke.jobs.poolstate import PoolState, WorkerState, WriteInFlight
+from peridotspoke.jobs.poolstate import PoolState, WorkerState
 from peridotspoke.jobs.records import key_batch
 from peridotspoke.jobs.settings import BoardSettings
 from peridotspoke.jobs.tasks import (
@@ -126,7 +126,7 @@
         self._checkpoint_on_drained_workers()
         actions += make_due_ends(state, now)
         actions += resend_starts(state, now)
-        actions += self._make_due_writes(now)
+        actions += make_due_writes(state, now)
         actions += make_exchanges(state)
         self._prune(now)
         return actions
@@ -263,64 +263,6 @@
             if task in state.attempts.reported_running:
                 state.attempts.stopping.setdefault(task, TaskStop.CHECKPOINT)
 
-    def _make_due_writes(self, now):
-        """Return the due `WriteBatch` actions, those with urgent starts first."""
-        due = []
-        for key, cached in self.state.cache.batches.items():
-            if not cached.pending or cached.stale or key in self.state.writes_in_flight:
-                continue
-            rank = min(
-                _rank_event(cached, index, event) for index, event in cached.pending
-            )
-            if (
-                rank < 2
-                or now >= cached.pending_since + self.state.settings.write_delay
-            ):
-                due.append((rank, cached.stored.body.accepted_at, key))
-        due.sort()
-        writes = []
-        for rank, _, key in due:
-            if len(writes) >= self.state.settings.max_writes:
-                break
-            write = self._make_write(key, rank == 0)
-            if write is not None:
-                writes.append(write)
-        return writes
-
-    def _make_write(self, key, urgent):
-        cached = self.state.cache.batches[key]
-        self._add_running(key, cached)
-        batch = cached.make_successor()
-        if batch is None:
-            cached.pending.clear()
-            return None
-        events, cached.pending = tuple(cached.pending), []
-        self.state.writes_in_flight[key] = WriteInFlight(events, cached.stored.body)
-        names = sorted({type(event).__name__ for _, event in events})
-        reasons = {getattr(event, "reason", "") for _, event in events} - {""}
-        return WriteBatch(
-            key,
-            cached.revision,
-            cached.stored,
-            batch,
-            f"{', '.join(names)} of {len(events)}",
-            "; ".join(sorted(reasons)[:3]),
-            urgent,
-        )
-
-    def _add_running(self, key, cached):
-        """Add `JobRunning` events for jobs that workers reported as running.
-
-        They are written only along with other events, to save writes.
-        """
-        for index, job in enumerate(cached.stored.body.jobs):
-            if job.state.phase is not JobPhase.STARTING:
-                continue
-            number = job.state.attempt.number
-            task = make_task_id(JobLocation(key, index).get_id(), number)
-            if task in self.state.attempts.reported_running:
-                cached.pending.insert(0, (index, JobRunning(number)))
-
     def _prune(self, now):
         """Delete the state of attempts and queued jobs that are no longer current."""
         if now < self._pruned_at + PRUNE_INTERVAL_S:
@@ -343,12 +285,6 @@
         state.cache.done.clear()
 
 
-def _rank_event(cached, index, event):
-    if not isinstance(event, JobStarting):
-        return 2
-    return 0 if cached.stored.body.jobs[index].spec.urgency is Urgency.URGENT else 1
-
-
 _HANDLERS = {
     BatchSeen: JobBoard._handle_batch_seen,
     BatchGone: JobBoard._handle_batch_gone,
