Start a node and a task of it in one place in two tests

Cause: the takeover after a kill and the one after a stop began with the same seven lines. Change: start_node_and_task; the assertions are as before.

--- a/peridotspoke/platform/tests/test_whole_path.py
+++ b/peridotspoke/platform/tests/test_whole_path.py
@@ -27,6 +27,17 @@
         await fake.close()
 
 
+async def start_node_and_task(platform):
+    """Start the node n1 and wait until an executor has begun a task of 1.6 s for it."""
+    for executor in platform.executors:
+        executor.duration = 1.6
+    address = await platform.start_node("n1")
+    await submit(address, steps=[{"count": 1, "cpu": 500}])
+    async with asyncio.timeout(20):
+        while not any(executor.starts for executor in platform.executors):
+            await asyncio.sleep(0.02)
+
+
 async def test_a_job_of_two_steps_runs_each_task_once(platform):
     """The second step waits for the first; no task is started twice."""
     address = await platform.start_node("n1")
@@ -145,13 +156,7 @@
 
 async def test_another_node_takes_over_running_tasks(platform):
     """The first node is killed while a task runs; the task is not started again."""
-    for executor in platform.executors:
-        executor.duration = 1.6
-    first = await platform.start_node("n1")
-    await submit(first, steps=[{"count": 1, "cpu": 500}])
-    async with asyncio.timeout(20):
-        while not any(executor.starts for executor in platform.executors):
-            await asyncio.sleep(0.02)
+    await start_node_and_task(platform)
     second = await platform.start_node("n2")
     await platform.kill_node("n1")
     await wait_for_state(second, "completed")
@@ -160,13 +165,7 @@
 
 async def test_a_node_that_stops_tells_its_successor_how_long_its_leases_last(platform):
     """The successor waits no longer for them, nor does it start the task again."""
-    for executor in platform.executors:
-        executor.duration = 1.6
-    first = await platform.start_node("n1")
-    await submit(first, steps=[{"count": 1, "cpu": 500}])
-    async with asyncio.timeout(20):
-        while not any(executor.starts for executor in platform.executors):
-            await asyncio.sleep(0.02)
+    await start_node_and_task(platform)
     second = await platform.start_node("n2")
     await platform.nodes["n1"][0].release_units()
     ownership = platform.nodes["n2"][2].ownership
