Set up the next holder of the fleet in one place in two tests

Cause: test_fleet and test_fleet_holders began with the same five lines. Change: gain_fleet_after_order; the assertions are as before.

--- a/peridotspoke/nodes/tests/test_fleet.py
+++ b/peridotspoke/nodes/tests/test_fleet.py
@@ -191,13 +191,19 @@
     fleet.update_view()
 
 
-async def test_machines_without_a_recent_order_are_moved_at_once_by_a_new_holder():
-    """Only a machine that had an order from another holder shortly before must wait."""
+async def gain_fleet_after_order():
+    """Return a new holder of the fleet, after another has recently ordered m2."""
     fleet = FleetDouble({"m1": "pool", "m2": "spare", "m3": "spare"})
     record = OrderRecord("other", {"m2": RecentOrder("", pool="spare")})
     await fleet.put(key_orders(), encode_value(record))
     await fleet.gain_ownership()
     fleet.set_demand(64.0)
+    return fleet
+
+
+async def test_machines_without_a_recent_order_are_moved_at_once_by_a_new_holder():
+    """Only a machine that had an order from another holder shortly before must wait."""
+    fleet = await gain_fleet_after_order()
     await run_round(fleet)
     assert [order[:2] for order in fleet.machines.orders] == [("m3", "pool")]
     fleet.set_demand(96.0)
--- a/peridotspoke/nodes/tests/test_fleet_holders.py
+++ b/peridotspoke/nodes/tests/test_fleet_holders.py
@@ -1,18 +1,14 @@
 """Tests of the wait between two holders of the fleet."""
 
-from peridotspoke.nodes.fleetrecords import OrderRecord, RecentOrder
-from peridotspoke.nodes.keys import key_orders
-from peridotspoke.nodes.records import encode_value
-from peridotspoke.nodes.tests.test_fleet import FleetDouble, run_round
+from peridotspoke.nodes.tests.test_fleet import (
+    gain_fleet_after_order,
+    run_round,
+)
 
 
 async def test_a_holder_that_regains_the_fleet_still_waits_for_anothers_order():
     """Its own record repeats the other's order, whose holder may be in touch."""
-    fleet = FleetDouble({"m1": "pool", "m2": "spare", "m3": "spare"})
-    record = OrderRecord("other", {"m2": RecentOrder("", pool="spare")})
-    await fleet.put(key_orders(), encode_value(record))
-    await fleet.gain_ownership()
-    fleet.set_demand(64.0)
+    fleet = await gain_fleet_after_order()
     await run_round(fleet)
     assert [order[:2] for order in fleet.machines.orders] == [("m3", "pool")]
     fleet.machines.pools["m3"] = "pool"
