Split the costs of jobs from the outcomes in their benchmark

Change: jobcosts.py measures costs, jobpools.py sets up; the command is the same. No test runs these.

--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -6,31 +6,14 @@
 
 import random
 import sys
-import time
-import tracemalloc
-from dataclasses import replace
 
 from hdrh.histogram import HdrHistogram
 
-from peridotspoke.jobs import (
-    BoardSettings,
-    JobSpec,
-    Resources,
-    Urgency,
-    WorkerCapacity,
-    plan_placements,
-)
-from peridotspoke.jobs.actions import CallStart
-from peridotspoke.jobs.needs import QueuedJob, RunningJob
-from peridotspoke.jobs.tests.harness import POOL, ControllerUnderTest, World
+from benchmarks.jobcosts import measure_batch, measure_memory, measure_round
+from benchmarks.jobpools import SEED, exhaust, make_pool, report, run_for
+from peridotspoke.jobs import BoardSettings, JobSpec, Resources, Urgency
 from peridotspoke.standins import WorkerFaults
-from peridotspoke.store import encode_stored
 
-SEED = 1
-STEP = 0.1  # seconds between two rounds
-CALL_TIME = 0.02  # seconds, assumed for a call to a worker or to the store
-WATCH_LAG = 0.1  # seconds from a write until a controller's watch reports it
-MEMORY = 64 << 30  # bytes of each worker
 # Workers of each pool, with the cores and the accelerators of a worker. "letter" is
 # every ninth pool of a fleet of 199 pools with 1,100 workers and about 1,600
 # accelerators.
@@ -41,57 +24,6 @@
 }
 
 
-def report(**fields):
-    """Print one line of key=value pairs."""
-    print(" ".join(f"{key}={value}" for key, value in fields.items()), flush=True)
-
-
-def make_pool(workers, cores, accelerators, settings):
-    """Return a `World` of one pool and its controller, which has heard all workers.
-
-    `cores` and `accelerators` are those of each worker.
-    """
-    world = World(workers, replace(settings, exchange_wait=0.0))
-    for runner in world.runners.values():
-        runner._free_accelerators = accelerators
-    controller = ControllerUnderTest(world, "c")
-    size = Resources(cores, MEMORY, accelerators)
-    capacities = [
-        WorkerCapacity(name, f"rack-{number // 4}", size)
-        for number, name in enumerate(world.runners)
-    ]
-    controller.board.set_workers(capacities, world.now)
-    controller.run_without_faults()
-    return world, controller
-
-
-def run_for(world, controller, seconds, starts, accepted=None):
-    """Run rounds for `seconds`; yield the name of each job that a call starts.
-
-    `starts` receives the time of each job's first start. It includes the time that
-    the watch and two calls are assumed to take.
-    """
-    end = world.now + seconds
-    while world.now < end:
-        world.now += STEP
-        controller.watch()
-        controller.run_round()
-        hops = 0
-        while controller.outbox:
-            action = controller.deliver()
-            hops += 1
-            if isinstance(action, CallStart):
-                job = action.start.task.rpartition("/")[0]
-                starts.setdefault(job, world.now + 2 * CALL_TIME + WATCH_LAG)
-                yield job
-
-
-def exhaust(iterator):
-    """Consume an iterator whose items aren't needed."""
-    for _ in iterator:
-        pass
-
-
 def fill_pool(world, cores_total, rng, checkpointable, teams):
     """Submit jobs that may wait until they request twice the pool's cores.
 
@@ -269,118 +201,6 @@
     )
 
 
-def measure_round():
-    """Measure processor time and memory of one placement at several sizes."""
-    rng = random.Random(SEED)
-    for workers, queue in ((6, 60), (24, 240), (100, 1000), (300, 1000), (1100, 1000)):
-        capacities = [
-            WorkerCapacity(
-                f"w{n}", f"r{n // 20}", Resources(32, MEMORY, 8 if n % 5 == 0 else 0)
-            )
-            for n in range(workers)
-        ]
-        running = [
-            RunningJob(
-                f"r{n}",
-                JobSpec(
-                    "stock", f"t{n % 20}", urgency=Urgency.MAY_WAIT, idempotent=True
-                ),
-                Resources(8, 4 << 30),
-                f"w{n % workers}",
-                unsaved=rng.random(),
-            )
-            for n in range(4 * workers)
-        ]
-        queued = [
-            QueuedJob(
-                f"q{n}",
-                JobSpec("plan", f"t{n % 20}", urgency=rng.choice(list(Urgency))),
-                Resources(rng.choice([1, 4, 8]), 1 << 30),
-                float(n),
-            )
-            for n in range(queue)
-        ]
-        times = []
-        for _ in range(7):
-            started = time.process_time()
-            plan = plan_placements(queued, running, capacities, {}, 0.0)
-            times.append(time.process_time() - started)
-        tracemalloc.start()
-        plan_placements(queued, running, capacities, {}, 0.0)
-        peak = tracemalloc.get_traced_memory()[1]
-        tracemalloc.stop()
-        report(
-            measure="placement-round",
-            workers=workers,
-            running=len(running),
-            queued=queue,
-            stops=len(plan.stops),
-            median_ms=round(1000 * sorted(times)[3], 2),
-            max_ms=round(1000 * max(times), 2),
-            peak_kb=peak // 1024,
-            seed=SEED,
-        )
-
-
-def measure_batch():
-    """Measure the store's writes and bytes for each job, by the size of a batch."""
-    for size in (1, 4, 16, 64):
-        rng = random.Random(SEED)
-        world, controller = make_pool(8, 32, 0, BoardSettings())
-        starts = {}
-        for _ in range(max(1, 192 // size)):
-            specs = [
-                JobSpec("plan", "team", ("run", str(rng.randrange(5, 60))), 1)
-                for _ in range(size)
-            ]
-            world.submit(specs)
-            exhaust(run_for(world, controller, 1.0, starts))
-        exhaust(run_for(world, controller, 90.0, starts))
-        jobs = len(list(world.list_jobs()))
-        history = world.store.history
-        written = sum(len(change.record.value) for change in history)
-        value = max(len(change.record.value) for change in history)
-        report(
-            measure="batch",
-            jobs_in_batch=size,
-            jobs=jobs,
-            writes_per_job=round(len(history) / jobs, 3),
-            bytes_per_job=written // jobs,
-            largest_value=value,
-            seed=SEED,
-        )
-
-
-def measure_memory():
-    """Measure memory and round times of a job board, by the number of jobs it holds."""
-    for count in (100, 1000, 4000):
-        tracemalloc.start()
-        world, controller = make_pool(6, 32, 0, BoardSettings())
-        before = tracemalloc.get_traced_memory()[0]
-        for _ in range(count):
-            world.submit([JobSpec("plan", "team", ("run", "600"), 4)])
-        stored = tracemalloc.get_traced_memory()[0]
-        controller.watch()
-        held = tracemalloc.get_traced_memory()[0]
-        tracemalloc.stop()
-        started = time.process_time()
-        controller.run_round()
-        first = time.process_time() - started
-        controller.outbox.clear()
-        world.now += 2.0
-        started = time.process_time()
-        controller.run_round()
-        report(
-            measure="board",
-            jobs=count,
-            bytes_per_job=(held - stored) // count,
-            record_bytes=(stored - before) // count,
-            value_bytes=len(encode_stored(world.read(f"jobs/{POOL}/b0")[1])),
-            first_round_ms=round(1000 * first, 2),
-            quiet_round_ms=round(1000 * (time.process_time() - started), 2),
-        )
-
-
 MEASURES = {
     "start": measure_start,
     "even": measure_evenness,
