Mend what the review of the lives' fences found

Records of earlier builds don't tell late leases: they are awaited for all executors then. A stop's answer names its life where it is handled.

Besides: no flood of reports, publications or lines while a fence is due; a start that waited for a cursor isn't sent any more where its run is to be stopped, its executor drains or its session is closed.

--- a/peridotspoke/nodes/messages.py
+++ b/peridotspoke/nodes/messages.py
@@ -105,11 +105,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAnswered:
-    """An executor answered a stop order; `refusal` is None if it accepted it."""
+    """An executor answered a stop order; `refusal` is None if it accepted it.
+
+    `incarnation` is the one that the order was sent to; None if any is meant.
+    """
 
     executor_id: str
     order: StopOrder
     refusal: Refusal | None = None
+    incarnation: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotspoke/nodes/predecessors.py
+++ b/peridotspoke/nodes/predecessors.py
@@ -206,10 +206,7 @@
             silent = self._counts.silent
             ends = {name: seen_at + wait for name, wait in silent.items()}
             self._ledger.expect_lease_ends({**ends, **self._holding.lease_ends})
-        late = self._counts.late if self._counts is not None else {}
-        self._ledger.expect_late_ends(
-            {name: seen_at + wait for name, wait in late.items()}
-        )
+        late = self._expect_late_ends(seen_at)
         former = self._ledger.former_bound
         log_event(
             "leases-inherited",
@@ -222,6 +219,21 @@
             late=len(late),
         )
 
+    def _expect_late_ends(self, seen_at):
+        """Take what was published of late calls, and return that by executor.
+
+        An owner that does not say may have known of a rebirth as it published, on any
+        executor.
+        """
+        if self._counts is None:
+            return {}
+        ledger, late = self._ledger, self._counts.late
+        if late is None:
+            ledger.unstated_late_end = seen_at + ledger.rules.longest_lease
+            return {}
+        ledger.expect_late_ends({name: seen_at + late[name] for name in late})
+        return late
+
     def update(self, now):
         """Limit the ledger's inherited leases once the predecessor has ended.
 
--- a/peridotspoke/nodes/publishing.py
+++ b/peridotspoke/nodes/publishing.py
@@ -48,7 +48,7 @@
 
         Others are silent than those last published, or one takes no work before it.
         """
-        if self._ledger.needs_publication(self.grants.fence):
+        if self._node.has_store() and self._ledger.needs_publication(self.grants.fence):
             return True
         return self._silent != frozenset(self._ledger.list_silent(now))
 
--- a/peridotspoke/nodes/records.py
+++ b/peridotspoke/nodes/records.py
@@ -112,10 +112,11 @@
     silent : dict of str to float
         Seconds from the writing after which all leases on an executor have ended, by
         executor. The owner grants none there until a later record leaves it out.
-    late : dict of str to float
+    late : dict of str to float, or None
         Seconds from the writing after which all leases on an executor have ended that
         calls to an earlier incarnation have granted, by executor. The owner starts
-        nothing on an incarnation before a record tells this of it.
+        nothing on an incarnation before a record tells this of it. None if the owner
+        does not say.
     """
 
     fence: int
@@ -124,7 +125,7 @@
     earlier_leases: float | None = None
     lease_horizon: float | None = None
     silent: dict[str, float] = msgspec.field(default_factory=dict)
-    late: dict[str, float] = msgspec.field(default_factory=dict)
+    late: dict[str, float] | None = None
 
 
 class RefusedRecord(msgspec.Struct, frozen=True):
--- a/peridotspoke/nodes/sessions.py
+++ b/peridotspoke/nodes/sessions.py
@@ -19,6 +19,7 @@
     StopAnswered,
 )
 from peridotspoke.workloads.executors import LeaseRenewal, Refusal, StartOrder
+from peridotspoke.workloads.runs import RunPhase
 
 __all__ = ["ExecutorSession", "SessionRules"]
 
@@ -181,9 +182,12 @@
         """Return whether a start may be sent to the incarnation that it is meant for.
 
         It may not while the clock of that incarnation is unknown, or a higher fencing
-        token is due, or orders may not be sent, or no lease of full length granted.
+        token is due, or orders may not be sent, or no lease of full length granted; nor
+        once the run is to be stopped, or its executor drains or has another session.
         """
         state = self._state
+        if self._is_closed or state.is_draining or run.phase is RunPhase.STOPPING:
+            return False
         has_full_lease = self._find_lease_limit() >= now + self._rules.run_lease
         is_meant = run.task.incarnation == state.incarnation and state.is_announced
         is_known = self._knows_clock() and state.has_own_fence
@@ -228,7 +232,7 @@
             if has_changed or refusal in (Refusal.UNHEALTHY, Refusal.FENCED):
                 await asyncio.sleep(self._rules.retry)
                 continue
-            self._post(StopAnswered(self.executor_id, order, refusal))
+            self._post(StopAnswered(self.executor_id, order, refusal, incarnation))
             self.wake()
             return
 
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -184,8 +184,8 @@
                 ledger.apply_start_answer(run, refusal, now, by_known_incarnation)
             case StartLost(run):
                 ledger.handle_start_timeout(run)
-            case StopAnswered(executor_id, order, refusal):
-                ledger.apply_stop_answer(executor_id, order, now, refusal)
+            case StopAnswered(executor_id, order, refusal, incarnation):
+                ledger.apply_stop_answer(executor_id, order, now, refusal, incarnation)
             case ExecutorCallFailed(executor_id, reason):
                 ledger.note_unreachable(executor_id, reason, now)
             case ExecutorLeft(executor_id, address, incarnation):
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -126,7 +126,8 @@
             state.foreign.clear()
             state.reported_at = state.answered_at = None
             state.is_announced, state.may_be_reborn = False, True
-            state.late_end = max(state.late_end, now + self.rules.longest_lease)
+            state.late_excess = self.rules.restart_excess
+            self.prolong_late_leases(state, now)
             for run in list(state.runs.values()):
                 self._handle_run_after_restart(run, now)
         state.incarnation = incarnation
@@ -245,6 +246,8 @@
             state = self.executors[run.executor_id]
             if state.reported_at is None or not state.reachable:
                 continue
+            if not state.has_own_fence:
+                continue
             if state.reported_at < proof_time < now:
                 self.requested_reports.add(run.executor_id)
 
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -75,7 +75,8 @@
         """Return the state of an executor, which is added if there is none.
 
         One that this owner has not seen before has no earlier incarnation to which
-        calls may be under way, once those of earlier owners have ended.
+        calls may be under way, once those of earlier owners have ended. They send
+        polls for as long as they grant leases.
 
         Parameters
         ----------
@@ -90,12 +91,12 @@
         state = self.executors.get(executor_id)
         if state is None:
             state = ExecutorState(executor_id)
-            state.late_end = self.late_ends.get(executor_id, state.late_end)
+            state.late_end = self.late_ends.get(executor_id, self.unstated_late_end)
             former = self.left_executors.pop(executor_id, None)
             if former is not None:
                 state.fence, state.late_end = former.fence, former.late_end
-            is_first = now - self.taken_over_at > LATE_CALL_S and former is None
-            state.may_be_reborn = not is_first
+            calls_end = max(self.taken_over_at, self.former_lease_end) + LATE_CALL_S
+            state.may_be_reborn = former is not None or now <= calls_end
             self.executors[executor_id] = state
         return state
 
--- a/peridotspoke/workloads/leaseledger.py
+++ b/peridotspoke/workloads/leaseledger.py
@@ -127,11 +127,11 @@
         """
         if state.answered_at is not None:
             return
-        state.answered_at = now
+        state.answered_at, state.late_excess = now, 0.0
         if not state.may_be_reborn or not self.rules.longest_lease:
             state.is_announced = True
             return
-        state.late_end = max(state.late_end, now + self.rules.longest_lease)
+        self.prolong_late_leases(state, now)
         self.note(
             "executor-fenced",
             executor=state.executor_id,
@@ -141,6 +141,17 @@
             runs=len(state.runs),
         )
 
+    def prolong_late_leases(self, state, now):
+        """Record that a late call may just have granted the longest lease.
+
+        Parameters
+        ----------
+        state : ExecutorState
+        now : float
+            Monotonic seconds.
+        """
+        state.late_end = max(state.late_end, now + self.rules.longest_lease)
+
     def list_late_ends(self, now):
         """Return how long leases may last that late calls have granted.
 
@@ -156,7 +167,7 @@
         """
         ends = dict(self.late_ends)
         for state in self.executors.values():
-            ends[state.executor_id] = state.late_end
+            ends[state.executor_id] = state.late_end + state.late_excess
         return {name: end - now for name, end in ends.items() if end > now}
 
     def needs_publication(self, fence):
@@ -169,7 +180,7 @@
         """
         return any(
             (state.answered_at is not None and not state.is_announced)
-            or (0 < state.fence and not state.has_own_fence and state.fence >= fence)
+            or (state.lacks_first_fence and state.fence >= fence)
             for state in self.executors.values()
             if state.entry is not None
         )
@@ -228,14 +239,13 @@
         incarnation, where its lease can last longer. Late calls may have prolonged
         either.
         """
+        late_end = state.late_end + state.late_excess
         if run.is_confirmed:
-            return max(state.lease_end, state.late_end)
+            return max(state.lease_end, late_end)
         excess = run.lease_excess
         if excess is None:
             excess = self.rules.restart_excess
-        return max(
-            state.lease_end + excess, state.inherited_end + excess, state.late_end
-        )
+        return max(max(state.lease_end, state.inherited_end) + excess, late_end)
 
     def _describe_hold(self, state, run, now):
         """Return the log's fields about the lease that held a run.
@@ -246,7 +256,7 @@
         an inherited one, and the age of that in seconds, is told as well.
         """
         held_until = self._compute_run_end(state, run) + self.rules.margin
-        if held_until <= state.late_end + self.rules.margin:
+        if held_until <= state.late_end + state.late_excess + self.rules.margin:
             return {"held_until": held_until, "bound": "late call"}
         if run.is_confirmed or state.inherited_end < state.lease_end:
             return {"held_until": held_until, "bound": "own"}
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -65,6 +65,8 @@
         is_fenced = state.has_own_fence and fence >= state.fence
         if is_fenced:
             self.bound_late_calls(state, now)
+        elif state.answered_at is None and self.rules.longest_lease:
+            self.prolong_late_leases(state, now)
         listed = {(reported.key, reported.run): reported for reported in report.running}
         self._match_listed_runs(state, listed, report.clock, asked_at, now)
         self._retry_stops(state, listed, asked_at)
@@ -339,7 +341,9 @@
             run.start_unconfirmed = True
             self.stop_run(run, "start not answered")
 
-    def apply_stop_answer(self, executor_id, order, now, refusal=None):
+    def apply_stop_answer(
+        self, executor_id, order, now, refusal=None, incarnation=None
+    ):
         """Record that a stop was answered, after which the executor refuses the run.
 
         Parameters
@@ -350,8 +354,13 @@
             Monotonic seconds.
         refusal : Refusal or None, optional
             Why the executor refused the stop; None if it accepted it.
+        incarnation : int or None, optional
+            The one that it was sent to: its answer says nothing of a later one. None
+            if any is meant.
         """
         state = self.executors.get(executor_id)
+        if state is None or incarnation not in (None, state.incarnation):
+            return
         run = state and state.runs.get(order.key)
         if run and run.number == order.run and run.phase is RunPhase.STOPPING:
             if run.stop_answered_at is None:
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -70,6 +70,8 @@
     late_ends : dict of str to float
         By executor, when every lease has ended that calls to earlier incarnations have
         granted, as earlier owners published, seconds.
+    unstated_late_end : float
+        The same for executors of which earlier owners published nothing, seconds.
     left_executors : dict of str to ExecutorState
         Executors that were removed a moment ago.
     """
@@ -95,6 +97,7 @@
         self.former_bound = LeaseBound(now + rules.inherited_lease, "takeover", now)
         self.stated_ends = {}
         self.late_ends = {}
+        self.unstated_late_end = float("-inf")
         self.left_executors = {}
         self.note = note or (lambda event, **fields: None)
 
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -148,6 +148,9 @@
     late_end : float
         Time after which every lease has expired that calls to an earlier incarnation
         can have granted on this one, as it carried them out late.
+    late_excess : float
+        By how much these leases may exceed that as long as the incarnation has not
+        answered a call with its own fencing token, seconds.
     fence : int
         Fencing token of the calls to the executor; 0 before the first.
     fenced_incarnation : int or None
@@ -199,6 +202,7 @@
     lease_end: float = 0.0
     inherited_end: float = float("-inf")
     late_end: float = float("-inf")
+    late_excess: float = 0.0
     fence: int = 0
     fenced_incarnation: int | None = None
     answered_at: float | None = None
@@ -226,6 +230,11 @@
         """
         return self.fenced_incarnation == self.incarnation
 
+    @property
+    def lacks_first_fence(self):
+        """Whether calls were sent, but none yet with the incarnation's own fence."""
+        return self.fence > 0 and self.answered_at is None and not self.has_own_fence
+
     def choose_fence(self, available):
         """Return the fencing token of the next call to the executor.
 
