Say what the exit status of the plays counts, and drop a check made dead

The docstring of benchmarks.plays still said that pairs which no owner can prevent don't count; they have since. In apply_stop_answer an unknown executor returns early since, so that the second check of it was dead. One docstring is wrapped again. Behaviour as before; no test changed.

--- a/benchmarks/plays.py
+++ b/benchmarks/plays.py
@@ -2,9 +2,9 @@
 
 Run: ``python -m benchmarks.plays search FOLDER [--seeds 20] [--first 1]
 [--kinds drain,lapse,store] [--traffic 25] [--lease 10]``. One line is printed for each
-seed, one for each broken rule, and one for each pair of runs that no owner can prevent;
-the exit status is 1 if a rule was broken. ``FOLDER/SEED`` gets the record of the play
-and the logs of the nodes.
+seed, one for each broken rule, and one for each pair of runs that no owner can prevent
+but by waiting; the exit status is 1 if there was one of either. ``FOLDER/SEED`` gets
+the record of the play and the logs of the nodes.
 """
 
 import asyncio
--- a/peridotspoke/workloads/leaseledger.py
+++ b/peridotspoke/workloads/leaseledger.py
@@ -252,8 +252,8 @@
 
         They are ``held_until``, monotonic seconds, and ``bound``: ``inherited`` if the
         lease is one that an earlier owner can have granted, ``late call`` if a call to
-        an earlier incarnation can, else ``own``. What bounds
-        an inherited one, and the age of that in seconds, is told as well.
+        an earlier incarnation can, else ``own``. What bounds an inherited one, and the
+        age of that in seconds, is told as well.
         """
         held_until = self._compute_run_end(state, run) + self.rules.margin
         if held_until <= state.late_end + state.late_excess + self.rules.margin:
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -361,7 +361,7 @@
         state = self.executors.get(executor_id)
         if state is None or incarnation not in (None, state.incarnation):
             return
-        run = state and state.runs.get(order.key)
+        run = state.runs.get(order.key)
         if run and run.number == order.run and run.phase is RunPhase.STOPPING:
             if run.stop_answered_at is None:
                 refused = None if refusal is None else str(refusal)
