Decode workspaces, their limits and the bounds of a revocation

Cause: the operator's configuration names workspaces with keys, weights and limits, queues that need no key, and the settings a bound for revoked keys, the memory and the descriptors of the process. None of it was decoded.

--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -42,6 +42,9 @@
         Minimum time between orders of two different holders for the same machine.
     rollout : float
         Longest time from the acknowledgement of a configuration to its taking effect.
+    revocation : float
+        Time after the acknowledgement of a configuration from which no call succeeds
+        with an API key that it revokes, on any node; 0 if no such bound holds.
     """
 
     drain: float = 2.0
@@ -55,6 +58,7 @@
     status: float = 120.0
     holder_change: float = 3.0
     rollout: float = 2.0
+    revocation: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +123,10 @@
         Processors of the instance.
     link : float
         Bandwidth of the instance's network link, in Mbit/s.
+    memory : float
+        Memory that the process may use, in MB.
+    descriptors : int
+        File descriptors that the process may have open.
     bounds : Bounds
     timing : Timing
     """
@@ -137,6 +145,8 @@
     shortest_lease: float = 1.0
     processors: float = DEFAULT_PROCESSORS
     link: float = DEFAULT_LINK
+    memory: float = 300.0
+    descriptors: int = 4100
     bounds: Bounds = field(default_factory=Bounds)
     timing: Timing = field(default_factory=Timing)
 
--- a/peridotspoke/platform/configuration.py
+++ b/peridotspoke/platform/configuration.py
@@ -9,8 +9,9 @@
     MaintenanceWave,
     Queue,
     WorkPool,
+    Workspace,
 )
-from peridotspoke.workloads.jobs import QueueTerms
+from peridotspoke.workloads.jobs import Need, QueueTerms
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -45,6 +46,7 @@
     stretch: float = 1.5
     target_latency_ms: float = 600.0
     advice: _Advice | None = None
+    anonymous: bool = False
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -53,6 +55,23 @@
     spare: bool = False
 
 
+class _MaxCount(msgspec.Struct, rename="camel"):
+    """The platform's "maxCount" are resources in this system, not a count."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    """The platform's "tenant" is a workspace in this system."""
+
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    max_count: _MaxCount = msgspec.field(default_factory=_MaxCount)
+
+
 class _Limits(msgspec.Struct, rename="camel"):
     max_body_bytes: int = 262_144
 
@@ -61,6 +80,7 @@
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
+    tenants: list[_Tenant] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -96,6 +116,7 @@
             for item in config.services
         ),
         config.limits.max_body_bytes,
+        tuple(_make_workspace(tenant) for tenant in config.tenants),
     )
 
 
@@ -156,4 +177,22 @@
         route.target_latency_ms / 1000,
         advice is not None,
     )
-    return Queue(route.name, route.host, route.prefix, route.service, terms, advice)
+    return Queue(
+        route.name,
+        route.host,
+        route.prefix,
+        route.service,
+        terms,
+        advice,
+        route.anonymous,
+    )
+
+
+def _make_workspace(tenant):
+    limit = tenant.max_count
+    return Workspace(
+        tenant.name,
+        frozenset(tenant.api_keys),
+        tenant.weight,
+        Need(limit.cpu, limit.mem_mb, limit.gpu),
+    )
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -27,6 +27,7 @@
     "holder_change": ("bounds.leaseMs", SECONDS_PER_MS),
     "rollout": ("bounds.configMs", SECONDS_PER_MS),
 }
+REVOCATION_FIELDS = {"revocation": ("bounds.revokeMs", SECONDS_PER_MS)}
 # Each numeric field of NodeSettings, with its key and the factor for its value.
 NUMBER_FIELDS = {
     "writes": ("platform.writesPerS", 1.0),
@@ -34,6 +35,7 @@
     "heartbeat": ("heartbeatMs", SECONDS_PER_MS),
     "shortest_lease": ("platform.ttlMinMs", SECONDS_PER_MS),
     "link": ("limits.linkMbps", 1.0),
+    "memory": ("limits.memoryMb", 1.0),
 }
 # limits.cpuShare is the share of a processor that the process gets; limits.cores is
 # the factor by which that processor is faster than a standard one.
@@ -97,6 +99,8 @@
     bounds = _read_numbers(values, BOUND_FIELDS, errors)
     numbers = _read_numbers(values, NUMBER_FIELDS, errors)
     numbers |= _read_processors(values, errors)
+    numbers |= _read_descriptors(values, errors)
+    bounds |= _read_revocation(values, errors)
     if errors:
         raise SettingsError("; ".join(errors), step="read settings")
     host = values["listen.ready"].rpartition(":")[0]
@@ -138,6 +142,19 @@
     return {"processors": numbers["share"] * numbers.get("factor", 1.0)}
 
 
+def _read_descriptors(values, errors):
+    fields = {"descriptors": ("limits.maxFds", 1.0)}
+    numbers = _read_numbers(values, fields, errors)
+    return {name: int(number) for name, number in numbers.items()}
+
+
+def _read_revocation(values, errors):
+    """Return the bound of revocations, which holds only where it is strict."""
+    if values.get("bounds.strictRevoke", "").lower() != "true":
+        return {}
+    return _read_numbers(values, REVOCATION_FIELDS, errors)
+
+
 def _read_numbers(values, fields, errors):
     numbers = {}
     for name, (key, factor) in fields.items():
--- a/peridotspoke/workloads/configuration.py
+++ b/peridotspoke/workloads/configuration.py
@@ -1,10 +1,17 @@
-"""Operator configuration: queues, pools, limits and maintenance waves."""
+"""Operator configuration: queues, pools, workspaces, limits and maintenance waves."""
 
 from dataclasses import dataclass, field
 
-from peridotspoke.workloads.jobs import QueueTerms
+from peridotspoke.workloads.jobs import Need, QueueTerms
 
-__all__ = ["Advice", "Configuration", "MaintenanceWave", "Queue", "WorkPool"]
+__all__ = [
+    "Advice",
+    "Configuration",
+    "MaintenanceWave",
+    "Queue",
+    "WorkPool",
+    "Workspace",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +47,8 @@
     terms : QueueTerms, optional
     advice : Advice or None, optional
         None if the queue does not use the advice service.
+    anonymous : bool, optional
+        Whether calls need no API key where the configuration has workspaces.
     """
 
     name: str
@@ -48,6 +57,34 @@
     pool: str
     terms: QueueTerms = field(default_factory=QueueTerms)
     advice: Advice | None = None
+    anonymous: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer whose callers share API keys, a share of the room and a quota.
+
+    Parameters
+    ----------
+    name : str
+    keys : frozenset of str, optional
+        API keys that callers present; not part of the representation, so that no log
+        line or error message shows one.
+    weight : float, optional
+        Share of the room, relative to other workspaces, while there is not enough.
+    limit : Need, optional
+        Maximum resources of all running tasks; 0 in a field for no limit.
+    """
+
+    name: str
+    keys: frozenset[str] = field(default=frozenset(), repr=False)
+    weight: float = 1.0
+    limit: Need = field(default_factory=Need)
+
+    @property
+    def has_limit(self):
+        """Whether the limit restricts any resource."""
+        return any((self.limit.cpu, self.limit.memory, self.limit.accelerators))
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,12 +116,15 @@
     pools : tuple of WorkPool, optional
     max_body_size : int, optional
         Maximum size of a submission, bytes.
+    workspaces : tuple of Workspace, optional
+        Empty if the operator uses none; callers then need no API key.
     """
 
     version: int
     queues: tuple[Queue, ...] = ()
     pools: tuple[WorkPool, ...] = ()
     max_body_size: int = 262_144
+    workspaces: tuple[Workspace, ...] = ()
 
     def find_queue(self, host, path):
         """Return the `Queue` of a host with the longest prefix of `path`, or None.
@@ -103,6 +143,10 @@
                 found = queue
         return found
 
+    def find_workspace(self, name):
+        """Return the `Workspace` with the given name, or None."""
+        return next((item for item in self.workspaces if item.name == name), None)
+
     def find_pool(self, name):
         """Return the `WorkPool` with the given name, or None."""
         return next((pool for pool in self.pools if pool.name == name), None)
--- a/peridotspoke/workloads/jobs.py
+++ b/peridotspoke/workloads/jobs.py
@@ -161,6 +161,9 @@
     repeats : int
         Number of times that the steps run at the given interval; 0 for a job that
         runs once, as soon as possible.
+    workspace : str
+        Name of the workspace whose API key submitted the job; empty for a job of an
+        anonymous queue or of a configuration without workspaces.
     """
 
     job_id: str
@@ -173,6 +176,7 @@
     first_due: float = 0.0
     interval: float = 0.0
     repeats: int = 0
+    workspace: str = ""
 
     @property
     def occurrences(self):
