Check callers' API keys and bound how long a revoked one works

Cause: anyone could submit, see and cancel any job, and a node that was cut off from the store would have gone on by a configuration of any age.

Jobs belong to the workspace that submitted them. A task above its workspace's limit gets 400.

--- a/peridotspoke/nodes/jobanswers.py
+++ b/peridotspoke/nodes/jobanswers.py
@@ -3,10 +3,14 @@
 import enum
 from dataclasses import dataclass
 
+from peridotspoke.workloads.access import KeyFault
+
 __all__ = [
     "Accepted",
+    "Conflict",
     "Counted",
     "Invalid",
+    "KeyRefused",
     "RefusalCause",
     "Refused",
     "Shown",
@@ -18,7 +22,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The job is stored and will run once, or its cancellation is stored."""
+    """The job is stored and will run once, or its cancellation is stored.
+
+    `was_stored` is true if a job with this ID was found where a new one was expected.
+    """
+
+    was_stored: bool = False
 
 
 class RefusalCause(enum.StrEnum):
@@ -28,6 +37,7 @@
     STORE_FAILED = "store-failed"
     CONFIGURATION = "configuration"
     NO_ROOM = "no-room"
+    UNPROVED = "unproved"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +62,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class KeyRefused:
+    """The caller has no valid API key; the request had no effect."""
+
+    fault: KeyFault
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The ID is that of another workspace's job; the request had no effect."""
+
+
 @dataclass(frozen=True, slots=True)
 class Unknown:
     """The outcome is unknown: the request may have an effect, now or later."""
--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -1,7 +1,11 @@
 """Answers callers: accepts jobs, shows their states, cancels them, counts queues."""
 
+from dataclasses import replace
+from functools import partial
+
 from peridotspoke.exceptions import PlatformError, RequestError
 from peridotspoke.logs import log_event
+from peridotspoke.nodes.access import AccessChecks
 from peridotspoke.nodes.jobanswers import (
     Accepted,
     Counted,
@@ -17,11 +21,14 @@
 from peridotspoke.nodes.lookups import JobLookup
 from peridotspoke.nodes.refusals import Refusals
 from peridotspoke.nodes.refusedwork import record_refused_job
+from peridotspoke.nodes.repeats import Repeats
+from peridotspoke.workloads.access import CallerKey, can_access
 from peridotspoke.workloads.admission import compute_retry_delay
 from peridotspoke.workloads.checking import check_job, is_job_id
 
 __all__ = ["JobRequestHandler"]
 
+NO_KEY = CallerKey()
 MAX_DEMAND_AGE = 5.0  # seconds; a change of the pool's owner takes less
 
 
@@ -42,12 +49,35 @@
         self._lookup = JobLookup(node)
         self._refusals = Refusals(node)
         self._writer = JobWriter(node, self._refusals)
+        self._access = AccessChecks(node, self._refusals)
+        self._repeats = Repeats(node, self._lookup, self._refusals)
 
     def is_ready(self):
         """Return whether this node has a configuration and can reach the store."""
         return self._node.view.configuration is not None and self._node.has_store()
 
-    async def submit(self, host, path, body):
+    @property
+    def checks_keys(self):
+        """Whether calls may be refused for their API keys."""
+        return self._access.is_needed
+
+    async def check_head(self, host, path, key):
+        """Return the answer to a submission that needs no body for it, or None.
+
+        Parameters
+        ----------
+        host, path : str
+            As in `submit`.
+        key : CallerKey
+
+        Returns
+        -------
+        KeyRefused, Refused, UnknownQueue or None
+        """
+        found, _ = await self._admit("submit", host, path, key)
+        return None if isinstance(found, tuple) else found
+
+    async def submit(self, host, path, body, key=NO_KEY):
         """Store a job, and measure how long that took.
 
         Parameters
@@ -55,13 +85,14 @@
         host, path : str
             They select the queue; the rest of the path is the identity of the job.
         body : bytes
+        key : CallerKey, optional
 
         Returns
         -------
-        Accepted, Refused, Invalid, Unknown or UnknownQueue
+        Accepted, Conflict, Invalid, KeyRefused, Refused, Unknown or UnknownQueue
         """
         asked_at = self._node.clock.read_monotonic()
-        answer = await self._submit(host, path, body)
+        answer = await self._submit(host, path, body, key, asked_at)
         self._node.metrics.observe(
             "job_acceptance_seconds",
             self._node.clock.read_monotonic() - asked_at,
@@ -69,15 +100,17 @@
         )
         return answer
 
-    async def _submit(self, host, path, body):
-        found = self._find_queue(host, path)
+    async def _submit(self, host, path, body, key, asked_at):
+        found, workspace = await self._admit("submit", host, path, key)
         if not isinstance(found, tuple):
             return found
         queue, job_id = found
+        log = partial(self._log, "submit", queue, job_id, workspace=workspace)
         if not is_job_id(job_id):
             return Invalid("expected an ID of 16 hexadecimal digits")
-        if self._lookup.find(queue.pool, job_id) is not None:
-            return self._log("submit", queue, job_id, Accepted(), source="view")
+        known = self._lookup.find(queue.pool, job_id)
+        if known is not None:
+            return log(self._repeats.answer_known(known, workspace), source="view")
         if len(body) > self._node.view.configuration.max_body_size:
             return Invalid("the body is too large")
         now = self._node.clock.read_wall()
@@ -85,28 +118,28 @@
             job = self._decode_submission(body, job_id, queue, now)
             check_job(job)
         except RequestError as error:
-            return self._log("submit", queue, job_id, Invalid(str(error)))
-        refusal = self._check_room(job)
-        if refusal is not None and await self._has_job(job_id):
-            return self._log("submit", queue, job_id, Accepted(), source="store")
+            return log(Invalid(str(error)))
+        if workspace and not queue.anonymous:
+            job = replace(job, workspace=workspace)
+        excess = self._access.describe_excess(job)
+        if excess and not self._access.is_proved(asked_at):
+            refusal = await self._access.prove(asked_at)
+            if refusal is not None:
+                return log(refusal)
+            return await self._submit(host, path, body, key, asked_at)
+        refusal = Invalid(excess) if excess else self._check_room(job)
         if refusal is not None:
-            if refusal.cause is RefusalCause.STORE_AWAY:
-                record_refused_job(self._node, job, refusal.retry_after)
-            return self._log("submit", queue, job_id, refusal)
+            answer = await self._repeats.replace_refusal(job, workspace, refusal)
+            if answer is not refusal:
+                return log(answer, source="store")
+            if getattr(answer, "cause", None) is RefusalCause.STORE_AWAY:
+                record_refused_job(self._node, job, answer.retry_after)
+            return log(answer)
         answer = await self._writer.store(job)
+        answer = await self._repeats.check_accepted(job, workspace, answer)
         if isinstance(answer, Accepted):
             self._node.refused_jobs.discard(job_id)
-        return self._log("submit", queue, job_id, answer)
-
-    async def _has_job(self, job_id):
-        """Return whether a job is stored; False if the store can't be read."""
-        if not self._node.has_store():
-            return False
-        try:
-            return await self._lookup.has_job(job_id)
-        except PlatformError as error:
-            log_event("job-not-found", "WARNING", job=job_id, error=error)
-            return False
+        return log(answer)
 
     def _check_room(self, job):
         """Return a refusal if a job can't be stored now or served in time, or None."""
@@ -129,51 +162,68 @@
             return None
         return view.pools.get(pool)
 
-    async def show(self, host, path):
+    async def show(self, host, path, key=NO_KEY):
         """Return the state of a job, or the number of a queue's waiting jobs.
 
         Parameters
         ----------
         host, path : str
             As in `submit`; a path without an identity asks for the number.
+        key : CallerKey, optional
 
         Returns
         -------
-        Shown, Counted, Refused, UnknownQueue or UnknownJob
+        Shown, Counted, KeyRefused, Refused, UnknownQueue or UnknownJob
         """
-        found = self._find_queue(host, path)
+        found, workspace = await self._admit("show", host, path, key)
         if not isinstance(found, tuple):
             return found
         queue, job_id = found
         if not job_id:
             return await self._count(queue)
-        job_view = await self._look_up(queue.pool, job_id)
+        job_view = await self._look_up(queue.pool, job_id, workspace)
         if not isinstance(job_view, JobView):
-            return self._log("show", queue, job_id, job_view)
+            return self._log("show", queue, job_id, job_view, workspace=workspace)
         return Shown(job_view.state)
 
-    async def cancel(self, host, path):
+    async def cancel(self, host, path, key=NO_KEY):
         """Cancel a job; cancelling an ended job has no effect and is accepted.
 
         Parameters
         ----------
         host, path : str
             As in `submit`.
+        key : CallerKey, optional
 
         Returns
         -------
-        Accepted, Refused, UnknownQueue or UnknownJob
+        Accepted, KeyRefused, Refused, UnknownQueue or UnknownJob
         """
-        found = self._find_queue(host, path)
+        found, workspace = await self._admit("cancel", host, path, key)
         if not isinstance(found, tuple):
             return found
         queue, job_id = found
-        job_view = await self._look_up(queue.pool, job_id)
+        log = partial(self._log, "cancel", queue, job_id, workspace=workspace)
+        job_view = await self._look_up(queue.pool, job_id, workspace)
         if not isinstance(job_view, JobView):
-            return self._log("cancel", queue, job_id, job_view)
+            return log(job_view)
         if not job_view.is_open:
-            return self._log("cancel", queue, job_id, Accepted(), state=job_view.state)
-        return self._log("cancel", queue, job_id, await self._writer.cancel(job_view))
+            return log(Accepted(), state=job_view.state)
+        return log(await self._writer.cancel(job_view))
+
+    async def _admit(self, step, host, path, key):
+        """Return the call's queue and the rest of its path, and its workspace.
+
+        If the call is not served, its answer takes the place of the queue.
+        """
+        if not self._access.is_needed:
+            return self._find_queue(host, path), None
+        find_queue = partial(self._find_queue, host, path)
+        found, workspace = await self._access.check(find_queue, key)
+        if workspace and isinstance(found, Refused):
+            queue, job_id = find_queue()
+            self._log(step, queue, job_id, found, workspace=workspace)
+        return found, workspace
 
     def _find_queue(self, host, path):
         """Return the queue and the rest of the path, or the answer without a queue."""
@@ -228,17 +278,25 @@
         )
         return Counted(count.waiting)
 
-    async def _look_up(self, pool, job_id):
-        """Return the `JobView` of a job, or the answer if there is none."""
+    async def _look_up(self, pool, job_id, workspace):
+        """Return the `JobView` of a job of the caller, or the answer if it has none."""
         if not is_job_id(job_id):
             return UnknownJob()
         try:
-            return await self._lookup.read(pool, job_id) or UnknownJob()
+            job_view = await self._lookup.read(pool, job_id)
         except PlatformError as error:
             return self._refusals.refuse(RefusalCause.STORE_FAILED, str(error))
+        if job_view is None or not can_access(job_view.job, workspace):
+            return UnknownJob()
+        return job_view
 
-    def _log(self, step, queue, job_id, answer, **fields):
+    def _log(self, step, queue, job_id, answer, workspace=None, **fields):
         """Log and count an answer to a request about a job, and return it."""
+        if workspace and isinstance(answer, Refused):
+            label = self._node.workspace_labels.bound(workspace)
+            self._node.metrics.count(
+                "workspace_refusals", workspace=label, reason=answer.cause
+            )
         if isinstance(answer, Refused):
             fields |= {"delay": answer.retry_after, "outage": answer.outage}
         log_event(
@@ -248,6 +306,7 @@
             outcome=type(answer).__name__,
             revision=self._node.view.revision,
             reason=getattr(answer, "reason", None),
+            workspace=workspace or None,
             **fields,
         )
         self._node.metrics.count(
--- a/peridotspoke/nodes/jobwrites.py
+++ b/peridotspoke/nodes/jobwrites.py
@@ -69,7 +69,7 @@
                 return Accepted()
             current = result.find_current(identity)
             if current is not None and current.value != TOMBSTONE:
-                return Accepted()
+                return Accepted(was_stored=True)
             return await self._retry(job, current, revision)
         return await self._write_tombstone(job, revision, lost_error)
 
@@ -136,7 +136,7 @@
             return self._refuse_failed(lost_error, job)
         current = result.find_current(key)
         if current is not None and current.value != TOMBSTONE:
-            return Accepted()
+            return Accepted(was_stored=True)
         return self._refuse_failed(lost_error, job)
 
     def _refuse_failed(self, error, job):
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -5,6 +5,7 @@
 from peridotspoke.backoff import BackoffRules
 from peridotspoke.exceptions import RecordError
 from peridotspoke.logs import log_event
+from peridotspoke.nodes.access import FreshReads
 from peridotspoke.nodes.fleet import FLEET, FleetSupervisor
 from peridotspoke.nodes.jobviews import PoolJobs
 from peridotspoke.nodes.keys import WORK_PREFIX, prefix_jobs
@@ -72,7 +73,8 @@
     Parameters
     ----------
     parts : NodeParts
-        Components shared by the node's tasks; its `ownership` is set here.
+        Components shared by the node's tasks; its `ownership` and its `fresh_reads`
+        are set here.
     codec : DocumentCodec
     """
 
@@ -84,6 +86,8 @@
         self._pool_supervisors = {}
         self._tasks = set()
         self._following_entries = False
+        self._decoded_revision = 0
+        parts.fresh_reads = FreshReads(parts, codec)
         parts.ownership = Ownership(
             parts.settings,
             parts.store,
@@ -185,7 +189,12 @@
                     self._apply_operator_record(key, record)
                 except RecordError as error:
                     log_event("record-unreadable", "ERROR", key=key, error=error)
-            self._parts.view.configured_at = followed.confirmed_at
+            view = self._parts.view
+            view.configured_at = followed.confirmed_at
+            newest = followed.records.get(self._codec.configuration_key)
+            # A newest version that can't be read may revoke keys.
+            if newest is not None and newest.revision == self._decoded_revision:
+                view.confirm_configuration(followed.proved_at)
 
     def _apply_operator_record(self, key, record):
         view, codec = self._parts.view, self._codec
@@ -193,6 +202,7 @@
             return
         if key == codec.configuration_key:
             view.apply_configuration(codec.decode_configuration(record))
+            self._decoded_revision = record.revision
         elif key.startswith(codec.wave_prefix):
             wave = codec.decode_wave(record)
             view.waves[wave.number] = (wave, self._parts.clock.read_monotonic())
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from peridotspoke.clock import SystemClock
+from peridotspoke.labels import BoundedLabels
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.commits import TimedCommits
@@ -91,6 +92,10 @@
         The jobs that were refused while the store was away, until they are told.
     publication_times : PublicationTimes
         When this node saw what the pools' owners have published.
+    fresh_reads : FreshReads
+        Reads the configuration for callers that need a newer proof of it.
+    workspace_labels : BoundedLabels
+        The names of workspaces that metrics may show.
     peers : tuple, optional
         Connections to the platform's services, closed as the node ends.
     """
@@ -113,6 +118,8 @@
     regained: asyncio.Event = field(default_factory=asyncio.Event)
     refused_jobs: RefusedJobs = field(default_factory=RefusedJobs)
     publication_times: PublicationTimes = field(default_factory=PublicationTimes)
+    fresh_reads: object = None
+    workspace_labels: BoundedLabels = field(default_factory=BoundedLabels)
     peers: tuple = ()
 
     async def close_connections(self):
@@ -120,6 +127,14 @@
         for peer in self.peers:
             await peer.close()
 
+    def render_metrics(self):
+        """Return the metrics as bytes of text, with those that change by themselves."""
+        configuration = self.view.configuration
+        if configuration is not None and configuration.workspaces:
+            age = self.clock.read_monotonic() - self.view.proved_at
+            self.metrics.set_gauge("configuration_proof_age_seconds", age)
+        return self.metrics.render()
+
     def has_store(self):
         """Return whether the store currently serves this node's calls.
 
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -31,6 +31,9 @@
     configuration : Configuration or None
     configured_at : float
         The monotonic time, in seconds, as of which the configuration was the newest.
+    proved_at : float
+        The monotonic time, in seconds, at which the request was sent whose answer last
+        proved the configuration newest.
     waves : dict of int to tuple
         The maintenance waves by number, each with the monotonic time, in seconds, at
         which its announcement was read.
@@ -69,6 +72,7 @@
     def __init__(self):
         self.configuration: Configuration | None = None
         self.configured_at = float("-inf")
+        self.proved_at = float("-inf")
         self.waves = {}
         self.jobs = {}
         self.owners = {}
@@ -101,6 +105,10 @@
         )
         self.changes.on_next({"configuration": {str(configuration.version)}})
 
+    def confirm_configuration(self, proved_at):
+        """Note that a request which was sent at `proved_at` found no newer one."""
+        self.proved_at = max(self.proved_at, proved_at)
+
     def apply_work(self, followed):
         """Apply the changed records of the work prefix; unreadable ones are logged.
 
--- a/peridotspoke/platform/configuration.py
+++ b/peridotspoke/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decodes the documents that the operator stores, and encodes wave states for it."""
 
+from typing import Annotated
+
 import msgspec
 
 from peridotspoke.store import decode_value
@@ -28,6 +30,9 @@
 WAVE_PREFIX = "op/wave/"
 
 
+_Amount = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Advice(msgspec.Struct, rename="camel"):
     decide_ms: float = 0.0
     each_ms: float = 0.0
@@ -58,19 +63,24 @@
 class _MaxCount(msgspec.Struct, rename="camel"):
     """The platform's "maxCount" are resources in this system, not a count."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
     """The platform's "tenant" is a workspace in this system."""
 
-    name: str
+    # An empty name stands for jobs of no workspace.
+    name: Annotated[str, msgspec.Meta(min_length=1)]
     api_keys: list[str] = []
-    weight: float = 1.0
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     max_count: _MaxCount = msgspec.field(default_factory=_MaxCount)
 
+    def __repr__(self):
+        """Return the name alone, so that nothing shows a key."""
+        return f"_Tenant({self.name!r})"
+
 
 class _Limits(msgspec.Struct, rename="camel"):
     max_body_bytes: int = 262_144
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -7,7 +7,9 @@
 
 from peridotspoke.logs import log_event
 from peridotspoke.nodes import jobanswers
+from peridotspoke.platform.malformedheads import KEY_HEADER, CallersServer
 from peridotspoke.platform.submissions import encode_state, encode_waiting
+from peridotspoke.workloads.access import CallerKey
 
 __all__ = ["Ingress"]
 
@@ -16,6 +18,7 @@
 KEEPALIVE_TIMEOUT = 75.0  # seconds until an idle connection is closed
 SHUTDOWN_TIMEOUT = 2.0  # seconds that open requests have when the server closes
 ACCEPT_BACKLOG = 512  # connections that wait to be accepted
+MAX_FIELD_SIZE = 16_384  # bytes; a key that is too long is still answered with 401
 
 
 class Ingress:
@@ -66,8 +69,12 @@
 
     async def _listen(self, address, handler):
         host, _, port = address.rpartition(":")
-        server = web.Server(
-            handler, access_log=None, keepalive_timeout=KEEPALIVE_TIMEOUT
+        server = CallersServer(
+            handler,
+            lambda: self._job_handler.checks_keys,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_TIMEOUT,
+            max_field_size=MAX_FIELD_SIZE,
         )
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT)
         await runner.setup()
@@ -100,21 +107,28 @@
 
     async def _dispatch(self, request):
         host = request.headers.get("Host", "").partition(":")[0]
+        key = CallerKey(tuple(request.headers.getall(KEY_HEADER, ())))
         if request.method == "POST":
-            body = await request.read()
-            return _make_job_response(
-                await self._job_handler.submit(host, request.path, body), 404
-            )
+            return _make_job_response(await self._submit(request, host, key), 404)
         if request.method == "GET":
             return _make_job_response(
-                await self._job_handler.show(host, request.path), 410
+                await self._job_handler.show(host, request.path, key), 410
             )
         if request.method == "DELETE":
             return _make_job_response(
-                await self._job_handler.cancel(host, request.path), 410
+                await self._job_handler.cancel(host, request.path, key), 410
             )
         return _make_response(405, {"error": "expected POST, GET or DELETE"})
 
+    async def _submit(self, request, host, key):
+        """Submit a job; where keys are checked, read no body without a valid one."""
+        if self._job_handler.checks_keys:
+            answer = await self._job_handler.check_head(host, request.path, key)
+            if answer is not None:
+                return answer
+        body = await request.read()
+        return await self._job_handler.submit(host, request.path, body, key)
+
 
 def _make_job_response(answer, unknown_status):
     """Return the HTTP response for a result of `JobRequestHandler`.
@@ -141,6 +155,10 @@
             return _make_response(404, {"error": "no such queue"})
         case jobanswers.UnknownJob():
             return _make_response(unknown_status, {"error": "no such job"})
+        case jobanswers.KeyRefused(fault):
+            return _make_response(401, {"error": str(fault)})
+        case jobanswers.Conflict():
+            return _make_response(409, {"error": "the ID is in use"})
         case jobanswers.Invalid(reason):
             return _make_response(400, {"error": reason})
         case jobanswers.Unknown(reason):
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -27,6 +27,7 @@
     "holder_change": ("bounds.leaseMs", SECONDS_PER_MS),
     "rollout": ("bounds.configMs", SECONDS_PER_MS),
 }
+DEFAULT_REVOCATION = 5.0  # seconds, where revocation is strict without a bound
 REVOCATION_FIELDS = {"revocation": ("bounds.revokeMs", SECONDS_PER_MS)}
 # Each numeric field of NodeSettings, with its key and the factor for its value.
 NUMBER_FIELDS = {
@@ -149,10 +150,19 @@
 
 
 def _read_revocation(values, errors):
-    """Return the bound of revocations, which holds only where it is strict."""
-    if values.get("bounds.strictRevoke", "").lower() != "true":
+    """Return the bound of revocations, which holds only where it is strict.
+
+    A fault must not switch the bound off without a word.
+    """
+    strict = values.get("bounds.strictRevoke", "").lower()
+    if strict not in ("", "true", "false"):
+        errors.append(f"expected true or false for bounds.strictRevoke, found {strict}")
+    if strict != "true":
         return {}
-    return _read_numbers(values, REVOCATION_FIELDS, errors)
+    numbers = _read_numbers(values, REVOCATION_FIELDS, errors)
+    if numbers.get("revocation") == 0:
+        errors.append("expected a number above 0 for bounds.revokeMs, found 0")
+    return {"revocation": DEFAULT_REVOCATION, **numbers}
 
 
 def _read_numbers(values, fields, errors):
--- a/peridotspoke/platform/tests/test_documents.py
+++ b/peridotspoke/platform/tests/test_documents.py
@@ -11,7 +11,7 @@
 from peridotspoke.platform.submissions import decode_submission
 from peridotspoke.store import FollowedRecords, Record
 from peridotspoke.workloads.checking import check_job
-from peridotspoke.workloads.configuration import Queue
+from peridotspoke.workloads.configuration import Configuration, Queue, Workspace
 from peridotspoke.workloads.executors import ExecutorCondition
 from peridotspoke.workloads.jobs import Need, TaskKey
 
@@ -189,6 +189,77 @@
         decode_configuration(make_record(value, "op/config"))
 
 
+def test_workspaces_are_decoded():
+    """The wire's tenants become workspaces, and its counts a limit of resources."""
+    document = {
+        "version": 8,
+        "routes": [
+            {"name": "r", "host": "h", "prefix": "/x/", "service": "s"},
+            {
+                "name": "open",
+                "host": "h",
+                "prefix": "/open/",
+                "service": "s",
+                "anonymous": True,
+            },
+        ],
+        "tenants": [
+            {
+                "name": "olive",
+                "apiKeys": ["k-1", "k-2"],
+                "weight": 2.5,
+                "maxCount": {"cpu": 4000, "memMb": 8192, "gpu": 2},
+            },
+            {"name": "plum", "apiKeys": [], "maxCount": {"cpu": 500}},
+            {"name": "fig"},
+        ],
+    }
+    configuration = decode_configuration(make_record(document, "op/config"))
+    assert configuration.workspaces == (
+        Workspace("olive", frozenset({"k-1", "k-2"}), 2.5, Need(4000, 8192, 2)),
+        Workspace("plum", limit=Need(500)),
+        Workspace("fig"),
+    )
+    assert [item.has_limit for item in configuration.workspaces] == [True, True, False]
+    assert [queue.anonymous for queue in configuration.queues] == [False, True]
+    assert decode_configuration(make_record({"version": 1}, "op/config")) == (
+        Configuration(1)
+    )
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        {"olive": {}},
+        [{"apiKeys": ["SECRET-1"]}],
+        [{"name": "", "apiKeys": ["SECRET-1"]}],
+        [{"name": "olive", "apiKeys": "SECRET-1"}],
+        [{"name": "olive", "apiKeys": ["SECRET-1", 5]}],
+        [{"name": "olive", "apiKeys": ["SECRET-1"], "weight": -1}],
+        [{"name": "olive", "apiKeys": ["SECRET-1"], "weight": "SECRET-1"}],
+        [{"name": "olive", "apiKeys": ["SECRET-1"], "maxCount": {"cpu": -1}}],
+        [{"name": "olive", "apiKeys": ["SECRET-1"], "maxCount": {"gpu": 0.5}}],
+        [{"name": "olive", "apiKeys": ["SECRET-1"], "maxCount": 3}],
+    ],
+)
+def test_malformed_workspaces_are_a_record_error_without_their_keys(tenants):
+    # Guards against a workspace that shares no room, and against a key in the log,
+    # where the error of an unreadable configuration is written.
+    record = make_record({"version": 9, "tenants": tenants}, "op/config")
+    with pytest.raises(RecordError) as error_info:
+        decode_configuration(record)
+    assert "SECRET" not in f"{error_info.value} {error_info.value!r} {record!r}"
+
+
+def test_a_configuration_shows_no_key_in_its_representation():
+    # Guards against keys in whatever formats a configuration or its workspaces.
+    tenants = [{"name": "olive", "apiKeys": ["SECRET-1"]}]
+    record = make_record({"version": 9, "tenants": tenants}, "op/config")
+    configuration = decode_configuration(record)
+    assert configuration.workspaces[0].keys == {"SECRET-1"}
+    assert "SECRET" not in f"{configuration!r} {configuration.workspaces!r}"
+
+
 def test_a_wave_is_decoded():
     """The wire's ``durationS`` is in seconds already."""
     value = {"wave": 1, "machines": ["m-1"], "durationS": 20, "maxCount": 2}
--- a/peridotspoke/platform/tests/test_settings.py
+++ b/peridotspoke/platform/tests/test_settings.py
@@ -66,6 +66,48 @@
         parse_settings(SETTINGS_TEXT + f"bounds.graceS={number}\n")
 
 
+@pytest.mark.parametrize(
+    ("lines", "revocation"),
+    [
+        ("", 0.0),
+        ("bounds.revokeMs=5000\n", 0.0),
+        ("bounds.strictRevoke=false\nbounds.revokeMs=5000\n", 0.0),
+        ("bounds.strictRevoke=true\nbounds.revokeMs=4500\n", 4.5),
+        ("bounds.strictRevoke=True\nbounds.revokeMs=4500\n", 4.5),
+        ("bounds.strictRevoke=true\n", 5.0),
+    ],
+)
+def test_the_bound_of_revocations_holds_only_where_it_is_strict(lines, revocation):
+    # Guards against a strict bound that is dropped since its length is missing.
+    settings = parse_settings(SETTINGS_TEXT + lines)
+    assert settings.bounds.revocation == pytest.approx(revocation)
+
+
+@pytest.mark.parametrize(
+    ("lines", "key"),
+    [
+        ("bounds.strictRevoke=yes\nbounds.revokeMs=5000\n", "bounds.strictRevoke"),
+        ("bounds.strictRevoke=true\nbounds.revokeMs=soon\n", "bounds.revokeMs"),
+        ("bounds.strictRevoke=true\nbounds.revokeMs=-1\n", "bounds.revokeMs"),
+        ("bounds.strictRevoke=true\nbounds.revokeMs=0\n", "bounds.revokeMs"),
+        ("limits.memoryMb=nan\n", "limits.memoryMb"),
+        ("limits.maxFds=many\n", "limits.maxFds"),
+    ],
+)
+def test_a_fault_in_the_bounds_and_limits_of_the_process_is_reported(lines, key):
+    # Guards against a bound that a misspelt value switches off without a word.
+    with pytest.raises(SettingsError, match=key):
+        parse_settings(SETTINGS_TEXT + lines)
+
+
+def test_the_memory_and_the_descriptors_of_the_process_are_read():
+    lines = "limits.memoryMb=552\nlimits.maxFds=8192\n"
+    settings = parse_settings(SETTINGS_TEXT + lines)
+    assert (settings.memory, settings.descriptors) == (552.0, 8192)
+    without = parse_settings(SETTINGS_TEXT)
+    assert (without.memory, without.descriptors) == (300.0, 4100)
+
+
 def test_a_missing_file_is_a_settings_error(tmp_path):
     """The message has the path."""
     with pytest.raises(SettingsError, match="absent"):
--- a/peridotspoke/programs/node.py
+++ b/peridotspoke/programs/node.py
@@ -33,7 +33,7 @@
     parts, node = assemble_node(settings)
     sink.on_left_out = partial(_count_left_out, parts.metrics)
     job_handler = JobRequestHandler(parts, decode_submission)
-    ingress = Ingress(settings, job_handler, parts.metrics.render)
+    ingress = Ingress(settings, job_handler, parts.render_metrics)
     await ingress.open()
     node.start()
     reload = SettingsReload(parts, read_settings_file)
--- a/peridotspoke/store/following.py
+++ b/peridotspoke/store/following.py
@@ -48,12 +48,17 @@
         complete.
     revision : int, optional
         Revision up to which the copy contains every change.
+    proved_at : float, optional
+        Monotonic time, in seconds, at which the latest request was sent whose answer
+        proved the copy complete. Unlike `confirmed_at` it is never the time at which
+        an answer was read: a process that was stopped may read answers of any age.
     """
 
     records: Mapping[str, Record]
     changed: frozenset[str]
     confirmed_at: float = 0.0
     revision: int = 0
+    proved_at: float = float("-inf")
 
 
 async def follow_prefix(
@@ -98,7 +103,9 @@
             _log_read(prefix, snapshot, requested_at, confirmed_at, clock)
             changed = _replace_records(records, snapshot.records)
             failures, confirmed_at = 0, requested_at
-            yield FollowedRecords(records, changed, requested_at, snapshot.revision)
+            yield FollowedRecords(
+                records, changed, requested_at, snapshot.revision, requested_at
+            )
             follower = _WatchFollower(
                 service, prefix, rules, clock, chance, records, requested_at
             )
@@ -155,7 +162,7 @@
         self._chance = chance
         self._records = records
         self._failed_checks = 0
-        self._confirmed_at = read_at
+        self._confirmed_at = self._proved_at = read_at
 
     async def follow(self, revision):
         """Yield `FollowedRecords` after each batch and each check that succeeds.
@@ -229,7 +236,7 @@
         self._failed_checks = 0
         if check.changed or check.count != len(self._records):
             return _CheckResult.STALE
-        self._confirmed_at = requested_at
+        self._confirmed_at = self._proved_at = requested_at
         return _CheckResult.CONFIRMED
 
     def _log_silence(self, revision):
@@ -239,7 +246,8 @@
         """Yield after each batch; each confirms the records up to its revision.
 
         A batch with changes may have been in transit for long, so that it confirms
-        the records only as of the time at which it was requested.
+        the records only as of the time at which it was requested. A batch of either
+        kind proves them only as of that time.
         """
         requested_at = self._clock.read_monotonic()
         async with aclosing(self._service.watch(self._prefix, revision)) as batches:
@@ -247,12 +255,15 @@
                 now = self._clock.read_monotonic()
                 complete_at = requested_at if batch.changes else now
                 self._confirmed_at = max(self._confirmed_at, complete_at)
+                self._proved_at = requested_at
                 changed = _apply_batch(self._records, batch)
                 yield self._make_update(changed, batch.revision)
                 requested_at = self._clock.read_monotonic()
 
     def _make_update(self, changed, revision):
-        return FollowedRecords(self._records, changed, self._confirmed_at, revision)
+        return FollowedRecords(
+            self._records, changed, self._confirmed_at, revision, self._proved_at
+        )
 
 
 def _find_delivered_revision(batch):
--- a/peridotspoke/store/keyvalue.py
+++ b/peridotspoke/store/keyvalue.py
@@ -1,7 +1,7 @@
 """Interface of the platform's key-value service: records, leases and watches."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from peridotspoke.exceptions import PlatformUnavailableError
 
@@ -32,6 +32,7 @@
     ----------
     key : str
     value : bytes
+        Not part of the representation: the operator's configuration holds API keys.
     revision : int
         Revision of the service at which the value was written.
     lease : int, optional
@@ -41,7 +42,7 @@
     """
 
     key: str
-    value: bytes
+    value: bytes = field(repr=False)
     revision: int
     lease: int = 0
     create_revision: int = 0
--- a/peridotspoke/store/tests/test_following.py
+++ b/peridotspoke/store/tests/test_following.py
@@ -98,3 +98,38 @@
         clock.advance(0.5)
         update = await anext(updates)
     assert update.confirmed_at == confirmed_at
+
+
+@pytest.mark.parametrize("changes", [True, False])
+async def test_a_batch_that_is_read_late_proves_the_records_as_of_its_poll(changes):
+    # Guards against a process that was stopped for 3 s and takes an answer from before
+    # that as proof that its copy is current.
+    clock = ManualClock(start=100.0)
+    record = Record("pools/p1", b"{}", 2)
+    change = (Change(record.key, record, 2),) if changes else ()
+    service = SlowWatchService(clock, [WatchBatch(change, 2)] * 2)
+    follow = follow_prefix(service, "pools/", clock=clock, chance=random.Random(1))
+    async with aclosing(follow) as updates:
+        first = await anext(updates)
+        clock.advance(0.5)
+        second = await anext(updates)
+        clock.advance(0.25)
+        third = await anext(updates)
+    proofs = (first.proved_at, second.proved_at, third.proved_at)
+    assert proofs == (100.0, 100.5, 103.75)
+
+
+async def test_a_check_proves_the_records_as_of_its_request():
+    # Guards against proof by a batch of a watch that may have missed other changes.
+    clock = ManualClock(start=100.0)
+    service = MemoryKeyValueService(StoreStandIn(), clock)
+    follow = follow_prefix(
+        service, "pools/", rules=RULES, clock=clock, chance=random.Random(1)
+    )
+    async with aclosing(follow) as updates:
+        await anext(updates)
+        clock.advance(10.0)
+        await service.swap("pools/p1", b"{}", 0)
+        changed = await anext(updates)
+        checked = await anext(updates)
+    assert (changed.proved_at, checked.proved_at) == (100.0, 110.0)
