--- a/peridotspoke/programs/reference.py
+++ b/peridotspoke/programs/reference.py
@@ -16,6 +16,17 @@
 `python -m peridotspoke.programs.reference`.
 """
 
+NODE_FILE = """## Settings file of peridotspoke-node
+
+The platform writes this file, one `key=value` a line. A faulty value ends the program with
+status 2; at a later reading it leaves the settings as they are.
+
+| key | default | meaning |
+|---|---|---|
+| `bounds.strictRevoke` | false | whether `bounds.revokeMs` holds: true or false |
+| `bounds.revokeMs` | 5000 | time after a configuration is stored from which no key that it removed is served, milliseconds above 0; below 3400 quiet nodes refuse calls |
+"""  # noqa: E501
+
 
 def format_reference():
     """Return the page as Markdown text."""
@@ -29,6 +40,7 @@
         title = (settings_class.__doc__ or name).splitlines()[0].rstrip(".")
         table = ["| flag | variable | default | meaning |", "|---|---|---|---|", *rows]
         sections.append("\n".join([f"## {title}", "", *table, ""]))
+    sections.append(NODE_FILE)
     return "\n".join(sections)
 
 
