--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -105,12 +105,12 @@
         if not isinstance(found, tuple):
             return found
         queue, job_id = found
-        log = partial(self._log, "submit", queue, job_id, workspace=workspace)
         if not is_job_id(job_id):
             return Invalid("expected an ID of 16 hexadecimal digits")
         known = self._lookup.find(queue.pool, job_id)
         if known is not None:
-            return log(self._repeats.answer_known(known, workspace), source="view")
+            answer = self._repeats.answer_known(known, workspace)
+            return self._log("submit", queue, job_id, answer, workspace, source="view")
         if len(body) > self._node.view.configuration.max_body_size:
             return Invalid("the body is too large")
         now = self._node.clock.read_wall()
@@ -118,28 +118,35 @@
             job = self._decode_submission(body, job_id, queue, now)
             check_job(job)
         except RequestError as error:
-            return log(Invalid(str(error)))
+            answer = Invalid(str(error))
+            return self._log("submit", queue, job_id, answer, workspace)
         if workspace and not queue.anonymous:
             job = replace(job, workspace=workspace)
         excess = self._access.describe_excess(job)
         if excess and not self._access.is_proved(asked_at):
             refusal = await self._access.prove(asked_at)
-            if refusal is not None:
-                return log(refusal)
-            return await self._submit(host, path, body, key, asked_at)
+            if refusal is None:
+                return await self._submit(host, path, body, key, asked_at)
+            return self._log("submit", queue, job_id, refusal, workspace)
         refusal = Invalid(excess) if excess else self._check_room(job)
         if refusal is not None:
-            answer = await self._repeats.replace_refusal(job, workspace, refusal)
-            if answer is not refusal:
-                return log(answer, source="store")
-            if getattr(answer, "cause", None) is RefusalCause.STORE_AWAY:
-                record_refused_job(self._node, job, answer.retry_after)
-            return log(answer)
+            return await self._refuse(queue, job, workspace, refusal)
         answer = await self._writer.store(job)
         answer = await self._repeats.check_accepted(job, workspace, answer)
         if isinstance(answer, Accepted):
             self._node.refused_jobs.discard(job_id)
-        return log(answer)
+        return self._log("submit", queue, job_id, answer, workspace)
+
+    async def _refuse(self, queue, job, workspace, refusal):
+        """Return a refusal of a job, or the answer to the repeat of a stored one."""
+        answer = await self._repeats.replace_refusal(job, workspace, refusal)
+        if answer is not refusal:
+            return self._log(
+                "submit", queue, job.job_id, answer, workspace, source="store"
+            )
+        if getattr(answer, "cause", None) is RefusalCause.STORE_AWAY:
+            record_refused_job(self._node, job, answer.retry_after)
+        return self._log("submit", queue, job.job_id, answer, workspace)
 
     def _check_room(self, job):
         """Return a refusal if a job can't be stored now or served in time, or None."""
@@ -183,7 +190,7 @@
             return await self._count(queue)
         job_view = await self._look_up(queue.pool, job_id, workspace)
         if not isinstance(job_view, JobView):
-            return self._log("show", queue, job_id, job_view, workspace=workspace)
+            return self._log("show", queue, job_id, job_view, workspace)
         return Shown(job_view.state)
 
     async def cancel(self, host, path, key=NO_KEY):
@@ -203,13 +210,16 @@
         if not isinstance(found, tuple):
             return found
         queue, job_id = found
-        log = partial(self._log, "cancel", queue, job_id, workspace=workspace)
         job_view = await self._look_up(queue.pool, job_id, workspace)
         if not isinstance(job_view, JobView):
-            return log(job_view)
+            return self._log("cancel", queue, job_id, job_view, workspace)
         if not job_view.is_open:
-            return log(Accepted(), state=job_view.state)
-        return log(await self._writer.cancel(job_view))
+            state = job_view.state
+            return self._log(
+                "cancel", queue, job_id, Accepted(), workspace, state=state
+            )
+        answer = await self._writer.cancel(job_view)
+        return self._log("cancel", queue, job_id, answer, workspace)
 
     async def _admit(self, step, host, path, key):
         """Return the call's queue and the rest of its path, and its workspace.
@@ -222,7 +232,7 @@
         found, workspace = await self._access.check(find_queue, key)
         if workspace and isinstance(found, Refused):
             queue, job_id = find_queue()
-            self._log(step, queue, job_id, found, workspace=workspace)
+            self._log(step, queue, job_id, found, workspace)
         return found, workspace
 
     def _find_queue(self, host, path):
@@ -290,7 +300,7 @@
             return UnknownJob()
         return job_view
 
-    def _log(self, step, queue, job_id, answer, workspace=None, **fields):
+    def _log(self, step, queue, job_id, answer, workspace, **fields):
         """Log and count an answer to a request about a job, and return it."""
         if workspace and isinstance(answer, Refused):
             label = self._node.workspace_labels.bound(workspace)
