Divide a pool's capacity among workspaces by weight

Cause: one workspace that sends 5 to 7 times its usual for some seconds delayed the jobs of all others in its pool, and all of them were refused by the pool's wait.

Change: workloads/shares.py computes entitlements (dominant resource fairness) and fair waits; sharedrounds.py splits a round into a first pass, of workspaces within their entitlement and jobs without one, and a second pass; sharewaits.py estimates the wait of each workspace, published as PoolDemand.workspace_waits, by which admission judges the workspace's jobs. Without workspaces no shares are built and the stored demand has the same bytes.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -32,6 +32,7 @@
     "late-end",
     "run-foreign",
     "task-waiting",
+    "share-exceeded",
 )
 EXECUTOR_EVENTS = (
     "executor-listed",
--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -92,7 +92,8 @@
         if refusal is not None:
             if refusal.cause is RefusalCause.STORE_AWAY:
                 record_refused_job(self._node, job, refusal.retry_after)
-            return self._log("submit", queue, job_id, refusal)
+            workspace = job.workspace or None
+            return self._log("submit", queue, job_id, refusal, workspace=workspace)
         answer = await self._writer.store(job)
         if isinstance(answer, Accepted):
             self._node.refused_jobs.discard(job_id)
--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from msgspec import structs
+from msgspec import UNSET, structs
 
 from peridotspoke.exceptions import PlatformError
 from peridotspoke.logs import log_event
@@ -18,6 +18,7 @@
     key_progress,
     key_withdrawal,
 )
+from peridotspoke.nodes.poolshares import read_weights
 from peridotspoke.nodes.publishing import PoolPublisher
 from peridotspoke.nodes.records import encode_value
 from peridotspoke.nodes.refusedwork import list_told
@@ -25,6 +26,7 @@
 from peridotspoke.workloads.demand import ArrivalRate, count_executors, estimate_demand
 from peridotspoke.workloads.readywork import list_timings, sum_ready
 from peridotspoke.workloads.returning import estimate_arrival, sum_returning
+from peridotspoke.workloads.sharewaits import ShareInputs, SmoothedUses, sum_uses
 from peridotspoke.workloads.sizing import SizingRules
 
 __all__ = ["PoolRecords"]
@@ -37,6 +39,7 @@
 MIN_DEMAND_INTERVAL = 0.15  # seconds between two writes of the pool's demand
 MAX_DEMAND_INTERVAL = 1.0  # seconds after which an unchanged demand is written again
 DEMAND_CHANGE = 0.1  # relative change of the demand above which it is written
+WAIT_CHANGE = 0.5  # seconds; a workspace's wait that changes by more is written
 ATTAINABLE_SHARE = 0.5  # largest share of the fleet's processors for one pool
 ORDER_DELAY = 0.2  # seconds from writing a demand to the orders for machines
 
@@ -71,6 +74,7 @@
         self._machines_being_marked = set()
         lead = ORDER_DELAY + node.settings.bounds.move
         self._arrivals = ArrivalRate(SizingRules().window, lead)
+        self._workspace_uses = SmoothedUses()
         self._last_demand = None
         self._last_demand_at = float("-inf")
         self._is_demand_sent = True
@@ -203,9 +207,18 @@
             self._sum_attainable(),
             SizingRules(),
             returning,
+            self._measure_shares(now),
         )
         return demand, {"ready": ready, "rate": rate, "returning": returning}
 
+    def _measure_shares(self, now):
+        """Return the `ShareInputs` by the configuration, or None without workspaces."""
+        weights = read_weights(self._node.view.configuration)
+        if weights is None:
+            return None
+        uses = self._workspace_uses.record(sum_uses(self._ledger), now)
+        return ShareInputs(weights, uses)
+
     def _sum_returning(self, now):
         """Return the processors for refused jobs that are about to come back.
 
@@ -293,4 +306,17 @@
         abs(last.cores - demand.cores),
         abs(last.late_cores - demand.late_cores),
     )
-    return max(changes) > DEMAND_CHANGE * max(last.cores, last.late_cores, 1.0)
+    if max(changes) > DEMAND_CHANGE * max(last.cores, last.late_cores, 1.0):
+        return True
+    return _have_waits_changed(last.workspace_waits, demand.workspace_waits)
+
+
+def _have_waits_changed(last, waits):
+    """Return whether the waits of workspaces differ enough to be written."""
+    if last is UNSET or waits is UNSET:
+        return last is not waits
+    for name in last.keys() | waits.keys():
+        before, after = last.get(name, 0.0), waits.get(name, 0.0)
+        if abs(before - after) > max(WAIT_CHANGE, DEMAND_CHANGE * before):
+            return True
+    return False
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -34,6 +34,7 @@
     format_fields,
 )
 from peridotspoke.nodes.poolrecords import PoolRecords
+from peridotspoke.nodes.poolshares import SharedRounds
 from peridotspoke.nodes.predecessors import InheritedLeases
 from peridotspoke.nodes.runcounters import count_run_event
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
@@ -105,6 +106,7 @@
         self._waiting = WaitingReport(
             self._ledger, self._tickets.list_granted, node.metrics, self._log
         )
+        self._shares = SharedRounds(node.view, self.pool, node.metrics, self._log)
 
     @property
     def pool(self):
@@ -145,6 +147,7 @@
             for subscription in subscriptions:
                 subscription.dispose()
             self._waiting.clear()
+            self._shares.clear()
             self._tasks.cancel()
 
     def _log(self, event, **fields):
@@ -208,14 +211,15 @@
             for run in plan_evacuation(self._ledger, now):
                 self._ledger.stop_run(run, "the executor is leaving")
             if self._records.grants.allow_starts(now + self._rules.run_lease):
-                wall = self._node.clock.read_wall()
-                plan_runs(self._ledger, now, wall, self._tickets.find)
+                wall, shares = self._node.clock.read_wall(), self._shares.get()
+                plan_runs(self._ledger, now, wall, self._tickets.find, shares)
             self._send_throttling(now)
         self._ledger.request_due_reports(now)
         self._update_sessions()
         self._send_stops()
         self._send_report_requests()
         self._waiting.update(now)
+        self._shares.update(now)
         self._records.update_demand(now)
         self._records.remove_old_jobs(now)
         self._store_progress(now)
--- a/peridotspoke/workloads/admission.py
+++ b/peridotspoke/workloads/admission.py
@@ -5,6 +5,8 @@
 jobs that are still worth running.
 """
 
+import msgspec
+
 from peridotspoke.workloads.urgency import CUTOFF_FACTOR, compute_critical_path
 
 __all__ = ["compute_cutoff", "compute_retry_delay"]
@@ -50,9 +52,17 @@
     -----
     Long-running and repeated jobs are always accepted. Jobs of a lower-priority queue
     are rejected at a shorter backlog, which reserves capacity for higher priorities.
+    A job of a workspace is judged by the wait of its workspace, if the demand has such
+    waits, so that the excess of one workspace is refused and not the others' jobs.
     """
     if demand is None or job.is_long_running or job.repeats:
         return None
     share = max(MIN_SHARE, SHARE_PER_PRIORITY**job.terms.priority)
-    excess = demand.wait - share * compute_cutoff(job)
+    excess = _find_wait(job, demand) - share * compute_cutoff(job)
     return excess if excess > 0 else None
+
+
+def _find_wait(job, demand):
+    if not job.workspace or demand.workspace_waits is msgspec.UNSET:
+        return demand.wait
+    return demand.workspace_waits.get(job.workspace, 0.0)
--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -8,6 +8,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
+
 from peridotspoke.workloads.executors import ExecutorCondition
 from peridotspoke.workloads.progress import JobOutcome
 from peridotspoke.workloads.room import (
@@ -19,6 +21,7 @@
     sum_needs,
 )
 from peridotspoke.workloads.runs import RunPhase, compute_need
+from peridotspoke.workloads.sharewaits import compute_workspace_waits
 from peridotspoke.workloads.sizing import SizingRules
 
 __all__ = [
@@ -59,6 +62,10 @@
     wait : float
         Time to finish the accepted work, seconds, with the larger of the capacity
         that accepts work now and the capacity that the pool could get.
+    workspace_waits : dict of str to float, optional
+        The same time by workspace, where capacity is shared by weight; a workspace that
+        is not named waits for 0 seconds. Left out of the record, and unset, where the
+        configuration has no workspaces and in records of earlier versions.
     """
 
     cores: float = 0.0
@@ -67,6 +74,7 @@
     removable: tuple[str, ...] = ()
     unusable: tuple[str, ...] = ()
     wait: float = 0.0
+    workspace_waits: dict[str, float] | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +210,7 @@
     attainable=0.0,
     rules=SizingRules(),
     returning=0.0,
+    shares=None,
 ):
     """Return the `PoolDemand` of a pool.
 
@@ -225,7 +234,11 @@
     returning : float, optional
         Processors for refused jobs that are about to come back. They add to those for
         open jobs, not to the rate, whose forecast rises as the jobs come back.
+    shares : ShareInputs or None, optional
+        None without workspaces.
     """
+    if shares is not None:
+        timings = tuple(timings)
     on_time = late = unfinished = 0.0
     for timing in timings:
         unfinished += timing.remaining_work
@@ -240,6 +253,10 @@
     finite = max(without_returning, open_cores + returning)
     late_finite = finite + max(0.0, min(ready, on_time + late) - without_returning)
     cores, all_cores = _compute_cores(ledger, running, (finite, late_finite))
+    service_rate = max(_sum_capacity(ledger), attainable, MIN_CAPACITY)
+    waits = msgspec.UNSET
+    if shares is not None:
+        waits = compute_workspace_waits(ledger, timings, service_rate, shares)
     return PoolDemand(
         cores=cores,
         late_cores=all_cores - cores,
@@ -252,7 +269,8 @@
                 if state.entry is not None and not state.reachable
             )
         ),
-        wait=unfinished / max(_sum_capacity(ledger), attainable, MIN_CAPACITY),
+        wait=unfinished / service_rate,
+        workspace_waits=waits,
     )
 
 
--- a/peridotspoke/workloads/room.py
+++ b/peridotspoke/workloads/room.py
@@ -19,6 +19,7 @@
     "limit_need",
     "list_lasting_tasks",
     "measure_finite_mix",
+    "measure_workspace_mixes",
     "measure_shape",
     "sum_lasting",
     "sum_needs",
@@ -154,6 +155,37 @@
     return total.scale(1.0 / total.cores) if total.cores else Amounts(1.0)
 
 
+def measure_workspace_mixes(ledger):
+    """Return by workspace what `measure_finite_mix` returns of its jobs alone.
+
+    Jobs without a workspace are those of the workspace with an empty name.
+
+    Parameters
+    ----------
+    ledger : PoolLedger
+
+    Returns
+    -------
+    dict of str to Amounts
+    """
+    sizes = _list_sizes(ledger)
+    counted = {}
+    for progress in ledger.jobs.values():
+        job = progress.job
+        if progress.outcome is JobOutcome.OPEN and not job.is_long_running:
+            needs = counted.setdefault(job.workspace, Counter())
+            for step in job.steps:
+                needs[step.need] += step.count
+    mixes = {}
+    for name, needs in counted.items():
+        total = sum_needs(
+            (limit_need(need, sizes), count) for need, count in needs.items()
+        )
+        has_cores = total.cores > 0
+        mixes[name] = total.scale(1.0 / total.cores) if has_cores else Amounts(1.0)
+    return mixes
+
+
 def sum_lasting(ledger):
     """Return the `Amounts` that the unfinished long-running tasks take."""
     sizes = _list_sizes(ledger)
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -53,7 +53,7 @@
     return offers
 
 
-def plan_runs(ledger, now, wall, tickets=None):
+def plan_runs(ledger, now, wall, tickets=None, shares=None):
     """Assign waiting tasks to executors that have room, the most urgent first.
 
     Parameters
@@ -67,6 +67,9 @@
         Called with a `StepWork` whose queue needs tickets and a tuple of executor
         identities. Returns the valid tickets by executor, or None while they are not
         known; the step then waits.
+    shares : PoolShares, optional
+        Decides which steps come first where the executors lack room for all of them;
+        None without workspaces.
 
     Returns
     -------
@@ -77,9 +80,13 @@
     drop_old_places(ledger, now)
     work = list_step_work(ledger, wall)
     if not work:
+        if shares is not None:
+            shares.latest = None
         return []
     offers = make_offers(ledger, now)
     planned, unplaced_needs = [], []
+    if shares is not None:
+        work = shares.order_work(ledger, work, offers, planned)
     for item in work:
         step = item.progress.job.steps[item.step_number]
         need = compute_need(step)
--- a/peridotspoke/workloads/urgency.py
+++ b/peridotspoke/workloads/urgency.py
@@ -24,6 +24,8 @@
         Unfinished work, processor-seconds.
     priority : int
         Priority of its queue; 0 comes first.
+    workspace : str, optional
+        The job's workspace; empty if it has none.
     """
 
     deadline: float
@@ -31,6 +33,7 @@
     slack: float
     remaining_work: float
     priority: int
+    workspace: str = ""
 
 
 def compute_critical_path(job, durations, skip=frozenset()):
@@ -79,7 +82,12 @@
     deadline = begin + job.terms.stretch * critical_path + job.terms.latency
     slack = deadline - wall - remaining_time
     return JobTiming(
-        deadline, remaining_time, slack, remaining_work, job.terms.priority
+        deadline,
+        remaining_time,
+        slack,
+        remaining_work,
+        job.terms.priority,
+        job.workspace,
     )
 
 
