Keep what each workspace has running within its limit

Cause: a workspace's limit was decoded and nothing kept it. Its tasks run in several pools whose owners don't ask each other, so that each start has to be allowed by something that all owners share.

Change: pools share a limit by one record for each workspace, `quota/WORKSPACE`, with a grant for each pool. Each write is conditional on the record's revision and on the ownership of the pool. `plan_runs` asks the pool's quotas before each task, for a gang for all its tasks together; a task that is held back doesn't count as one that executors lack room for. What may be running includes runs that are given up for a copy, that an executor lists and the ledger lacks, and that earlier owners may have given up. Log lines, gauges, the story and the pages tell of waits for quota. Without a workspace with a limit there is no store call, and a round does nothing more than before.

Not played with node processes.

--- a/peridotspoke/nodes/keys.py
+++ b/peridotspoke/nodes/keys.py
@@ -2,7 +2,8 @@
 
 Each node follows the records under `WORK_PREFIX`, which are few and small. The jobs of
 a pool are followed only by the pool's owner: their number and size grow with the
-traffic, and some nodes lack the bandwidth to follow the jobs of all pools. The
+traffic, and some nodes lack the bandwidth to follow the jobs of all pools. The quotas
+of workspaces are followed by the nodes that own pools while there are limits. The
 identities of jobs and the records that the fleet's owner keeps for its successor are
 read when needed and followed by no node.
 """
@@ -11,6 +12,7 @@
 
 __all__ = [
     "OWNER_PREFIX",
+    "QUOTA_PREFIX",
     "WORK_PREFIX",
     "JobKey",
     "key_cancellation",
@@ -23,6 +25,7 @@
     "key_pool_demand",
     "key_progress",
     "key_queue_counts",
+    "key_quota",
     "key_refused",
     "key_wave",
     "key_withdrawal",
@@ -30,6 +33,7 @@
     "prefix_jobs",
     "split_job_key",
     "split_key",
+    "split_quota_key",
 ]
 
 WORK_PREFIX = "work/"
@@ -37,6 +41,7 @@
 JOBS_PREFIX = "jobs/"
 IDENTITY_PREFIX = "ids/"
 FLEET_PREFIX = "fleet/"
+QUOTA_PREFIX = "quota/"
 
 
 class JobKey(NamedTuple):
@@ -126,6 +131,16 @@
     return f"{WORK_PREFIX}waiting/{pool}"
 
 
+def key_quota(workspace):
+    """Return the key of how the pools share a workspace's limit."""
+    return f"{QUOTA_PREFIX}{workspace}"
+
+
+def split_quota_key(key):
+    """Return the workspace of a quota's key."""
+    return key.removeprefix(QUOTA_PREFIX)
+
+
 def key_refused(name):
     """Return the key of what a node refused in an outage, attached to its lease."""
     return f"{WORK_PREFIX}refused/{name}"
--- a/peridotspoke/nodes/node.py
+++ b/peridotspoke/nodes/node.py
@@ -9,6 +9,7 @@
 from peridotspoke.nodes.jobviews import PoolJobs
 from peridotspoke.nodes.keys import WORK_PREFIX, prefix_jobs
 from peridotspoke.nodes.ownership import Ownership
+from peridotspoke.nodes.quotas import follow_quotas
 from peridotspoke.nodes.refusedwork import RefusedTeller
 from peridotspoke.nodes.supervising import PoolSupervisor
 from peridotspoke.nodes.tasksets import keep_running
@@ -125,6 +126,7 @@
         if not self._following_entries:
             self._following_entries = True
             self._spawn(keep_running("follow entries", self._follow_entries))
+            self._spawn(keep_running("follow quotas", self._follow_quotas))
         if holding.unit == FLEET:
             supervisor = FleetSupervisor(
                 self._parts,
@@ -218,6 +220,11 @@
             log_event("follower-failed", "ERROR", unit=holding.unit, error=repr(error))
             self._parts.ownership.give_up(holding, "its jobs could not be followed")
 
+    async def _follow_quotas(self):
+        await follow_quotas(
+            self._parts, self._follow, lambda: bool(self._pool_supervisors)
+        )
+
     async def _follow_entries(self):
         async for followed in self._follow(self._codec.entry_prefix):
             view, parts = self._parts.view, self._parts
--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -12,6 +12,7 @@
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.commits import TimedCommits
 from peridotspoke.nodes.predecessors import PublicationTimes
+from peridotspoke.nodes.quotas import QuotaRecords
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
 from peridotspoke.workloads.returning import RefusedJobs
@@ -91,6 +92,8 @@
         The jobs that were refused while the store was away, until they are told.
     publication_times : PublicationTimes
         When this node saw what the pools' owners have published.
+    quotas : QuotaRecords
+        How the pools share the limits of workspaces.
     peers : tuple, optional
         Connections to the platform's services, closed as the node ends.
     """
@@ -113,6 +116,7 @@
     regained: asyncio.Event = field(default_factory=asyncio.Event)
     refused_jobs: RefusedJobs = field(default_factory=RefusedJobs)
     publication_times: PublicationTimes = field(default_factory=PublicationTimes)
+    quotas: QuotaRecords = field(default_factory=QuotaRecords)
     peers: tuple = ()
 
     async def close_connections(self):
--- a/peridotspoke/nodes/poolevents.py
+++ b/peridotspoke/nodes/poolevents.py
@@ -5,7 +5,13 @@
 from peridotspoke.workloads.progress import TaskStatus
 from peridotspoke.workloads.waiting import WaitingTasks, list_waiting
 
-__all__ = ["WaitingReport", "count_assigned", "describe_step", "format_fields"]
+__all__ = [
+    "WaitingReport",
+    "count_assigned",
+    "describe_job",
+    "describe_step",
+    "format_fields",
+]
 
 MIN_WAIT = 0.5  # seconds that a lasting task waits before it is reported
 LOOK_INTERVAL = 0.25  # seconds between two looks for such tasks
@@ -61,6 +67,18 @@
     return f"{step.count}x{step.need.cpu}m@{step.estimate:g}s{shown}"
 
 
+def describe_job(progress):
+    """Return the fields of the log's event about a `JobProgress` that is taken over."""
+    job = progress.job
+    return {
+        "job": job.job_id,
+        "queue": job.queue,
+        "workspace": job.workspace or None,
+        "inherited": count_assigned(progress),
+        "steps": " ".join(describe_step(step) for step in job.steps),
+    }
+
+
 class WaitingReport:
     """Reports the tasks of a pool that last and wait, in the log and the metrics.
 
--- a/peridotspoke/nodes/records.py
+++ b/peridotspoke/nodes/records.py
@@ -1,9 +1,13 @@
 """The records under the work prefix that nodes write, and their encoding."""
 
+import math
+
 import msgspec
 
+from peridotspoke.exceptions import RecordError
 from peridotspoke.nodes.settings import DEFAULT_LINK, DEFAULT_PROCESSORS
 from peridotspoke.store import decode_value
+from peridotspoke.workloads.quotarecords import NOTHING, QuotaRecord, covers
 
 __all__ = [
     "LeaseStatement",
@@ -13,6 +17,7 @@
     "QueueCounts",
     "RefusedRecord",
     "Withdrawal",
+    "decode_quota",
     "decode_value",
     "encode_value",
 ]
@@ -146,3 +151,23 @@
 def encode_value(value):
     """Return the JSON encoding of one of this module's records."""
     return msgspec.json.encode(value)
+
+
+def decode_quota(record):
+    """Return the `QuotaRecord` of a stored record.
+
+    Raises
+    ------
+    RecordError
+        If it does not have the form of one, or names a negative amount or time.
+    """
+    quota = decode_value(record, QuotaRecord)
+    for pool, row in quota.pools.items():
+        is_time = math.isfinite(row.waiting_since) and row.waiting_since >= 0
+        if not is_time or not all(covers(n, NOTHING) for n in (row.granted, row.next)):
+            raise RecordError(
+                f"the row of pool {pool} is invalid",
+                step="decode record",
+                peer=record.key,
+            )
+    return quota
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -27,14 +27,10 @@
     StartLost,
     StopAnswered,
 )
-from peridotspoke.nodes.poolevents import (
-    WaitingReport,
-    count_assigned,
-    describe_step,
-    format_fields,
-)
+from peridotspoke.nodes.poolevents import WaitingReport, describe_job, format_fields
 from peridotspoke.nodes.poolrecords import PoolRecords
 from peridotspoke.nodes.predecessors import InheritedLeases
+from peridotspoke.nodes.quotas import PoolQuotas
 from peridotspoke.nodes.runcounters import count_run_event
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
 from peridotspoke.nodes.tasksets import TaskSet, keep_running
@@ -105,6 +101,10 @@
         self._waiting = WaitingReport(
             self._ledger, self._tickets.list_granted, node.metrics, self._log
         )
+        wake = partial(self._queue.put_nowait, None)
+        self._quotas = PoolQuotas(
+            node, holding, jobs, self._ledger, self._tasks, self._log, wake
+        )
 
     @property
     def pool(self):
@@ -145,6 +145,7 @@
             for subscription in subscriptions:
                 subscription.dispose()
             self._waiting.clear()
+            self._quotas.clear()
             self._tasks.cancel()
 
     def _log(self, event, **fields):
@@ -209,7 +210,9 @@
                 self._ledger.stop_run(run, "the executor is leaving")
             if self._records.grants.allow_starts(now + self._rules.run_lease):
                 wall = self._node.clock.read_wall()
-                plan_runs(self._ledger, now, wall, self._tickets.find)
+                quotas = self._quotas.begin_round(now, wall)
+                plan_runs(self._ledger, now, wall, self._tickets.find, quotas)
+                self._quotas.end_round(now, wall)
             self._send_throttling(now)
         self._ledger.request_due_reports(now)
         self._update_sessions()
@@ -253,12 +256,9 @@
             )
             self._log(
                 "job-taken",
-                job=job_id,
                 revision=job_view.revision,
                 progress=self._revisions[job_id],
-                queue=job_view.job.queue,
-                inherited=count_assigned(progress),
-                steps=" ".join(describe_step(step) for step in job_view.job.steps),
+                **describe_job(progress),
             )
             self._ledger.add_job(progress)
             self._records.record_arrival(job_view.job)
--- a/peridotspoke/programs/story.py
+++ b/peridotspoke/programs/story.py
@@ -28,6 +28,8 @@
         "store-lost",
         "store-regained",
         "task-waiting",
+        "quota-waiting",
+        "quota-changed",
         "fenced",
     }
 )
@@ -50,8 +52,9 @@
 
     Between the first and the last line that name the request, the events in
     `RELATED_EVENTS` are included as well if they concern an executor or a pool that
-    these lines name, or the store. So are the notices of lines that were left out of
-    the logs of the nodes that name it, also just before and after.
+    these lines name, or the store, or the quota of the job's workspace there. So are
+    the notices of lines that were left out of the logs of the nodes that name it, also
+    just before and after.
 
     Parameters
     ----------
@@ -72,13 +75,15 @@
     times = sorted(pairs.get("time", "") for pairs, _ in named)
     executors = {pairs["executor"] for pairs, _ in named if "executor" in pairs}
     pools = {pairs["pool"] for pairs, _ in named if "pool" in pairs}
+    workspaces = {pairs["workspace"] for pairs, _ in named if "workspace" in pairs}
     instances = {pairs.get("instance") for pairs, _ in named}
     related = [
         (pairs, line)
         for pairs, line in parsed
         if pairs.get("event") in RELATED_EVENTS
+        and pairs.get("job") != request_id
         and times[0] <= pairs.get("time", "") <= times[-1]
-        and _is_related(pairs, executors, pools)
+        and _is_related(pairs, executors, pools, workspaces)
     ]
     related += [
         (pairs, line)
@@ -92,11 +97,14 @@
     return [line for _, line in selected]
 
 
-def _is_related(pairs, executors, pools):
+def _is_related(pairs, executors, pools, workspaces):
     if "executor" in pairs:
         return pairs["executor"] in executors
     if "unit" in pairs:
         return pairs["unit"] in pools
+    if pairs["event"].startswith("quota-"):
+        is_own = pairs.get("workspace") in workspaces
+        return is_own and pairs.get("pool") in pools
     if pairs["event"] == "task-waiting":
         return pairs.get("pool") in pools
     return pairs["event"].startswith("store-")
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -208,6 +208,7 @@
                     continue
                 if run.phase is not RunPhase.PLANNED:
                     self.copied_runs.add((run.key, run.number))
+                    self.record_given_up(state, run, now)
                     self.requeue(run, now, "executor unreachable, task may run twice")
 
     def stop_slow_runs(self, executor_id, now):
--- a/peridotspoke/workloads/leaseledger.py
+++ b/peridotspoke/workloads/leaseledger.py
@@ -9,6 +9,7 @@
 
 __all__ = ["LeaseLedger"]
 
+MAX_GIVEN_UP_RUNS = 10_000  # kept where no limit needs them
 SILENCE_DELAY_S = 0.3  # longer than a lost connection takes to be replaced
 FIRST_ANSWER_LIMIT_S = 1.0  # for the answers of a pool's executors to a new owner
 
@@ -219,6 +220,55 @@
             self.mark_changed(run.key.job_id)
         task.confirmed = True
 
+    def record_given_up(self, state, run, now):
+        """Record a run that is given up in favour of a copy, for its workspace's quota.
+
+        It goes to `given_up_runs`, from which `UseCounter` takes it, with the time and
+        that until which its start may still be carried out.
+
+        Parameters
+        ----------
+        state : ExecutorState
+        run : Run
+        now : float
+            Monotonic seconds.
+        """
+        if not run.progress.job.workspace:
+            return
+        is_answered = run.is_confirmed and not run.start_unconfirmed
+        end = self._compute_run_end(state, run) + self.rules.margin
+        ordered_until = float("-inf") if is_answered else end
+        self.given_up_runs.append((run, now, ordered_until))
+        del self.given_up_runs[:-MAX_GIVEN_UP_RUNS]
+
+    def has_lapsed(self, state, run, now):
+        """Return whether the lease of a run that was given up has certainly ended.
+
+        Parameters
+        ----------
+        state : ExecutorState
+        run : Run or None
+            None if the ledger never had it.
+        now : float
+            Monotonic seconds.
+        """
+        if run is not None:
+            return now > self._compute_run_end(state, run) + self.rules.margin
+        end = max(state.lease_end, state.inherited_end) + self.rules.restart_excess
+        return now > max(end, state.late_end + state.late_excess) + self.rules.margin
+
+    def find_former_end(self):
+        """Return when every lease has ended that earlier owners granted anywhere.
+
+        Returns
+        -------
+        float
+            Monotonic seconds, with the margin for a slow clock.
+        """
+        late_ends = (self.unstated_late_end, *self.late_ends.values())
+        end = self.former_lease_end + self.rules.restart_excess
+        return max(end, *late_ends) + self.rules.margin
+
     def _release_lapsed(self, state, now):
         lapsed = [
             run
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -61,6 +61,8 @@
         Capacity that is kept for long-running tasks that are being moved.
     copied_runs : set of tuple of (TaskKey, int)
         Runs, by task and run number, that were given up so that a copy could start.
+    given_up_runs : list of tuple of (Run, float, float)
+        The same of jobs with a workspace, as `LeaseLedger.record_given_up` tells.
     taken_over_at : float
         Monotonic time at which the pool was taken over, seconds.
     former_bound : LeaseBound
@@ -92,6 +94,7 @@
         self.job_runs = {}
         self.held_places = {}
         self.copied_runs = set()
+        self.given_up_runs = []
         self.rules = rules
         self.taken_over_at = now
         self.former_bound = LeaseBound(now + rules.inherited_lease, "takeover", now)
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -6,6 +6,7 @@
 
 from peridotspoke.workloads.placement import Offer, choose_executor, find_gang
 from peridotspoke.workloads.places import drop_old_places, release_place
+from peridotspoke.workloads.quotarounds import RoundQuotas
 from peridotspoke.workloads.readywork import list_step_work, open_due_occurrences
 from peridotspoke.workloads.runs import compute_need
 
@@ -53,7 +54,7 @@
     return offers
 
 
-def plan_runs(ledger, now, wall, tickets=None):
+def plan_runs(ledger, now, wall, tickets=None, quotas=None):
     """Assign waiting tasks to executors that have room, the most urgent first.
 
     Parameters
@@ -67,6 +68,9 @@
         Called with a `StepWork` whose queue needs tickets and a tuple of executor
         identities. Returns the valid tickets by executor, or None while they are not
         known; the step then waits.
+    quotas : QuotaBook, optional
+        Asked before each task, for a gang for all its tasks together; None if no
+        workspace has a limit.
 
     Returns
     -------
@@ -80,6 +84,7 @@
         return []
     offers = make_offers(ledger, now)
     planned, unplaced_needs = [], []
+    quotas = quotas and RoundQuotas(quotas, offers)
     for item in work:
         step = item.progress.job.steps[item.step_number]
         need = compute_need(step)
@@ -88,16 +93,20 @@
             tasks = [task for task in tasks if task.key in ledger.held_places]
             if not tasks:
                 continue
+        if quotas is not None and quotas.is_held_back(item, tasks):
+            continue
         granted = None
         if item.progress.job.terms.advised and tickets is not None:
             granted = tickets(item, tuple(offers))
             if granted is None:
                 continue
         if step.gang:
-            planned += _plan_gang(ledger, item, offers, now, granted)
+            planned += _plan_gang(ledger, item, offers, now, granted, quotas)
             continue
-        runs = list(_plan_tasks(ledger, item, tasks, offers, now, granted))
+        runs = list(_plan_tasks(ledger, item, tasks, offers, now, granted, quotas))
         planned += runs
+        if quotas is not None and quotas.has_held_back(item):
+            continue
         if len(runs) < len(tasks) and _fits_by_size_alone(step, granted):
             unplaced_needs.append(need)
     return planned
@@ -122,14 +131,15 @@
     return sorted(tasks, key=lambda task: task.key not in ledger.held_places)
 
 
-def _plan_tasks(ledger, item, tasks, offers, now, granted):
+def _plan_tasks(ledger, item, tasks, offers, now, granted, quotas):
     """Yield a run for each of an item's tasks up to one that fits nowhere.
 
-    A task may use the place that is held for it, or a better one.
+    A task may use the place that is held for it, or a better one. The quota is asked
+    only for a task that fits, so that none is requested without use.
     """
     step = item.progress.job.steps[item.step_number]
     need = compute_need(step)
-    for task in tasks:
+    for number, task in enumerate(tasks):
         group = _make_group_key(task.key)
         held = release_place(ledger, task.key, offers)
         avoid = ledger.failed_on.get(task.key, frozenset())
@@ -139,6 +149,10 @@
                 return
             held.reserve(need, group)
             continue
+        if quotas is not None and not quotas.take(item, tasks[number:], 1):
+            if held is not None:
+                held.reserve(need, group)
+            return
         ledger.held_places.pop(task.key, None)
         offer.reserve(need, group)
         offer.lasting += step.lasting
@@ -148,7 +162,7 @@
         )
 
 
-def _plan_gang(ledger, item, offers, now, granted):
+def _plan_gang(ledger, item, offers, now, granted, quotas):
     """Yield one run for each task of a gang if all of them fit, and else none.
 
     The runs get the same number and resume from the same checkpoint: of the tasks'
@@ -160,6 +174,10 @@
     chosen = find_gang(list(offers.values()), step, need, group, granted)
     if chosen is None:
         return
+    if quotas is not None and not quotas.take(item, item.tasks, step.count):
+        for offer in chosen:
+            offer.release(need, group)
+        return
     latest_run = max(task.run for task in item.tasks)
     checkpoint = max(
         (task.checkpoint for task in item.tasks), key=lambda text: (len(text), text)
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -66,3 +66,19 @@
         "time=15 instance=n event=ends-missing executor=i-2 missing=2",
     ]
     assert collect_story([*others, *told], JOB) == told
+
+
+def test_the_story_tells_a_wait_for_the_quota_of_the_workspace():
+    """Also where the line names another job of the workspace, which waits before it."""
+    told = [
+        f"time=10 event=job-taken pool=p job={JOB} workspace=w inherited=0",
+        "time=11 event=quota-waiting pool=p job=ffffffffffffffff workspace=w",
+        f"time=12 event=quota-waiting pool=p job={JOB} workspace=w task=0.0.0",
+        "time=13 event=quota-changed pool=p workspace=w granted=cpu:2000m",
+        f"time=14 event=run-ordered pool=p job={JOB} task=0.0.0 run=1 executor=i-1",
+    ]
+    others = [
+        "time=11 event=quota-waiting pool=p job=ffffffffffffffff workspace=v",
+        "time=13 event=quota-changed pool=q workspace=w granted=cpu:2000m",
+    ]
+    assert collect_story([*others, *told], JOB) == told
