--- a/peridotspoke/workloads/quotarecords.py
+++ b/peridotspoke/workloads/quotarecords.py
@@ -87,7 +87,7 @@
     patience: float = 0.5
     reserved: float = 2.0
     open: float = 0.5
-    rewrite: float = 0.25
+    rewrite: float = 1.0
     settling: float = 3.0
 
     def is_reserved(self, waiting_since, wall):
