Judge waits in the quotas' model by the task that waits

Change: the wait counts anew once the first task of a pool's queue starts. A task that passes the first one doesn't end that one's wait.

--- a/peridotspoke/workloads/tests/quotamodel.py
+++ b/peridotspoke/workloads/tests/quotamodel.py
@@ -128,6 +128,8 @@
                 book.reserve(WORKSPACE, need)
                 self.world.start(self, need, duration)
                 free = subtract_needs(free, need)
+                if held is None:
+                    self.blocked_since = None  # the first one starts: another waits now
                 continue
             held = held or need
             count = count_fitting(free, need, 1)
