Check that the quotas' walks find a pool that hoards

Cause: no walk showed that the check of waits can fail.

Change: a walk with quotas that return nothing, which must fail by a wait.

--- a/peridotspoke/workloads/tests/test_quota_walks.py
+++ b/peridotspoke/workloads/tests/test_quota_walks.py
@@ -7,7 +7,7 @@
     walk,
     walk_returns,
 )
-from peridotspoke.workloads.tests.weakenedquotas import WEAKENINGS
+from peridotspoke.workloads.tests.weakenedquotas import WEAKENINGS, HoardingBook
 
 # A walk and the seeds with which it finds a safeguard that is missing.
 FINDERS = {
@@ -39,3 +39,9 @@
     with pytest.raises(QuotaBrokenError):
         for seed in seeds:
             run(seed, WEAKENINGS[name], **quiet)
+
+
+def test_walks_find_a_pool_that_keeps_what_it_does_not_use():
+    """Guards against a check of waits that no wait could fail."""
+    with pytest.raises(QuotaBrokenError, match="has waited"):
+        walk(0, {"book_class": HoardingBook})
--- a/peridotspoke/workloads/tests/weakenedquotas.py
+++ b/peridotspoke/workloads/tests/weakenedquotas.py
@@ -4,7 +4,7 @@
 from peridotspoke.workloads.quotas import QuotaBook
 from peridotspoke.workloads.workspacequota import WorkspaceQuota
 
-__all__ = ["WEAKENINGS"]
+__all__ = ["WEAKENINGS", "HoardingBook"]
 
 
 class LateDecreaseQuota(WorkspaceQuota):
@@ -26,6 +26,17 @@
         return granted
 
 
+class HoardingQuota(WorkspaceQuota):
+    """Returns nothing, however long others wait."""
+
+    def _choose_kept(self, now):
+        return combine_needs(max, self.use, self._row.granted)
+
+
+class HoardingBook(QuotaBook):
+    quota_class = HoardingQuota
+
+
 class LateDecreaseBook(QuotaBook):
     quota_class = LateDecreaseQuota
 
