--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -13,6 +13,7 @@
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.commits import TimedCommits
 from peridotspoke.nodes.predecessors import PublicationTimes
+from peridotspoke.nodes.quotas import QuotaRecords
 from peridotspoke.nodes.settings import NodeSettings
 from peridotspoke.nodes.view import StoreView
 from peridotspoke.workloads.returning import RefusedJobs
@@ -96,6 +97,8 @@
         Reads the configuration for callers that need a newer proof of it.
     workspace_labels : BoundedLabels
         The names of workspaces that metrics may show.
+    quotas : QuotaRecords
+        How the pools share the limits of workspaces.
     peers : tuple, optional
         Connections to the platform's services, closed as the node ends.
     """
@@ -120,6 +123,7 @@
     publication_times: PublicationTimes = field(default_factory=PublicationTimes)
     fresh_reads: object = None
     workspace_labels: BoundedLabels = field(default_factory=BoundedLabels)
+    quotas: QuotaRecords = field(default_factory=QuotaRecords)
     peers: tuple = ()
 
     async def close_connections(self):
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -27,15 +27,11 @@
     StartLost,
     StopAnswered,
 )
-from peridotspoke.nodes.poolevents import (
-    WaitingReport,
-    count_assigned,
-    describe_step,
-    format_fields,
-)
+from peridotspoke.nodes.poolevents import WaitingReport, describe_job, format_fields
 from peridotspoke.nodes.poolrecords import PoolRecords
 from peridotspoke.nodes.poolshares import SharedRounds
 from peridotspoke.nodes.predecessors import InheritedLeases
+from peridotspoke.nodes.quotas import PoolQuotas
 from peridotspoke.nodes.runcounters import count_run_event
 from peridotspoke.nodes.sessions import ExecutorSession, SessionRules
 from peridotspoke.nodes.tasksets import TaskSet, keep_running
@@ -95,7 +91,7 @@
         self._ledger.expect_lease_ends(holding.lease_ends)
         self._inherited_leases = InheritedLeases(node, holding, self._ledger)
         self._tickets = TicketCache(
-            node.advice, node.clock, self._tasks.spawn, self._find_advice_rules
+            node.advice, node.clock, self._tasks.spawn, node.view.find_advice
         )
         self._writer = ProgressWriter(
             node.commits, holding, self._revisions, node.chance, node.pause
@@ -107,6 +103,10 @@
             self._ledger, self._tickets.list_granted, node.metrics, self._log
         )
         self._shares = SharedRounds(node.view, self.pool, node.metrics, self._log)
+        wake = partial(self._queue.put_nowait, None)
+        self._quotas = PoolQuotas(
+            node, holding, jobs, self._ledger, self._tasks, self._log, wake
+        )
 
     @property
     def pool(self):
@@ -148,6 +148,7 @@
                 subscription.dispose()
             self._waiting.clear()
             self._shares.clear()
+            self._quotas.clear()
             self._tasks.cancel()
 
     def _log(self, event, **fields):
@@ -211,8 +212,7 @@
             for run in plan_evacuation(self._ledger, now):
                 self._ledger.stop_run(run, "the executor is leaving")
             if self._records.grants.allow_starts(now + self._rules.run_lease):
-                wall, shares = self._node.clock.read_wall(), self._shares.get()
-                plan_runs(self._ledger, now, wall, self._tickets.find, shares)
+                self._plan_runs(now)
             self._send_throttling(now)
         self._ledger.request_due_reports(now)
         self._update_sessions()
@@ -224,6 +224,12 @@
         self._records.remove_old_jobs(now)
         self._store_progress(now)
 
+    def _plan_runs(self, now):
+        wall, shares = self._node.clock.read_wall(), self._shares.get()
+        quotas = self._quotas.begin_round(now, wall)
+        plan_runs(self._ledger, now, wall, self._tickets.find, shares, quotas)
+        self._quotas.end_round(now, wall)
+
     def _apply_changes(self):
         view = self._node.view
         now = self._node.clock.read_monotonic()
@@ -257,12 +263,9 @@
             )
             self._log(
                 "job-taken",
-                job=job_id,
                 revision=job_view.revision,
                 progress=self._revisions[job_id],
-                queue=job_view.job.queue,
-                inherited=count_assigned(progress),
-                steps=" ".join(describe_step(step) for step in job_view.job.steps),
+                **describe_job(progress),
             )
             self._ledger.add_job(progress)
             self._records.record_arrival(job_view.job)
@@ -328,12 +331,6 @@
                 stop = session[0].stop(command.order, self._ledger.is_stop_due)
                 self._tasks.spawn_once(task_name, stop)
 
-    def _find_advice_rules(self, queue_name):
-        queues = self._node.view.configuration.queues
-        return next(
-            (queue.advice for queue in queues if queue.name == queue_name), None
-        )
-
     def _send_throttling(self, now):
         for run, share in plan_throttling(self._ledger, now):
             session = self._sessions.get(run.executor_id)
--- a/peridotspoke/nodes/view.py
+++ b/peridotspoke/nodes/view.py
@@ -222,6 +222,13 @@
             decoded = record and (_decode_statement(record), record.revision)
             _set_or_remove(self.statements, name, decoded)
 
+    def find_advice(self, queue_name):
+        """Return the `Advice` of a configured queue, or None if it has none."""
+        queues = self.configuration.queues
+        return next(
+            (queue.advice for queue in queues if queue.name == queue_name), None
+        )
+
     def find_waiting(self, pool, now):
         """Return the counts published by a pool's current owner, and their age.
 
