--- /dev/null
+++ b/peridotspoke/platform/tests/smallnode.py
@@ -0,0 +1,161 @@
+"""A node process with low limits, on stand-ins for the platform, and its measures."""
+
+import asyncio
+import contextlib
+import os
+import resource
+import subprocess
+import sys
+
+import aiohttp
+import psutil
+
+from peridotspoke.platform.standins import ExecutorStandIn, serve_standin
+from peridotspoke.platform.storestandin import MetadataStandIn
+from peridotspoke.platform.tests.platforms import CONFIG, call
+
+__all__ = ["DESCRIPTORS", "MEMORY", "SmallNode"]
+
+MEMORY = 100  # MB, limits.memoryMb
+DESCRIPTORS = 400  # limits.maxFds where the crowd is to use memory
+SAMPLE_INTERVAL = 0.02  # seconds
+HANG_LIMIT = 30  # seconds after which a node counts as hanging
+ONE_STEP = [{"count": 1, "cpu": 500}]
+SETTINGS = """\
+node=small
+zone=zone
+heartbeatMs=1500
+limits.memoryMb={memory}
+limits.maxFds={descriptors}
+listen.front={host}:8624
+listen.ready={host}:8622
+platform.address={store}
+"""
+
+
+class SmallNode:
+    """A node process and the platform that it uses.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Gets the settings and the output of the process.
+    descriptors : int, optional
+    output : int, optional
+        Descriptor that becomes the process's standard output, instead of a file.
+
+    Attributes
+    ----------
+    process : subprocess.Popen
+    most_memory : int
+        Highest resident memory that was seen, bytes.
+    most_descriptors : int
+        Highest number of open descriptors that was seen.
+    """
+
+    def __init__(self, folder, descriptors=DESCRIPTORS, output=None):
+        self.folder, self.descriptors, self.output = folder, descriptors, output
+        self.most_memory = self.most_descriptors = self.first_memory = 0
+        self.process, self._runners, self._sampling = None, [], None
+        self._host = f"127.{os.getpid() % 200 + 10}.{os.getpid() // 200 % 250}.201"
+
+    async def __aenter__(self):
+        store, executor = MetadataStandIn(), ExecutorStandIn("i-0", "pool")
+        store.put("op/config", CONFIG)
+        executor.address = await self._serve(executor.handle)
+        store.put("servers/i-0", executor.describe())
+        settings = SETTINGS.format(
+            memory=MEMORY,
+            descriptors=self.descriptors,
+            host=self._host,
+            store=await self._serve(store.handle),
+        )
+        (self.folder / "node.conf").write_text(settings, encoding="utf-8")
+        self._start()
+        await self.call_ordinarily(1)
+        self._sampling = asyncio.ensure_future(self._sample())
+        return self
+
+    async def _serve(self, handler):
+        runner, address = await serve_standin(handler)
+        self._runners.append(runner)
+        return address
+
+    def _start(self):
+        limit = (self.descriptors, self.descriptors)
+        with (
+            open(self.folder / "out", "wb") as out,
+            open(self.folder / "err", "wb") as err,
+        ):
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", "-m", "peridotspoke.programs.node"],
+                env=os.environ
+                | {"PERIDOTSPOKE_NODE_FILE": str(self.folder / "node.conf")},
+                stdout=out if self.output is None else self.output,
+                stderr=err,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limit),
+            )
+
+    async def _sample(self):
+        watched = psutil.Process(self.process.pid)
+        self.first_memory = watched.memory_info().rss
+        with contextlib.suppress(psutil.Error):
+            while True:
+                memory = watched.memory_info().rss
+                self.most_memory = max(self.most_memory, memory)
+                opened = watched.num_fds()
+                self.most_descriptors = max(self.most_descriptors, opened)
+                await asyncio.sleep(SAMPLE_INTERVAL)
+
+    async def call_ordinarily(self, number):
+        """Submit a small job until the node accepts it.
+
+        Raises
+        ------
+        TimeoutError
+            If it isn't accepted within `HANG_LIMIT`.
+        """
+        async with asyncio.timeout(HANG_LIMIT):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    status, _ = await call(
+                        f"{self._host}:8624", "POST", f"{number:016x}", ONE_STEP
+                    )
+                    if status == 200:
+                        return
+                await asyncio.sleep(0.2)
+
+    @contextlib.asynccontextmanager
+    async def meet(self, kind):
+        """Let a crowd send, and keep its connections open inside the block."""
+        crowd = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-B",
+            "-m",
+            "peridotspoke.platform.tests.outsidecallers",
+            kind,
+            self._host,
+            "8624",
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
+        try:
+            async with asyncio.timeout(2 * HANG_LIMIT):
+                assert await crowd.stdout.readline() == b"sent\n"
+            yield
+        finally:
+            crowd.kill()
+            await crowd.wait()
+
+    def measure_output(self):
+        """Return the size of standard output and error together, bytes."""
+        return sum((self.folder / name).stat().st_size for name in ("out", "err"))
+
+    async def __aexit__(self, *_):
+        if self._sampling is not None:
+            self._sampling.cancel()
+        self.process.kill()
+        self.process.wait()
+        for runner in self._runners:
+            await runner.cleanup()
