Bound what callers' connections hold, and log what libraries say

Cause: the callers' server had no limit on heads as a whole, on the memory of all connections, on their number and on the time in which a request arrives. Each message of aiohttp and asyncio went to standard error with its traceback, each wrong request is an essential log line, and each line to a reader that has left was a traceback.

Change: platform/callerbudget.py decides, without I/O, which connections give way and which are overdue; platform/callerserver.py applies it to aiohttp's server. The limits follow from the memory and the descriptors of the instance, or from `callers.*` of the settings file. A body is read only once the handler asks for it. One log line in 10 s sums up the refusals. librarylogs.py passes library messages to the bounded log, one line for each kind in 10 s. The log sink limits the lines about wrong requests, and a reader that leaves costs one line and a counter. A body larger than the configuration allows gets 413 before it is read, instead of 400 after.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -12,6 +12,10 @@
 __all__ = ["BoundedSink", "SinkRules"]
 
 WARNING = 30  # number of loguru's level WARNING
+STANDARD_ERROR = 2  # descriptor
+LOST_EVENT = "log-reader-lost"
+# Outcomes of requests that are wrong in themselves: any caller can cause any number.
+CALLER_FAULTS = ("outcome=Invalid", "outcome=UnknownJob")
 OWNERSHIP_EVENTS = (
     "ownership-gained",
     "ownership-lost",
@@ -73,6 +77,11 @@
         Events whose lines are essential and thus not limited by the rate.
     essential_mark : str
         A field and its value; lines that have it are essential whatever the event.
+    fault_rate : float
+        Lines per second about requests that are wrong in themselves; further ones are
+        left out, also where they are essential.
+    fault_burst : float
+        Such lines at once after a pause.
     notice_interval : float
         Least time between two notices of lines that were left out, seconds.
     """
@@ -85,6 +94,8 @@
         OWNERSHIP_EVENTS + RUN_EVENTS + EXECUTOR_EVENTS
     )
     essential_mark: str = " lasting=True"
+    fault_rate: float = 5.0
+    fault_burst: float = 50.0
     notice_interval: float = 1.0
 
 
@@ -96,6 +107,9 @@
     While the buffer is full, each essential line takes the place of the oldest ordinary
     line that waits. The lines that remain keep their order.
 
+    Once the reader has closed the descriptor, one line on standard error says so, and
+    all lines are left out.
+
     Parameters
     ----------
     descriptor : int
@@ -116,6 +130,8 @@
         self._rules = rules
         now = clock.read_monotonic()
         self._bucket = TokenBucket(rules.rate, rules.burst, now)
+        self._fault_bucket = TokenBucket(rules.fault_rate, rules.fault_burst, now)
+        self._is_reader_lost = False
         self._essential = deque()
         self._ordinary = deque()
         self._unwritten = b""
@@ -144,6 +160,9 @@
         event = _find_event(text)
         essential = level >= WARNING or self._is_essential(event, text)
         now = self._clock.read_monotonic()
+        if self._is_reader_lost or not self._may_tell(event, text, now):
+            self._leave_out(line, event, essential)
+            return
         room = self._rules.most_waiting + (self._rules.reserve if essential else 0)
         is_stuck = self._count_waiting() >= room and not self._flush(now)
         has_room = self._count_waiting() < room
@@ -179,6 +198,28 @@
                 if left <= 0 or not poll.poll(left * 1000):
                     return
 
+    def _may_tell(self, event, text, now):
+        """Return whether the limit on lines about wrong requests allows a line."""
+        is_fault = event.startswith("job-") and any(
+            fault in text for fault in CALLER_FAULTS
+        )
+        return not is_fault or self._fault_bucket.take(now)
+
+    def _lose_reader(self):
+        """Leave out what waits and all that follows; say so once."""
+        self._is_reader_lost = True
+        self._unwritten = b""
+        for queue, is_essential in ((self._essential, True), (self._ordinary, False)):
+            while queue:
+                _, line, event = queue.popleft()
+                self._leave_out(line, event, is_essential)
+        self._leave_out("", LOST_EVENT, essential=False)
+        poll = select.poll()
+        poll.register(STANDARD_ERROR, select.POLLOUT)
+        if poll.poll(0):  # else writing might block the process
+            with suppress(OSError):
+                os.write(STANDARD_ERROR, f"level=WARNING event={LOST_EVENT}\n".encode())
+
     def _count_waiting(self):
         return len(self._essential) + len(self._ordinary)
 
@@ -205,7 +246,10 @@
         while self._unwritten or self._prepare_next(now):
             try:
                 written = os.write(self._descriptor, self._unwritten)
-            except BlockingIOError:
+            except BrokenPipeError:
+                self._lose_reader()
+                return True
+            except OSError:  # also a full disk: what waits is written later
                 return False
             self._unwritten = self._unwritten[written:]
         return True
--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -22,6 +22,7 @@
 
 __all__ = ["JobRequestHandler"]
 
+DEFAULT_BODY_SIZE = 262_144  # bytes, while there is no configuration
 MAX_DEMAND_AGE = 5.0  # seconds; a change of the pool's owner takes less
 
 
@@ -47,6 +48,14 @@
         """Return whether this node has a configuration and can reach the store."""
         return self._node.view.configuration is not None and self._node.has_store()
 
+    @property
+    def max_body_size(self):
+        """Largest body of a submission, in bytes."""
+        configuration = self._node.view.configuration
+        return (
+            DEFAULT_BODY_SIZE if configuration is None else configuration.max_body_size
+        )
+
     async def submit(self, host, path, body):
         """Store a job, and measure how long that took.
 
--- a/peridotspoke/nodes/reloading.py
+++ b/peridotspoke/nodes/reloading.py
@@ -10,7 +10,19 @@
 
 POLL_INTERVAL = 2.0  # seconds between two reads of the settings file
 # Settings whose change takes effect only after a restart.
-RESTART_SETTINGS = frozenset({"name", "zone", "front", "ready", "metrics", "store"})
+RESTART_SETTINGS = frozenset(
+    {
+        "name",
+        "zone",
+        "front",
+        "ready",
+        "metrics",
+        "store",
+        "memory",
+        "descriptors",
+        "callers",
+    }
+)
 
 
 class SettingsReload:
--- a/peridotspoke/nodes/settings.py
+++ b/peridotspoke/nodes/settings.py
@@ -6,6 +6,7 @@
     "DEFAULT_LINK",
     "DEFAULT_PROCESSORS",
     "Bounds",
+    "CallerSettings",
     "NodeSettings",
     "Timing",
 ]
@@ -61,6 +62,34 @@
     revocation: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """Limits on callers' connections.
+
+    Parameters
+    ----------
+    memory : float
+        Memory that they may hold together, in MB; 0 to derive it from the memory of
+        the instance.
+    connections : int
+        How many may be open at once; 0 to derive it from the file descriptors.
+    arrival : float
+        Seconds in which a head or a body has to arrive, beside the time at `rate`.
+    rate : float
+        Bytes per second that a caller is expected to send at least. The default is a
+        link of 5 Mbit/s that 300 callers share.
+    pause : float
+        Longest time, in seconds, between two pieces of a body, and for which a
+        response is not read.
+    """
+
+    memory: float = 0.0
+    connections: int = 0
+    arrival: float = 10.0
+    rate: float = 2000.0
+    pause: float = 20.0
+
+
 @dataclass(frozen=True, slots=True)
 class Timing:
     """The node's own durations and timeouts, in seconds.
@@ -129,6 +158,7 @@
         File descriptors that the process may have open.
     bounds : Bounds
     timing : Timing
+    callers : CallerSettings
     """
 
     name: str
@@ -149,6 +179,7 @@
     descriptors: int = 4100
     bounds: Bounds = field(default_factory=Bounds)
     timing: Timing = field(default_factory=Timing)
+    callers: CallerSettings = field(default_factory=CallerSettings)
 
     @property
     def run_lease(self):
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -1,12 +1,15 @@
 """HTTP server for callers, the load balancer's readiness check and the metrics."""
 
 import math
+import socket
 
 import msgspec
 from aiohttp import web
 
 from peridotspoke.logs import log_event
+from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes import jobanswers
+from peridotspoke.platform.callerserver import BoundedServer, CallerRefusedError
 from peridotspoke.platform.submissions import encode_state, encode_waiting
 
 __all__ = ["Ingress"]
@@ -16,6 +19,9 @@
 KEEPALIVE_TIMEOUT = 75.0  # seconds until an idle connection is closed
 SHUTDOWN_TIMEOUT = 2.0  # seconds that open requests have when the server closes
 ACCEPT_BACKLOG = 512  # connections that wait to be accepted
+# Connections that the event loop accepts together; each takes a descriptor before the
+# limit on connections sees it.
+ACCEPTED_TOGETHER = 8
 
 
 class Ingress:
@@ -29,21 +35,31 @@
         Handles callers' requests.
     render_metrics : callable
         Returns the metrics as bytes of text; takes no arguments.
+    metrics : MetricsRegistry, optional
+        Gets the metrics of callers' connections.
     """
 
-    def __init__(self, settings, job_handler, render_metrics):
+    def __init__(self, settings, job_handler, render_metrics, metrics=None):
         self._settings = settings
         self._job_handler = job_handler
         self._render_metrics = render_metrics
+        self._metrics = metrics or MetricsRegistry()
+        self._callers = None
         self._runners = []
         self._is_draining = False
 
     async def open(self):
         """Listen on the addresses for callers, readiness and, if set, metrics."""
-        await self._listen(self._settings.front, self._handle_front)
-        await self._listen(self._settings.ready, self._handle_ready)
+        options = {"access_log": None, "keepalive_timeout": KEEPALIVE_TIMEOUT}
+        self._callers = BoundedServer(
+            self._handle_front, self._settings, self._metrics, **options
+        )
+        await self._listen(self._settings.front, self._callers)
+        ready = web.Server(self._handle_ready, **options)
+        await self._listen(self._settings.ready, ready)
         if self._settings.metrics:
-            await self._listen(self._settings.metrics, self._handle_metrics)
+            metrics = web.Server(self._handle_metrics, **options)
+            await self._listen(self._settings.metrics, metrics)
 
     @property
     def addresses(self):
@@ -64,17 +80,14 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    async def _listen(self, address, handler):
+    async def _listen(self, address, server):
         host, _, port = address.rpartition(":")
-        server = web.Server(
-            handler, access_log=None, keepalive_timeout=KEEPALIVE_TIMEOUT
-        )
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT)
         await runner.setup()
-        site = web.TCPSite(
-            runner, host, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True
-        )
+        listener = socket.create_server((host, int(port)), family=_find_family(host))
+        site = web.SockSite(runner, listener, backlog=ACCEPTED_TOGETHER)
         await site.start()
+        listener.listen(ACCEPT_BACKLOG)  # the event loop has set ACCEPTED_TOGETHER
         self._runners.append(runner)
 
     async def _handle_ready(self, request):
@@ -89,6 +102,8 @@
     async def _handle_front(self, request):
         try:
             response = await self._dispatch(request)
+        except CallerRefusedError as error:
+            response = error.make_response()
         except web.HTTPException as error:
             response = _make_response(error.status, {"error": error.reason})
         except Exception as error:
@@ -101,7 +116,9 @@
     async def _dispatch(self, request):
         host = request.headers.get("Host", "").partition(":")[0]
         if request.method == "POST":
-            body = await request.read()
+            body = await self._callers.read_body(
+                request, self._job_handler.max_body_size
+            )
             return _make_job_response(
                 await self._job_handler.submit(host, request.path, body), 404
             )
@@ -116,6 +133,10 @@
         return _make_response(405, {"error": "expected POST, GET or DELETE"})
 
 
+def _find_family(host):
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
 def _make_job_response(answer, unknown_status):
     """Return the HTTP response for a result of `JobRequestHandler`.
 
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from peridotspoke.exceptions import SettingsError
-from peridotspoke.nodes.settings import Bounds, NodeSettings
+from peridotspoke.nodes.settings import Bounds, CallerSettings, NodeSettings
 
 __all__ = ["SETTINGS_VARIABLE", "parse_settings", "read_settings_file"]
 
@@ -27,6 +27,14 @@
     "holder_change": ("bounds.leaseMs", SECONDS_PER_MS),
     "rollout": ("bounds.configMs", SECONDS_PER_MS),
 }
+# Each field of CallerSettings, as for BOUND_FIELDS.
+CALLER_FIELDS = {
+    "memory": ("callers.memoryMb", 1.0),
+    "connections": ("callers.maxConnections", 1.0),
+    "arrival": ("callers.arrivalMs", SECONDS_PER_MS),
+    "rate": ("callers.bytesPerS", 1.0),
+    "pause": ("callers.pauseMs", SECONDS_PER_MS),
+}
 REVOCATION_FIELDS = {"revocation": ("bounds.revokeMs", SECONDS_PER_MS)}
 # Each numeric field of NodeSettings, with its key and the factor for its value.
 NUMBER_FIELDS = {
@@ -101,6 +109,7 @@
     numbers |= _read_processors(values, errors)
     numbers |= _read_descriptors(values, errors)
     bounds |= _read_revocation(values, errors)
+    callers = _read_callers(values, errors)
     if errors:
         raise SettingsError("; ".join(errors), step="read settings")
     host = values["listen.ready"].rpartition(":")[0]
@@ -114,6 +123,7 @@
         machines=values.get("cloud.address", ""),
         advice=values.get("advice", ""),
         bounds=Bounds(**bounds),
+        callers=CallerSettings(**callers),
         **numbers,
     )
 
@@ -148,6 +158,17 @@
     return {name: int(number) for name, number in numbers.items()}
 
 
+def _read_callers(values, errors):
+    numbers = _read_numbers(values, CALLER_FIELDS, errors)
+    if "connections" in numbers:
+        numbers["connections"] = int(numbers["connections"])
+    for name in ("arrival", "rate", "pause"):
+        if numbers.get(name, 1.0) <= 0:
+            key = CALLER_FIELDS[name][0]
+            errors.append(f"expected a number above 0 for {key}, found {values[key]!r}")
+    return numbers
+
+
 def _read_revocation(values, errors):
     """Return the bound of revocations, which holds only where it is strict."""
     if values.get("bounds.strictRevoke", "").lower() != "true":
--- a/peridotspoke/programs/node.py
+++ b/peridotspoke/programs/node.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from peridotspoke.exceptions import SettingsError
+from peridotspoke.librarylogs import capture_library_logs
 from peridotspoke.logs import configure_logs, log_event
 from peridotspoke.logsink import BoundedSink
 from peridotspoke.nodes.jobrequests import JobRequestHandler
@@ -25,15 +26,16 @@
 LOG_LIMIT = 0.2  # seconds for which the end waits for the reader of the log
 
 
-async def _run(settings, sink):
+async def _run(settings, sink, library_logs):
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
     parts, node = assemble_node(settings)
     sink.on_left_out = partial(_count_left_out, parts.metrics)
+    library_logs.on_message = partial(_count_library_message, parts.metrics)
     job_handler = JobRequestHandler(parts, decode_submission)
-    ingress = Ingress(settings, job_handler, parts.metrics.render)
+    ingress = Ingress(settings, job_handler, parts.metrics.render, parts.metrics)
     await ingress.open()
     node.start()
     reload = SettingsReload(parts, read_settings_file)
@@ -55,6 +57,10 @@
     metrics.count("log_lines_left_out", event=event)
 
 
+def _count_library_message(metrics, name):
+    metrics.count("library_messages", logger=name)
+
+
 def main():
     """Run the node until SIGTERM or SIGINT.
 
@@ -68,8 +74,9 @@
         sys.exit(EXIT_USAGE)
     sink = BoundedSink(sys.stdout.fileno(), BoottimeClock())
     configure_logs("node", settings.name, stream=sink)
+    library_logs = capture_library_logs(BoottimeClock())
     try:
-        asyncio.run(_run(settings, sink))
+        asyncio.run(_run(settings, sink, library_logs))
     finally:
         sink.finish(LOG_LIMIT)
 
