Serve the documented load within the limits on callers, and document them

Cause: with 200 MB of memory the first defaults refused some of 300 bodies of the largest size, since a body whose end came in one read counted as an unfinished head as well. 1,200 callers with chunked bodies took 225 MB of 200, since all connections are read before the first handler runs, and since bodies that grow side by side leave gaps in the heap. 300 bodies of one-byte chunks stopped the event loop. Beside a load of other tests 200 callers with unread responses took all 400 descriptors, as each request that waits for the store takes a connection to it.

Change: a body is kept in blocks of one size, connections share the memory for reads, bodies of small chunks are read by turns, and requests are carried out by turns, as many as the descriptors allow. The memory's default is nine tenths of what the instance has above 80 MB, from 8 to 160 MB.

--- a/peridotspoke/platform/callerbudget.py
+++ b/peridotspoke/platform/callerbudget.py
@@ -18,13 +18,20 @@
 ]
 
 BYTES_PER_MB = 1_000_000
-PROCESS_MEMORY = 100  # MB; a node process takes some 50 MB before its first caller
-CALLER_SHARE = 0.8  # of the memory above PROCESS_MEMORY
+PROCESS_MEMORY = 80  # MB; a node process takes some 50 MB before its first caller
+CALLER_SHARE = 0.9  # of the memory above PROCESS_MEMORY
 LEAST_MEMORY = 8  # MB
-# Descriptors that callers don't get: for the store, the executors and the log, and for
-# the connections that the event loop accepts together before it passes on the first.
-RESERVED_SHARE = 0.25
+# MB; 300 of the largest bodies take 90 MB, and a process that holds more than it needs
+# leaves less room for what the memory allocator can't reuse.
+MOST_MEMORY = 160
+# Descriptors for the executors, the watches of the store and the log, and for the
+# connections that the event loop accepts together before it passes on the first.
+RESERVED_SHARE = 0.125
 LEAST_RESERVED = 64
+HANDLED_SHARE = 1 / 12  # requests handled at once, for each descriptor
+# Connections to the store for each request handled at once: those of calls without a
+# response stay open for a few more seconds while later calls open others.
+STORE_CONNECTIONS = 4
 LEAST_CONNECTIONS = 16
 CONNECTION_COST = 16_384  # bytes that a connection takes without a request
 UNFINISHED_SHARE = 0.875  # share of the memory that heads and bodies fill at most
@@ -55,6 +62,8 @@
         Bytes that callers' connections and requests may hold together.
     connections : int
         Connections that callers may have open together.
+    handled : int
+        Requests that are handled at once; further ones wait.
     arrival : float
         Seconds in which a head or a body has to arrive, beside the time at `rate`.
     rate : float
@@ -66,6 +75,7 @@
 
     memory: int
     connections: int
+    handled: int
     arrival: float
     rate: float
     pause: float
@@ -86,18 +96,20 @@
     >>> from peridotspoke.nodes.settings import NodeSettings
     >>> node = NodeSettings("n", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
     >>> limits = derive_limits(node, 4100)
-    >>> limits.memory, limits.connections
-    (160000000, 3075)
+    >>> limits.memory, limits.connections, limits.handled
+    (160000000, 2224, 341)
     """
     callers = settings.callers
-    derived_memory = max(
-        LEAST_MEMORY, CALLER_SHARE * (settings.memory - PROCESS_MEMORY)
-    )
+    memory = CALLER_SHARE * (settings.memory - PROCESS_MEMORY)
+    derived_memory = min(max(LEAST_MEMORY, memory), MOST_MEMORY)
     reserved = max(LEAST_RESERVED, int(RESERVED_SHARE * descriptors))
+    handled = max(1, int(HANDLED_SHARE * descriptors))
+    reserved += STORE_CONNECTIONS * handled
     derived_connections = max(LEAST_CONNECTIONS, descriptors - reserved)
     return CallerLimits(
         int((callers.memory or derived_memory) * BYTES_PER_MB),
         callers.connections or derived_connections,
+        handled,
         callers.arrival,
         callers.rate,
         callers.pause,
--- a/peridotspoke/platform/callerserver.py
+++ b/peridotspoke/platform/callerserver.py
@@ -25,12 +25,21 @@
 
 __all__ = ["BoundedServer", "CallerRefusedError"]
 
-READ_SIZE = 16_384  # bytes read from a connection at once
+READ_SIZE = 4096  # bytes read at once from a connection whose body isn't asked for
+# Bytes of a body read at once: larger reads take less processor time. All connections
+# may be read before the first of their handlers runs, so they share `READ_MEMORY`.
+BODY_READ_SIZE = 65_536
+READ_MEMORY = 8_000_000
+BLOCK_SIZE = 16_384  # bytes; blocks of one size leave no gaps in memory that is freed
+# A body in chunks is read in small pieces, and only one such body after another, while
+# it takes more bytes on the wire than this factor: a chunk of one byte takes as long to
+# parse as a large one, and hundreds of reads full of them stop the event loop.
+WASTEFUL_FACTOR = 2
 MAX_HEAD = 65_536  # bytes of a head, empty lines before it included
 # Memory for each byte of a head: the library keeps it raw and decoded.
 HEAD_COST = 3
 MESSAGE_COST = 4096  # bytes of memory for a request beside its head and body
-BODY_COST = 1.25  # memory for each byte of a body; its buffer grows in advance
+BODY_COST = 1.0625  # memory for each byte of a body, with its blocks' overhead
 WRITE_BUFFER = 16_384  # bytes of a response that wait for their caller
 LINGERING_TIME = 2.0  # seconds for which the rest of a refused body is discarded
 SWEEP_INTERVAL = 1.0  # seconds between checks for overdue callers
@@ -78,12 +87,19 @@
     metrics : MetricsRegistry
     **options
         Those of `web.Server`.
+
+    Attributes
+    ----------
+    budget : CallerBudget
+    turn : asyncio.Semaphore
+        The handler enters it while it carries out a request, not while a body arrives.
+        Each request carried out may take a connection to the store.
     """
 
     def __init__(self, handler, settings, metrics, **options):
         super().__init__(
             self._handle,
-            read_bufsize=READ_SIZE,
+            read_bufsize=BODY_READ_SIZE,
             lingering_time=LINGERING_TIME,
             **options,
         )
@@ -92,11 +108,13 @@
             descriptors = settings.descriptors
         limits = derive_limits(settings, min(descriptors, settings.descriptors))
         self.budget = CallerBudget(limits)
+        self.turn = asyncio.Semaphore(limits.handled)
         self._handler = handler
         self._metrics = metrics
         self._connection_of = {}
         self._refusals = Counter()
         self._noticed_at = self._scanned_at = float("-inf")
+        self.wasteful_turn = asyncio.Lock()
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL, self._sweep)
 
     def __call__(self):
@@ -122,6 +140,11 @@
             raise CallerRefusedError(413, f"the body has more than {max_size} bytes")
         return await request.protocol.read_body(request, declared, max_size)
 
+    def choose_read_size(self):
+        """Return how many bytes of a body to read at once."""
+        share = READ_MEMORY // max(len(self.budget), 1)
+        return min(max(share, READ_SIZE), BODY_READ_SIZE)
+
     def count_refusal(self, limit):
         """Count a caller that was refused or closed because of a limit.
 
@@ -206,15 +229,18 @@
     """
 
     __slots__ = (
+        "_behind_size",
         "_body_size",
         "_body_timeout",
         "_caller",
         "_dismissed_for",
         "_head_size",
         "_is_held_back",
+        "_is_wasteful",
         "_last_payload",
         "_message_cost",
         "_server",
+        "_wire_size",
     )
 
     def __init__(self, server, **options):
@@ -225,13 +251,14 @@
         self._body_timeout = None
         self._last_payload = None
         self._is_held_back = False
-        self._head_size = self._body_size = self._message_cost = 0
+        self._head_size = self._body_size = 0
+        self._message_cost = self._behind_size = self._wire_size = 0
+        self._is_wasteful = False
 
     def connection_made(self, transport):
         super().connection_made(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER)
-        with suppress(AttributeError):  # other event loops have no such attribute
-            transport.max_size = READ_SIZE
+        self._set_read_size(READ_SIZE)
         self._caller = self._server.add(self)
         self._server.make_room(self._caller)
 
@@ -249,13 +276,17 @@
 
     def data_received(self, data):
         previous = self._request_count
+        was_in_body = self._is_in_body()
         super().data_received(data)
         if self._force_close or self._caller.phase is Phase.LEAVING:
             return
         count = self._request_count - previous
+        self._wire_size += len(data)
+        if self._is_wasteful:
+            self._hold_back()
         if count:
             self._count_messages(count)
-        elif data and not self._is_in_body():
+        elif data and not was_in_body:
             self._count_head(len(data))
 
     def _is_in_body(self):
@@ -293,12 +324,12 @@
         if caller.phase in {Phase.IDLE, Phase.HEAD}:
             budget.enter(caller, Phase.BUSY, self._loop.time())
         if waiting > 1 or self._is_in_body():
-            self._message_cost += READ_SIZE
+            self._behind_size = READ_SIZE
             self._hold_back()
         self._report()
 
     def _report(self):
-        size = HEAD_COST * self._head_size + self._message_cost
+        size = HEAD_COST * self._head_size + self._message_cost + self._behind_size
         size += int(BODY_COST * self._body_size)
         self._server.budget.hold(self._caller, size)
         self._server.relieve(self._caller)
@@ -310,10 +341,13 @@
             raise CallerRefusedError(503, NOT_ACCEPTED)
         if not request.content.is_eof():
             budget.enter(caller, Phase.BODY, self._loop.time(), declared)
+            if "Transfer-Encoding" not in request.headers:
+                self._set_read_size(self._server.choose_read_size())
+            self._wire_size = 0
             self._release_reading()
         try:
             async with asyncio.timeout(None) as self._body_timeout:
-                return await self._collect_body(request.content, max_size)
+                return await self._collect_body(request, max_size)
         except TimeoutError:
             raise _make_dismissal(self._dismissed_for) from None
         except BODY_ERRORS as error:
@@ -322,21 +356,36 @@
             raise CallerRefusedError(400, f"the body is incomplete: {reason}") from None
         finally:
             self._body_timeout = None
+            self._is_wasteful = False
+            self._set_read_size(READ_SIZE)
             if caller.phase is Phase.BODY:
                 budget.enter(caller, Phase.BUSY, self._loop.time())
 
-    async def _collect_body(self, content, max_size):
-        body = bytearray()
+    async def _collect_body(self, request, max_size):
+        body = _BodyBuffer()
         while True:
-            piece = await content.readany()
+            piece = await request.content.readany()
             if not piece:
-                return bytes(body)
-            body += piece
-            if len(body) > max_size:
+                return body.join()
+            body.add(piece)
+            if body.size > max_size:
                 self._refuse_size(max_size)
             now = self._loop.time()
             self._server.budget.add_arrived(self._caller, len(piece), now)
-            self._set_body_size(len(body))
+            self._set_body_size(body.size)
+            if "Transfer-Encoding" in request.headers:
+                await self._pace_chunks(body.size)
+
+    async def _pace_chunks(self, size):
+        """Wait for a turn if the body so far is made of small chunks."""
+        self._is_wasteful = self._wire_size > WASTEFUL_FACTOR * (size + READ_SIZE)
+        if not self._is_wasteful:
+            self._set_read_size(self._server.choose_read_size())
+            return
+        self._set_read_size(READ_SIZE)
+        async with self._server.wasteful_turn:
+            self._release_reading()
+            await asyncio.sleep(0)
 
     def _refuse_size(self, max_size):
         self._server.count_refusal("body-size")
@@ -358,8 +407,8 @@
             self._server.budget.add_arrived(self._caller, self._head_size, now)
         else:
             self._server.budget.enter(self._caller, Phase.IDLE, now)
-        self._report()
         self._release_reading()
+        self._report()
 
     def dismiss(self, limit):
         """Close the connection, or refuse the request whose body arrives."""
@@ -374,6 +423,10 @@
             self.transport.abort()  # closing it would wait for the caller to read
         self.force_close()
 
+    def _set_read_size(self, size):
+        with suppress(AttributeError):  # other event loops have no such attribute
+            self.transport.max_size = size
+
     def _hold_back(self):
         self._is_held_back = True
         self._pause_transport_reading()
@@ -381,6 +434,7 @@
     def _release_reading(self):
         if self._is_held_back:
             self._is_held_back = False
+            self._behind_size = 0
             if not self._reading_paused and not self._buffer_paused:
                 self._resume_transport_reading()
 
@@ -417,6 +471,26 @@
             log_event("request-failed", "ERROR", step=args[0], error=repr(error))
 
 
+class _BodyBuffer:
+    """The pieces of a body, in blocks of `BLOCK_SIZE`."""
+
+    def __init__(self):
+        self.size = 0
+        self._blocks = []
+        self._rest = bytearray()
+
+    def add(self, piece):
+        self.size += len(piece)
+        self._rest += piece
+        while len(self._rest) >= BLOCK_SIZE:
+            self._blocks.append(bytes(self._rest[:BLOCK_SIZE]))
+            del self._rest[:BLOCK_SIZE]
+
+    def join(self):
+        """Return the body as bytes."""
+        return b"".join([*self._blocks, self._rest])
+
+
 def _make_dismissal(limit):
     if limit == "body":
         return CallerRefusedError(408, f"the body arrives too slowly, {NOT_ACCEPTED}")
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -114,11 +114,17 @@
         return response
 
     async def _dispatch(self, request):
-        host = request.headers.get("Host", "").partition(":")[0]
+        body = b""
         if request.method == "POST":
             body = await self._callers.read_body(
                 request, self._job_handler.max_body_size
             )
+        async with self._callers.turn:
+            return await self._carry_out(request, body)
+
+    async def _carry_out(self, request, body):
+        host = request.headers.get("Host", "").partition(":")[0]
+        if request.method == "POST":
             return _make_job_response(
                 await self._job_handler.submit(host, request.path, body), 404
             )
--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -7,7 +7,7 @@
 from peridotspoke.exceptions import SettingsError
 from peridotspoke.nodes.settings import Bounds, CallerSettings, NodeSettings
 
-__all__ = ["SETTINGS_VARIABLE", "parse_settings", "read_settings_file"]
+__all__ = ["CALLER_FIELDS", "SETTINGS_VARIABLE", "parse_settings", "read_settings_file"]
 
 SETTINGS_VARIABLE = "PERIDOTSPOKE_NODE_FILE"
 METRICS_PORT = 7060  # as in deploy/system.toml
--- a/peridotspoke/platform/tests/test_settings.py
+++ b/peridotspoke/platform/tests/test_settings.py
@@ -70,3 +70,15 @@
     """The message has the path."""
     with pytest.raises(SettingsError, match="absent"):
         read_settings_file(str(tmp_path / "absent"))
+
+
+def test_limits_of_callers_are_read_and_checked():
+    """A rate of 0 would end the process at the first check of a deadline."""
+    text = (
+        SETTINGS_TEXT
+        + "callers.memoryMb=12\ncallers.maxConnections=40\ncallers.pauseMs=500\n"
+    )
+    callers = parse_settings(text).callers
+    assert (callers.memory, callers.connections, callers.pause) == (12.0, 40, 0.5)
+    with pytest.raises(SettingsError, match=r"above 0 for callers\.bytesPerS"):
+        parse_settings(SETTINGS_TEXT + "callers.bytesPerS=0\n")
--- a/peridotspoke/programs/reference.py
+++ b/peridotspoke/programs/reference.py
@@ -3,6 +3,10 @@
 Run: ``python -m peridotspoke.programs.reference > docs/SETTINGS.md``
 """
 
+from dataclasses import fields
+
+from peridotspoke.nodes.settings import CallerSettings
+from peridotspoke.platform.settings import CALLER_FIELDS
 from peridotspoke.programs import settings as program_settings
 from peridotspoke.settings import list_settings
 
@@ -16,6 +20,27 @@
 `python -m peridotspoke.programs.reference`.
 """
 
+NODE_HEADER = """## Settings of peridotspoke-node
+
+The node reads the platform's settings file (`PERIDOTSPOKE_NODE_FILE`), whose lines have
+the form `key=value`. These keys limit its callers; they take effect at its start.
+
+| key | default | meaning |
+|---|---|---|
+"""
+CALLER_MEANINGS = {
+    "memory": "memory that callers' connections and requests may hold together, MB; "
+    "0: nine tenths of `limits.memoryMb` above 80 MB, from 8 to 160 MB",
+    "connections": "connections of callers that may be open at once; 0: some 54 % of "
+    "`limits.maxFds`, less where it is below 512, and at least 16",
+    "arrival": "time in which a head or a body has to arrive, beside the time that its "
+    "bytes take at `callers.bytesPerS`, milliseconds",
+    "rate": "bytes a second that a caller is expected to send at least; the default is "
+    "a link of 5 Mbit/s that 300 callers share",
+    "pause": "longest time between two pieces of a body, and for which a response is "
+    "not read, milliseconds",
+}
+
 
 def format_reference():
     """Return the page as Markdown text."""
@@ -29,8 +54,18 @@
         title = (settings_class.__doc__ or name).splitlines()[0].rstrip(".")
         table = ["| flag | variable | default | meaning |", "|---|---|---|---|", *rows]
         sections.append("\n".join([f"## {title}", "", *table, ""]))
+    sections.append(_format_node_settings())
     return "\n".join(sections)
 
 
+def _format_node_settings():
+    rows = []
+    for item in fields(CallerSettings):
+        key, factor = CALLER_FIELDS[item.name]
+        meaning = CALLER_MEANINGS[item.name]
+        rows.append(f"| `{key}` | {item.default / factor:g} | {meaning} |\n")
+    return NODE_HEADER + "".join(rows)
+
+
 if __name__ == "__main__":
     print(format_reference(), end="")
