Give up a platform's response that is longer than 8 MB

Cause: a response of the store, an executor, the advice service or the machine list was read whole, however long it was; one without an end filled the memory.

Change: a response is given up once more than 8,000,000 bytes of its decoded body have arrived. Its call counts as one whose response was lost, as before with a time limit. Bodies that are nested too deeply were refused already (`decode_json`).

--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -20,6 +20,9 @@
 
 OLD_SESSION_GRACE = 5.0  # seconds until calls on replaced connections are cancelled
 MAX_RESPONSE_BYTES = 1_500_000  # a page of 1 MiB as base64 text, with its keys
+# Bytes after which a response counts as endless: several of the largest pages, for a
+# watch that returns many changes at once.
+LONGEST_RESPONSE = 8_000_000
 MIN_LINK_RATE = 125_000  # bytes per second that a node's link spares for a response
 MAX_BODY_TIME = MAX_RESPONSE_BYTES / MIN_LINK_RATE  # seconds
 HTTP_OK = 200
@@ -131,7 +134,7 @@
                 ) as response,
             ):
                 connections.mark_begun(deadline)
-                return HttpResponse(response.status, await response.read())
+                return HttpResponse(response.status, await _read_bounded(response))
 
     async def read(self, path, limits):
         """Send a GET request, which has no effect, and return its `HttpResponse`.
@@ -229,12 +232,23 @@
     """Return the body as bytes; extend `deadline` with each chunk that arrives."""
     loop = asyncio.get_running_loop()
     latest = loop.time() + limits.body
-    chunks = []
-    deadline.reschedule(min(latest, loop.time() + limits.idle))
-    async for chunk in response.content.iter_any():
-        chunks.append(chunk)
+
+    def extend():
         deadline.reschedule(min(latest, loop.time() + limits.idle))
-    return b"".join(chunks)
+
+    extend()
+    return await _read_bounded(response, extend)
+
+
+async def _read_bounded(response, on_chunk=lambda: None):
+    """Return the body as bytes; raise `ClientPayloadError` if it is too long."""
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > LONGEST_RESPONSE:
+            raise aiohttp.ClientPayloadError(f"longer than {LONGEST_RESPONSE} bytes")
+        on_chunk()
+    return bytes(body)
 
 
 async def _close_later(connections):
--- a/peridotspoke/platform/tests/test_http.py
+++ b/peridotspoke/platform/tests/test_http.py
@@ -336,3 +336,36 @@
     peer._replace(replaced)
     await peer.close()
     assert session.closed
+
+
+async def open_endless_server():
+    """Start a server whose responses have 64 MB, in small chunks."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(1000):
+                writer.write(b"10000\r\n" + b" " * 65_536 + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return server, f"{host}:{port}"
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+async def test_a_response_without_an_end_is_given_up(is_read):
+    """A peer's response that didn't end filled the memory of the process."""
+    server, address = await open_endless_server()
+    peer = HttpPeer(address)
+    with pytest.raises(AnswerLostError, match="longer than"):
+        if is_read:
+            await peer.read("/", ReadLimits(NEVER, NEVER, body=NEVER))
+        else:
+            await peer.call("POST", "/", timeout=NEVER, body={})
+    await peer.close()
+    server.close()
