Count what callers hold that have left, until their request ends

Cause: a caller that left after its body was no longer counted, while its request still waited and held the body. A body that was chosen to give way but ended in the same moment was carried out on a connection that nothing counted any more. A chunked body whose chunks became larger could stay unread.

Change: a connection is removed from the budget at the end of its request; a body that was chosen to give way is refused in any case. Each refusal states that the request was not accepted. Crowds and bounds are unchanged.

--- /dev/null
+++ b/peridotspoke/platform/callerrefusals.py
@@ -0,0 +1,55 @@
+"""Refusals of callers' requests; each states that nothing of them was done."""
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["CallerRefusedError", "make_dismissal", "make_refusal"]
+
+RETRY_AFTER = 1  # seconds
+NOT_ACCEPTED = "the request was not accepted"
+
+
+class CallerRefusedError(Exception):
+    """A request that is refused while its body arrives; nothing of it was done.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the refusal.
+    reason : str
+    """
+
+    def __init__(self, status, reason):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+    def make_response(self):
+        """Return the `web.Response`, after which the connection is closed."""
+        response = make_refusal(self.status, self.reason)
+        if self.status in {429, 503}:
+            response.headers["Retry-After"] = str(RETRY_AFTER)
+        response.force_close()
+        return response
+
+
+def make_dismissal(limit):
+    """Return the `CallerRefusedError` of a body that gives way or is too slow.
+
+    Parameters
+    ----------
+    limit : str
+        The limit because of which its caller was chosen.
+    """
+    if limit == "body":
+        return CallerRefusedError(408, "the body arrives too slowly")
+    return CallerRefusedError(503, "too many requests at once")
+
+
+def make_refusal(status, reason):
+    """Return the response to a request of which nothing was done."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode({"error": f"{reason}; {NOT_ACCEPTED}"}),
+        content_type="application/json",
+    )
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -9,7 +9,8 @@
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes import jobanswers
-from peridotspoke.platform.callerserver import BoundedServer, CallerRefusedError
+from peridotspoke.platform.callerrefusals import CallerRefusedError
+from peridotspoke.platform.callerserver import BoundedServer
 from peridotspoke.platform.submissions import encode_state, encode_waiting
 
 __all__ = ["Ingress"]
--- a/peridotspoke/platform/tests/test_callerserver.py
+++ b/peridotspoke/platform/tests/test_callerserver.py
@@ -9,7 +9,8 @@
 
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.settings import CallerSettings, NodeSettings
-from peridotspoke.platform.callerserver import BoundedServer, CallerRefusedError
+from peridotspoke.platform.callerrefusals import CallerRefusedError
+from peridotspoke.platform.callerserver import BoundedServer
 
 BODY = 262_144  # bytes, the configuration's maximum
 CALLERS = 300  # calls at once
@@ -186,6 +187,43 @@
         writer.close()
 
 
+async def test_a_body_in_chunks_of_one_byte_is_served():
+    """A chunked body that is read by turns was never read to its end."""
+    async with Server() as server:
+        reader, writer = await server.connect()
+        writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        chunks = b"1\r\na\r\n" * 5000 + b"0\r\n\r\n"
+        for start in range(0, 20_000, 4001):
+            writer.write(chunks[start : start + 4001])
+            await writer.drain()
+            await asyncio.sleep(0.005)
+        for byte in chunks[20_005:20_105]:  # what a slow client sends piece by piece
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0.001)
+        writer.write(chunks[20_105:])
+        status, _, body = await read_response(reader)
+        assert (status, body) == (200, b"5000")
+        writer.close()
+
+
+async def test_the_body_of_a_caller_that_has_left_counts_until_its_request_ends():
+    """Callers that left after their bodies filled the memory while these waited."""
+    async with Server() as server:
+        server.may_answer.clear()
+        sent = [await send_body(server, BODY) for _ in range(10)]
+        async with asyncio.timeout(20):
+            while len(server.handled) < 10:
+                await asyncio.sleep(0.02)
+        for _, writer in sent:
+            writer.transport.abort()
+        await asyncio.sleep(0.1)
+        assert server.server.budget.held >= 10 * BODY
+        server.may_answer.set()
+        async with asyncio.timeout(20):
+            while server.server.budget.held:
+                await asyncio.sleep(0.02)
+
+
 async def test_a_body_that_stops_is_refused_at_its_deadline():
     """A body that stopped just short of its end was waited for indefinitely."""
     async with Server(CallerSettings(arrival=0.2, rate=1e9)) as server:
