--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -29,6 +29,7 @@
 __all__ = ["JobRequestHandler"]
 
 NO_KEY = CallerKey()
+DEFAULT_BODY_SIZE = 262_144  # bytes, while there is no configuration
 MAX_DEMAND_AGE = 5.0  # seconds; a change of the pool's owner takes less
 
 
@@ -77,6 +78,14 @@
         found, _ = await self._admit("submit", host, path, key)
         return None if isinstance(found, tuple) else found
 
+    @property
+    def max_body_size(self):
+        """Largest body of a submission, in bytes."""
+        configuration = self._node.view.configuration
+        return (
+            DEFAULT_BODY_SIZE if configuration is None else configuration.max_body_size
+        )
+
     async def submit(self, host, path, body, key=NO_KEY):
         """Store a job, and measure how long that took.
 
