Let the whole-node tests of quotas send a key

Cause: they were written before submissions named a workspace, and set it by a monkeypatch; since keys are checked their jobs belonged to no one, and both timed out.

Change: the calls send the workspace's key.

--- a/peridotspoke/platform/tests/platforms.py
+++ b/peridotspoke/platform/tests/platforms.py
@@ -96,7 +96,7 @@
             await runner.cleanup()
 
 
-async def call(address, method, job_id=JOB_ID, steps=None, spec="s"):
+async def call(address, method, job_id=JOB_ID, steps=None, spec="s", key=None):
     """Call a node as a client; return the status and the decoded answer, or None."""
     body = msgspec.json.encode({"spec": spec, "steps": steps}) if steps else None
     async with (
@@ -105,7 +105,7 @@
             method,
             f"http://{address}/q/{job_id}",
             data=body,
-            headers={"Host": "jobs.example"},
+            headers={"Host": "jobs.example"} | ({"X-Api-Key": key} if key else {}),
         ) as response,
     ):
         content = await response.read()
--- a/peridotspoke/platform/tests/test_whole_quotas.py
+++ b/peridotspoke/platform/tests/test_whole_quotas.py
@@ -1,11 +1,9 @@
 """Tests of whole nodes that keep a workspace within its limit, on stand-ins."""
 
 import asyncio
-from dataclasses import replace
 
 import pytest
 
-from peridotspoke.nodes.jobviews import PoolJobs
 from peridotspoke.platform.standins import ExecutorStandIn
 from peridotspoke.platform.tests.platforms import (
     CONFIG,
@@ -17,24 +15,17 @@
 TASKS = 6
 CPU = 500
 MOST = 2  # tasks that the limit allows at once
+KEY = "key-of-team"
 IDS = ("5c0e7a21d94b36f8", "o/00000000000000aa")  # one for each queue
 
 
 @pytest.fixture
-async def platform(monkeypatch):
-    """A platform with two pools and a workspace, to which all jobs belong."""
+async def platform():
+    """A platform with two pools and a workspace with a limit."""
     fake = FakePlatform()
-    update = PoolJobs._update
-
-    def update_with_workspace(self, job_id, **fields):
-        if "job" in fields:
-            fields["job"] = replace(fields["job"], workspace="team")
-        update(self, job_id, **fields)
-
-    monkeypatch.setattr(PoolJobs, "_update", update_with_workspace)
     fake.executors.append(ExecutorStandIn("i-2", "other"))
     await fake.open()
-    route = {**CONFIG["routes"][0], "anonymous": True}
+    route = CONFIG["routes"][0]
     config = {
         **CONFIG,
         "version": 4,
@@ -46,7 +37,9 @@
             *CONFIG["services"],
             {"name": "other", "admissionCheck": True, "spare": False},
         ],
-        "tenants": [{"name": "team", "maxCount": {"cpu": MOST * CPU}}],
+        "tenants": [
+            {"name": "team", "apiKeys": [KEY], "maxCount": {"cpu": MOST * CPU}}
+        ],
     }
     fake.store.put("op/config", config)
     for executor in fake.executors:
@@ -60,14 +53,17 @@
     for job_id in IDS:
         steps = [{"count": TASKS, "cpu": CPU}]
         async with asyncio.timeout(20):
-            while (await call(address, "POST", job_id, steps))[0] != 200:
+            while (await call(address, "POST", job_id, steps, key=KEY))[0] != 200:
                 await asyncio.sleep(0.05)
 
 
 async def wait_for_all(address):
     async with asyncio.timeout(40):
         for job_id in IDS:
-            while (await call(address, "GET", job_id))[1] != {"state": "completed"}:
+            while True:
+                _, answer = await call(address, "GET", job_id, key=KEY)
+                if answer == {"state": "completed"}:
+                    break
                 await asyncio.sleep(0.05)
 
 
