Judge no job lost whose tasks do not fit the free part of its workspace's limit

The trace shows a lasting job of the workspace in another pool (2 x 500), of which all five cancellations had been refused or had no answer: the limit allows no start.

Measured: the tests of the checks pass; they test both sides of the bound.

--- a/peridotspoke/platform/tests/test_playlimitchecks.py
+++ b/peridotspoke/platform/tests/test_playlimitchecks.py
@@ -128,5 +128,10 @@
     site = SimpleNamespace(executors=[executor], store=store)
     play = SimpleNamespace(site=site, jobs={JOB_ID: job})
     assert compute_free_quota(play, job) == 0.5
+    assert compute_free_quota(play, make_job(cpu=3000)) == 0.5
+    assert compute_free_quota(play, make_job(cpu=3001)) == 0.0
+    gang = make_job(cpu=400)
+    gang.body["steps"][0]["gang"] = True
+    assert compute_free_quota(play, gang) == 0.0
     assert compute_free_quota(play, make_job(workspace="plum")) == 1.0
     assert compute_free_quota(play, make_job(workspace="")) == 1.0
