Let a workspace's wait count its limit

Change: a workspace waits at least as long as its unfinished work takes at its limit, so that what can't run in time is refused at once, with that time.

--- a/peridotspoke/nodes/poolrecords.py
+++ b/peridotspoke/nodes/poolrecords.py
@@ -213,11 +213,12 @@
 
     def _measure_shares(self, now):
         """Return the `ShareInputs` by the configuration, or None without workspaces."""
-        weights = read_weights(self._node.view.configuration)
+        configuration = self._node.view.configuration
+        weights = read_weights(configuration)
         if weights is None:
             return None
         uses = self._workspace_uses.record(sum_uses(self._ledger), now)
-        return ShareInputs(weights, uses)
+        return ShareInputs(weights, uses, configuration.list_limits())
 
     def _sum_returning(self, now):
         """Return the processors for refused jobs that are about to come back.
--- a/peridotspoke/nodes/quotas.py
+++ b/peridotspoke/nodes/quotas.py
@@ -32,13 +32,7 @@
 
 def list_limits(configuration):
     """Return the limit of each workspace that has one, as a dict of str to Need."""
-    if configuration is None:
-        return {}
-    return {
-        workspace.name: workspace.limit
-        for workspace in configuration.workspaces
-        if workspace.has_limit
-    }
+    return {} if configuration is None else configuration.list_limits()
 
 
 class QuotaRecords:
--- a/peridotspoke/workloads/configuration.py
+++ b/peridotspoke/workloads/configuration.py
@@ -143,9 +143,9 @@
                 found = queue
         return found
 
-    def find_workspace(self, name):
-        """Return the `Workspace` with the given name, or None."""
-        return next((item for item in self.workspaces if item.name == name), None)
+    def list_limits(self):
+        """Return the limit of each workspace that has one, as a dict of str to Need."""
+        return {item.name: item.limit for item in self.workspaces if item.has_limit}
 
     def find_pool(self, name):
         """Return the `WorkPool` with the given name, or None."""
--- a/peridotspoke/workloads/sharewaits.py
+++ b/peridotspoke/workloads/sharewaits.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.room import (
     Amounts,
     compute_binding_cores,
@@ -33,10 +34,13 @@
         By workspace of the configuration.
     uses : dict of str to float, optional
         Processors that the runs of a workspace took lately, by workspace.
+    limits : dict of str to Need, optional
+        What a workspace may have running over all pools, by workspace.
     """
 
     weights: dict[str, float]
     uses: dict[str, float] = field(default_factory=dict)
+    limits: dict[str, Need] = field(default_factory=dict)
 
 
 class SmoothedUses:
@@ -83,7 +87,9 @@
     needs most of. Where workspaces need different resources, they are processed side by
     side, so that all of it takes as long as the resource that is needed for longest.
     Once its accepted work is done, a workspace is expected to go on using what it used
-    lately. Jobs without a workspace are processed alongside.
+    lately. Jobs without a workspace are processed alongside. A workspace waits at least
+    as long as its work takes at its limit: what it is entitled to beyond that stays
+    unused. Its work in other pools is not known, and would add to that.
 
     Parameters
     ----------
@@ -99,7 +105,7 @@
     dict of str to float
         Workspaces that wait for less than `MIN_TOLD_WAIT` are left out.
     """
-    backlogs, whole = _sum_backlogs(ledger, timings)
+    backlogs, whole, needed = _sum_backlogs(ledger, timings)
     uses = dict(shares.uses)
     without, other_use = backlogs.pop("", 0.0), uses.pop("", 0.0)
     owned = sum(backlogs.values())
@@ -111,6 +117,9 @@
     left = min(full_rate * owned / summed, full_rate - other_use)
     shared_rate = max(left, MIN_PART * full_rate)
     waits = compute_fair_waits(backlogs, shares.weights, shared_rate, uses)
+    for name in waits.keys() & shares.limits.keys():
+        at_limit = _compute_time_at_limit(needed[name], shares.limits[name])
+        waits[name] = max(waits[name], at_limit)
     return {
         name: round(wait, PRECISION)
         for name, wait in waits.items()
@@ -127,6 +136,8 @@
         Processor-seconds by the resource that binds for the workspace.
     whole : float
         Processor-seconds by the resource that binds for all of them together.
+    needed : dict of str to Amounts
+        Seconds of each resource that the unfinished work needs, by workspace.
     """
     works = {}
     for timing in timings:
@@ -134,12 +145,22 @@
             work = works.get(timing.workspace, 0.0)
             works[timing.workspace] = work + timing.remaining_work
     shape, mixes = measure_shape(ledger), measure_workspace_mixes(ledger)
-    backlogs, total = {}, Amounts()
+    backlogs, needed, total = {}, {}, Amounts()
     for name, work in works.items():
-        needed = mixes.get(name, Amounts(1.0)).scale(work)
-        backlogs[name] = compute_binding_cores(needed, shape)
-        total += needed
-    return backlogs, compute_binding_cores(total, shape)
+        needed[name] = mixes.get(name, Amounts(1.0)).scale(work)
+        backlogs[name] = compute_binding_cores(needed[name], shape)
+        total += needed[name]
+    return backlogs, compute_binding_cores(total, shape), needed
+
+
+def _compute_time_at_limit(needed, limit):
+    """Return the seconds that work takes with all that a limit allows at once."""
+    pairs = (
+        (needed.cores, limit.cpu / 1000),
+        (needed.memory, limit.memory),
+        (needed.accelerators, limit.accelerators),
+    )
+    return max((amount / most for amount, most in pairs if most), default=0.0)
 
 
 def sum_uses(ledger):
