--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -208,7 +208,9 @@
     The work of a job is spread over the critical path of its unfinished steps and a
     share of its slack. All finite jobs together need at most the processors that
     their ready tasks could use at once, and at least those that running tasks use or
-    that arriving work needs.
+    that arriving work needs. What runs for late jobs is part of what late jobs need,
+    so that their backlog gives its machines to pools that lack them for work that can
+    be in time.
 
     Parameters
     ----------
@@ -227,6 +229,7 @@
         open jobs, not to the rate, whose forecast rises as the jobs come back.
     """
     on_time = late = unfinished = 0.0
+    late_occurrences = set()
     for timing in timings:
         unfinished += timing.remaining_work
         if timing.slack >= 0:
@@ -234,12 +237,17 @@
             on_time += timing.remaining_work / max(span, MIN_SPAN)
         else:
             late += timing.remaining_work / rules.late_horizon
+            late_occurrences.add(timing.occurrence)
     running = _sum_running(ledger)
+    running_on_time = _sum_running(ledger, late_occurrences)
     open_cores = min(ready, on_time)
-    without_returning = max(running.cores, open_cores, rate)
+    without_returning = max(running_on_time.cores, open_cores, rate)
     finite = max(without_returning, open_cores + returning)
-    late_finite = finite + max(0.0, min(ready, on_time + late) - without_returning)
-    cores, all_cores = _compute_cores(ledger, running, (finite, late_finite))
+    late_cores = max(running.cores, min(ready, on_time + late)) - without_returning
+    late_finite = finite + max(0.0, late_cores)
+    cores, all_cores = _compute_cores(
+        ledger, ((finite, running_on_time), (late_finite, running))
+    )
     return PoolDemand(
         cores=cores,
         late_cores=all_cores - cores,
@@ -272,16 +280,14 @@
     )
 
 
-def _compute_cores(ledger, running, finite_cores):
+def _compute_cores(ledger, cases):
     """Return the processors needed by whichever resource binds first.
 
     Parameters
     ----------
     ledger : PoolLedger
-    running : Amounts
-        What the running finite tasks take.
-    finite_cores : tuple of float
-        Processors that finite jobs need, in several cases.
+    cases : iterable of tuple of (float, Amounts)
+        Processors that finite jobs need, and what their running tasks take.
 
     Returns
     -------
@@ -292,15 +298,16 @@
     lasting = sum_lasting(ledger)
     return [
         compute_binding_cores(lasting + mix.scale(cores).widen(running), shape)
-        for cores in finite_cores
+        for cores, running in cases
     ]
 
 
-def _sum_running(ledger):
+def _sum_running(ledger, without=frozenset()):
+    """Return what running finite tasks take, but those of the occurrences `without`."""
     return sum_needs(
         (compute_need(run.step), 1)
         for run in ledger.list_runs()
-        if not run.step.lasting
+        if not run.step.lasting and run.key[:2] not in without
     )
 
 
--- a/peridotspoke/workloads/readywork.py
+++ b/peridotspoke/workloads/readywork.py
@@ -246,7 +246,7 @@
     )
     due = job.compute_due(occurrence)
     timing = compute_timing(
-        job, critical_path, remaining_time, remaining_work, wall, due
+        job, critical_path, remaining_time, remaining_work, wall, due, occurrence
     )
     if job.is_long_running:
         # It has no end that could be late: each second without its tasks is lost.
--- a/peridotspoke/workloads/urgency.py
+++ b/peridotspoke/workloads/urgency.py
@@ -24,6 +24,8 @@
         Unfinished work, processor-seconds.
     priority : int
         Priority of its queue; 0 comes first.
+    occurrence : tuple of (str, int), optional
+        Identity of the job and number of its occurrence.
     """
 
     deadline: float
@@ -31,6 +33,7 @@
     slack: float
     remaining_work: float
     priority: int
+    occurrence: tuple[str, int] = ("", 0)
 
 
 def compute_critical_path(job, durations, skip=frozenset()):
@@ -58,7 +61,15 @@
     return max(ends, default=0.0)
 
 
-def compute_timing(job, critical_path, remaining_time, remaining_work, wall, due=0.0):
+def compute_timing(
+    job,
+    critical_path,
+    remaining_time,
+    remaining_work,
+    wall,
+    due=0.0,
+    occurrence=0,
+):
     """Return the `JobTiming` of a job.
 
     Parameters
@@ -74,12 +85,19 @@
         Current time, seconds since the Unix epoch.
     due : float, optional
         When the occurrence of a repeated job is due, seconds since the Unix epoch.
+    occurrence : int, optional
+        Number of the occurrence, from 0.
     """
     begin = max(job.accepted_at, due)
     deadline = begin + job.terms.stretch * critical_path + job.terms.latency
     slack = deadline - wall - remaining_time
     return JobTiming(
-        deadline, remaining_time, slack, remaining_work, job.terms.priority
+        deadline,
+        remaining_time,
+        slack,
+        remaining_work,
+        job.terms.priority,
+        (job.job_id, occurrence),
     )
 
 
