--- a/peridotspoke/workloads/tests/test_demand.py
+++ b/peridotspoke/workloads/tests/test_demand.py
@@ -4,8 +4,12 @@
 
 import pytest
 
-from peridotspoke.workloads.demand import ArrivalRate
+from peridotspoke.workloads.demand import ArrivalRate, estimate_demand
+from peridotspoke.workloads.progress import JobProgress
+from peridotspoke.workloads.readywork import list_timings, sum_ready
+from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.sizing import SizingRules
+from peridotspoke.workloads.tests.ledgers import WALL_EPOCH, make_job, make_ledger
 from peridotspoke.workloads.tests.peakmodel import Load, PeakModel
 
 
@@ -60,3 +64,27 @@
     arrivals = ArrivalRate(window=1.0, lead=1.7)
     record_evenly(arrivals, 0.0, 3.0, lambda now: 400.0 * (4.0 - now), wait=0.6)
     assert arrivals.forecast(3.0) == arrivals.compute_mean(3.0)
+
+
+@pytest.fixture
+def late_pool():
+    """Return a ledger that runs a job's two tasks of 1 core, 30 s after it came."""
+    ledger = make_ledger("e1")
+    ledger.add_job(JobProgress(make_job()))
+    plan_runs(ledger, 0.0, WALL_EPOCH)
+    return ledger
+
+
+def estimate_at(ledger, now):
+    timings = list_timings(ledger, WALL_EPOCH + now)
+    return estimate_demand(ledger, timings, sum_ready(ledger), 0.0)
+
+
+def test_what_runs_for_late_jobs_is_late_need(late_pool):
+    """A late backlog must not keep machines that another pool lacks for work in time.
+
+    Late jobs are started wherever there is room, so that their runs fill the pool.
+    """
+    in_time, late = estimate_at(late_pool, 0.1), estimate_at(late_pool, 30.0)
+    assert (in_time.cores, in_time.late_cores) == (pytest.approx(2.0), 0.0)
+    assert (late.cores, late.late_cores) == (0.0, pytest.approx(2.0))
