--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -210,7 +210,8 @@
     their ready tasks could use at once, and at least those that running tasks use or
     that arriving work needs. What runs for late jobs is part of what late jobs need,
     so that their backlog gives its machines to pools that lack them for work that can
-    be in time.
+    be in time. It counts for work in time as far as that needs the processors which
+    late jobs occupy.
 
     Parameters
     ----------
@@ -241,7 +242,8 @@
     running = _sum_running(ledger)
     running_on_time = _sum_running(ledger, late_occurrences)
     open_cores = min(ready, on_time)
-    without_returning = max(running_on_time.cores, open_cores, rate)
+    occupied = min(running.cores - running_on_time.cores, max(open_cores, rate))
+    without_returning = max(running_on_time.cores, open_cores, rate) + occupied
     finite = max(without_returning, open_cores + returning)
     late_cores = max(running.cores, min(ready, on_time + late)) - without_returning
     late_finite = finite + max(0.0, late_cores)
