--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -31,6 +31,7 @@
 ]
 
 MIN_CAPACITY = 1.0  # processors
+MIN_ON_TIME_SHARE = 0.25  # of the processors in use, below which a peak is over
 MIN_SPAN = 0.2  # seconds over which the work of a job is spread
 
 
@@ -208,10 +209,9 @@
     The work of a job is spread over the critical path of its unfinished steps and a
     share of its slack. All finite jobs together need at most the processors that
     their ready tasks could use at once, and at least those that running tasks use or
-    that arriving work needs. What runs for late jobs is part of what late jobs need,
-    so that their backlog gives its machines to pools that lack them for work that can
-    be in time. It counts for work in time as far as that needs the processors which
-    late jobs occupy.
+    that arriving work needs. Once little of it can be in time, what runs for late jobs
+    is part of what late jobs need, so that the backlog of a peak that is over gives its
+    machines to pools that lack them for work that can be in time.
 
     Parameters
     ----------
@@ -242,8 +242,10 @@
     running = _sum_running(ledger)
     running_on_time = _sum_running(ledger, late_occurrences)
     open_cores = min(ready, on_time)
-    occupied = min(running.cores - running_on_time.cores, max(open_cores, rate))
-    without_returning = max(running_on_time.cores, open_cores, rate) + occupied
+    without_returning = max(running_on_time.cores, open_cores, rate)
+    if without_returning >= MIN_ON_TIME_SHARE * running.cores:
+        running_on_time = running
+        without_returning = max(without_returning, running.cores)
     finite = max(without_returning, open_cores + returning)
     late_cores = max(running.cores, min(ready, on_time + late)) - without_returning
     late_finite = finite + max(0.0, late_cores)
