--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -31,7 +31,6 @@
 ]
 
 MIN_CAPACITY = 1.0  # processors
-MIN_ON_TIME_SHARE = 0.25  # of the processors in use, below which a peak is over
 MIN_SPAN = 0.2  # seconds over which the work of a job is spread
 
 
@@ -209,9 +208,10 @@
     The work of a job is spread over the critical path of its unfinished steps and a
     share of its slack. All finite jobs together need at most the processors that
     their ready tasks could use at once, and at least those that running tasks use or
-    that arriving work needs. Once little of it can be in time, what runs for late jobs
-    is part of what late jobs need, so that the backlog of a peak that is over gives its
-    machines to pools that lack them for work that can be in time.
+    that arriving work needs. What runs for jobs that are late by more than their whole
+    objective is part of what late jobs need, so that the backlog of a peak that is over
+    gives its machines to pools that lack them for work that can be in time. Jobs that
+    are less late may still be in time, as estimates are off by up to a half.
 
     Parameters
     ----------
@@ -238,14 +238,12 @@
             on_time += timing.remaining_work / max(span, MIN_SPAN)
         else:
             late += timing.remaining_work / rules.late_horizon
-            late_occurrences.add(timing.occurrence)
+            if timing.slack < -timing.objective:
+                late_occurrences.add(timing.occurrence)
     running = _sum_running(ledger)
     running_on_time = _sum_running(ledger, late_occurrences)
     open_cores = min(ready, on_time)
     without_returning = max(running_on_time.cores, open_cores, rate)
-    if without_returning >= MIN_ON_TIME_SHARE * running.cores:
-        running_on_time = running
-        without_returning = max(without_returning, running.cores)
     finite = max(without_returning, open_cores + returning)
     late_cores = max(running.cores, min(ready, on_time + late)) - without_returning
     late_finite = finite + max(0.0, late_cores)
--- a/peridotspoke/workloads/urgency.py
+++ b/peridotspoke/workloads/urgency.py
@@ -26,6 +26,8 @@
         Priority of its queue; 0 comes first.
     occurrence : tuple of (str, int), optional
         Identity of the job and number of its occurrence.
+    objective : float, optional
+        Time from the job's acceptance, or from when it is due, to `deadline`, seconds.
     """
 
     deadline: float
@@ -34,6 +36,7 @@
     remaining_work: float
     priority: int
     occurrence: tuple[str, int] = ("", 0)
+    objective: float = 0.0
 
 
 def compute_critical_path(job, durations, skip=frozenset()):
@@ -89,7 +92,8 @@
         Number of the occurrence, from 0.
     """
     begin = max(job.accepted_at, due)
-    deadline = begin + job.terms.stretch * critical_path + job.terms.latency
+    objective = job.terms.stretch * critical_path + job.terms.latency
+    deadline = begin + objective
     slack = deadline - wall - remaining_time
     return JobTiming(
         deadline,
@@ -98,6 +102,7 @@
         remaining_work,
         job.terms.priority,
         (job.job_id, occurrence),
+        objective,
     )
 
 
