--- a/peridotspoke/workloads/demand.py
+++ b/peridotspoke/workloads/demand.py
@@ -202,6 +202,27 @@
         return max(need for _, need in self._needs)
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenWork:
+    """The open finite jobs of a pool, summed up.
+
+    Parameters
+    ----------
+    unfinished : float
+        Processor-seconds of all of them.
+    on_time, late : float
+        Processors for those that can still be in time, and for the others.
+    hopeless : frozenset of tuple of (str, int)
+        The occurrences that are late by more than their whole objective. Others that
+        count as late may still be in time, as estimates are off by up to a half.
+    """
+
+    unfinished: float
+    on_time: float
+    late: float
+    hopeless: frozenset
+
+
 def estimate_demand(
     ledger,
     timings,
@@ -217,7 +238,9 @@
     The work of a job is spread over the critical path of its unfinished steps and a
     share of its slack. All finite jobs together need at most the processors that
     their ready tasks could use at once, and at least those that running tasks use or
-    that arriving work needs.
+    that arriving work needs. What runs for jobs that are late by more than their whole
+    objective is part of what late jobs need, so that the backlog of a peak that is over
+    gives its machines to pools that lack them for work that can be in time.
 
     Parameters
     ----------
@@ -237,22 +260,18 @@
     shares : ShareInputs or None, optional
         None without workspaces.
     """
-    if shares is not None:
-        timings = tuple(timings)
-    on_time = late = unfinished = 0.0
-    for timing in timings:
-        unfinished += timing.remaining_work
-        if timing.slack >= 0:
-            span = timing.remaining_time + rules.slack_share * timing.slack
-            on_time += timing.remaining_work / max(span, MIN_SPAN)
-        else:
-            late += timing.remaining_work / rules.late_horizon
+    timings = tuple(timings)
+    work = _sum_open_work(timings, rules)
     running = _sum_running(ledger)
-    open_cores = min(ready, on_time)
-    without_returning = max(running.cores, open_cores, rate)
+    running_on_time = _sum_running(ledger, work.hopeless)
+    open_cores = min(ready, work.on_time)
+    without_returning = max(running_on_time.cores, open_cores, rate)
     finite = max(without_returning, open_cores + returning)
-    late_finite = finite + max(0.0, min(ready, on_time + late) - without_returning)
-    cores, all_cores = _compute_cores(ledger, running, (finite, late_finite))
+    all_open_cores = max(running.cores, min(ready, work.on_time + work.late))
+    late_finite = finite + max(0.0, all_open_cores - without_returning)
+    cores, all_cores = _compute_cores(
+        ledger, ((finite, running_on_time), (late_finite, running))
+    )
     service_rate = max(_sum_capacity(ledger), attainable, MIN_CAPACITY)
     waits = msgspec.UNSET
     if shares is not None:
@@ -269,11 +288,26 @@
                 if state.entry is not None and not state.reachable
             )
         ),
-        wait=unfinished / service_rate,
+        wait=work.unfinished / service_rate,
         workspace_waits=waits,
     )
 
 
+def _sum_open_work(timings, rules):
+    on_time = late = unfinished = 0.0
+    hopeless = set()
+    for timing in timings:
+        unfinished += timing.remaining_work
+        if timing.slack >= 0:
+            span = timing.remaining_time + rules.slack_share * timing.slack
+            on_time += timing.remaining_work / max(span, MIN_SPAN)
+            continue
+        late += timing.remaining_work / rules.late_horizon
+        if timing.slack < -timing.objective:
+            hopeless.add(timing.occurrence)
+    return _OpenWork(unfinished, on_time, late, frozenset(hopeless))
+
+
 def count_executors(ledger):
     """Return the `ExecutorCounts` of a pool's ledger."""
     listed = [state for state in ledger.executors.values() if state.entry is not None]
@@ -290,16 +324,14 @@
     )
 
 
-def _compute_cores(ledger, running, finite_cores):
+def _compute_cores(ledger, cases):
     """Return the processors needed by whichever resource binds first.
 
     Parameters
     ----------
     ledger : PoolLedger
-    running : Amounts
-        What the running finite tasks take.
-    finite_cores : tuple of float
-        Processors that finite jobs need, in several cases.
+    cases : iterable of tuple of (float, Amounts)
+        Processors that finite jobs need, and what their running tasks take.
 
     Returns
     -------
@@ -310,15 +342,16 @@
     lasting = sum_lasting(ledger)
     return [
         compute_binding_cores(lasting + mix.scale(cores).widen(running), shape)
-        for cores in finite_cores
+        for cores, running in cases
     ]
 
 
-def _sum_running(ledger):
+def _sum_running(ledger, without=frozenset()):
+    """Return what running finite tasks take, but those of the occurrences `without`."""
     return sum_needs(
         (compute_need(run.step), 1)
         for run in ledger.list_runs()
-        if not run.step.lasting
+        if not run.step.lasting and run.key[:2] not in without
     )
 
 
--- a/peridotspoke/workloads/urgency.py
+++ b/peridotspoke/workloads/urgency.py
@@ -26,6 +26,10 @@
         Priority of its queue; 0 comes first.
     workspace : str, optional
         The job's workspace; empty if it has none.
+    occurrence : tuple of (str, int), optional
+        Identity of the job and number of its occurrence.
+    objective : float, optional
+        Time from the job's acceptance, or from when it is due, to `deadline`, seconds.
     """
 
     deadline: float
@@ -34,6 +38,8 @@
     remaining_work: float
     priority: int
     workspace: str = ""
+    occurrence: tuple[str, int] = ("", 0)
+    objective: float = 0.0
 
 
 def compute_critical_path(job, durations, skip=frozenset()):
@@ -61,7 +67,15 @@
     return max(ends, default=0.0)
 
 
-def compute_timing(job, critical_path, remaining_time, remaining_work, wall, due=0.0):
+def compute_timing(
+    job,
+    critical_path,
+    remaining_time,
+    remaining_work,
+    wall,
+    due=0.0,
+    occurrence=0,
+):
     """Return the `JobTiming` of a job.
 
     Parameters
@@ -77,9 +91,12 @@
         Current time, seconds since the Unix epoch.
     due : float, optional
         When the occurrence of a repeated job is due, seconds since the Unix epoch.
+    occurrence : int, optional
+        Number of the occurrence, from 0.
     """
     begin = max(job.accepted_at, due)
-    deadline = begin + job.terms.stretch * critical_path + job.terms.latency
+    objective = job.terms.stretch * critical_path + job.terms.latency
+    deadline = begin + objective
     slack = deadline - wall - remaining_time
     return JobTiming(
         deadline,
@@ -88,6 +105,8 @@
         remaining_work,
         job.terms.priority,
         job.workspace,
+        (job.job_id, occurrence),
+        objective,
     )
 
 
