Give the stub of the node's parts what the node program reads

Change: the stub has it; the checks of the test are unchanged. Measured: tests/test_logsink.py failed with AttributeError before and passes now.

--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -241,7 +241,7 @@
     monkeypatch.setattr(
         node_program, "read_settings_file", lambda: SimpleNamespace(name="n1")
     )
-    parts = SimpleNamespace(metrics=metrics)
+    parts = SimpleNamespace(metrics=metrics, render_metrics=metrics.render)
     monkeypatch.setattr(node_program, "assemble_node", lambda _: (parts, node))
     monkeypatch.setattr(node_program, "JobRequestHandler", lambda *_: None)
     monkeypatch.setattr(node_program, "Ingress", _FakeIngress)
