Report a lost reader of the log once, also after a full buffer

Cause: a line that found the buffer full made a flush, which noticed that the reader had closed the pipe; the line was queued nevertheless and written to the lost reader, and the notice at the stop was too. Each wrote `log-reader-lost` to standard error again. Change: whether the reader is lost is checked after that flush, and nothing is written once it is. `finish` no longer suppresses an error that `_flush` handles. Measured: test_a_stuck_reader_that_leaves_costs_one_line_too failed before, passes now.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -161,11 +161,11 @@
         event = _find_event(text)
         essential = level >= WARNING or self._is_essential(event, text)
         now = self._clock.read_monotonic()
+        room = self._rules.most_waiting + (self._rules.reserve if essential else 0)
+        is_stuck = self._count_waiting() >= room and not self._flush(now)
         if self._is_reader_lost or not self._may_tell(event, text, now):
             self._leave_out(line, event, essential)
             return
-        room = self._rules.most_waiting + (self._rules.reserve if essential else 0)
-        is_stuck = self._count_waiting() >= room and not self._flush(now)
         has_room = self._count_waiting() < room
         if essential:
             accepted = has_room or self._give_place()
@@ -193,11 +193,10 @@
         deadline = self._clock.read_monotonic() + limit
         poll = select.poll()
         poll.register(self._descriptor, select.POLLOUT)
-        with suppress(BrokenPipeError):
-            while not self._flush(float("inf")):
-                left = deadline - self._clock.read_monotonic()
-                if left <= 0 or not poll.poll(left * 1000):
-                    return
+        while not self._flush(float("inf")):
+            left = deadline - self._clock.read_monotonic()
+            if left <= 0 or not poll.poll(left * 1000):
+                return
 
     def _may_tell(self, event, text, now):
         """Return whether the limit on lines about wrong requests allows a line."""
@@ -244,6 +243,8 @@
 
     def _flush(self, now):
         """Write until the descriptor takes no more; return whether nothing is left."""
+        if self._is_reader_lost:
+            return True
         while self._unwritten or self._prepare_next(now):
             try:
                 written = os.write(self._descriptor, self._unwritten)
--- a/tests/test_librarylogs.py
+++ b/tests/test_librarylogs.py
@@ -103,3 +103,22 @@
     assert counted.count("run-ordered") == 99  # the first was being written
     for descriptor in (writer, error_reader, error_writer):
         os.close(descriptor)
+
+
+def test_a_stuck_reader_that_leaves_costs_one_line_too(monkeypatch):
+    """The line for which the full buffer was flushed was written to a lost reader."""
+    reader, writer = os.pipe()
+    error_reader, error_writer = os.pipe()
+    monkeypatch.setattr(logsink, "STANDARD_ERROR", error_writer)
+    rules = SinkRules(rate=1e6, burst=1e6, most_waiting=10, reserve=0)
+    sink = BoundedSink(writer, ManualClock(), rules)
+    os.set_blocking(reader, False)
+    while sink._count_waiting() < rules.most_waiting:
+        sink.put("line\n" * 100, INFO, "event=run-ordered")
+    os.close(reader)
+    for _ in range(10):
+        sink.put("line\n", INFO, "event=run-ordered")
+    sink.finish(0.01)
+    assert os.read(error_reader, 65_536) == b"level=WARNING event=log-reader-lost\n"
+    for descriptor in (writer, error_reader, error_writer):
+        os.close(descriptor)
