Limit the log lines about IDs in use as those about other wrong requests

Cause: `job-submit outcome=Conflict` lines are essential and so exempt from the rate limit, and the limit on wrong requests didn't name them. One caller could write any number of them. Change: `CALLER_FAULTS` has Conflict. Measured: test_a_repeated_conflict_is_limited_although_it_is_essential failed before, passes now.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -15,7 +15,7 @@
 STANDARD_ERROR = 2  # descriptor
 LOST_EVENT = "log-reader-lost"
 # Outcomes of requests that are wrong in themselves: any caller can cause any number.
-CALLER_FAULTS = ("outcome=Invalid", "outcome=UnknownJob")
+CALLER_FAULTS = ("outcome=Invalid", "outcome=UnknownJob", "outcome=Conflict")
 OWNERSHIP_EVENTS = (
     "ownership-gained",
     "ownership-lost",
--- a/tests/test_librarylogs.py
+++ b/tests/test_librarylogs.py
@@ -122,3 +122,15 @@
     assert os.read(error_reader, 65_536) == b"level=WARNING event=log-reader-lost\n"
     for descriptor in (writer, error_reader, error_writer):
         os.close(descriptor)
+
+
+def test_a_repeated_conflict_is_limited_although_it_is_essential():
+    """A caller that submits under an ID in use without end filled the log."""
+    reader, writer = os.pipe()
+    sink = BoundedSink(writer, ManualClock(), SinkRules(fault_rate=1, fault_burst=3.0))
+    for number in range(10):
+        sink.put(f"conflict {number}\n", INFO, "event=job-submit outcome=Conflict")
+    text = os.read(reader, 65_536).decode()
+    os.close(reader)
+    os.close(writer)
+    assert text.count("conflict ") == 3
