Log a library's message whose named value is missing

Cause: a message with named values that lacks one raises KeyError, which left the handler and reached the library that had logged the message. Change: such a message is logged without its values, as with a TypeError. Measured: test_a_message_without_its_named_value_is_logged_as_it_is failed before, passes now.

--- a/peridotspoke/librarylogs.py
+++ b/peridotspoke/librarylogs.py
@@ -78,7 +78,7 @@
 def _format_message(record):
     try:
         return record.getMessage()
-    except (TypeError, ValueError):  # its values don't fit its text
+    except (KeyError, TypeError, ValueError):  # its values don't fit its text
         return record.msg
 
 
--- a/tests/test_librarylogs.py
+++ b/tests/test_librarylogs.py
@@ -134,3 +134,11 @@
     os.close(reader)
     os.close(writer)
     assert text.count("conflict ") == 3
+
+
+def test_a_message_without_its_named_value_is_logged_as_it_is(lines, library):
+    """Such a message raised a KeyError in the library that logged it."""
+    _, _, logger = library
+    logger.warning("lost %(peer)s", {"host": "h"})
+    assert len(lines) == 1
+    assert "lost %(peer)s" in lines[0]
