Report an infinite count in the node's settings as a faulty value

Cause: `limits.maxFds` and `callers.maxConnections` were converted to whole numbers although they had been found not to be finite. OverflowError or ValueError ended the program with a traceback instead of status 2, and would end the reload task. Change: a faulty number is reported and not used further. Measured: the cases inf and nan of test_a_fault_in_the_bounds_and_limits_of_the_process_is_reported failed before, pass now.

--- a/peridotspoke/platform/settings.py
+++ b/peridotspoke/platform/settings.py
@@ -200,5 +200,6 @@
             errors.append(
                 f"expected a finite number from 0 for {key}, found {values[key]!r}"
             )
+            continue
         numbers[name] = number * factor
     return numbers
--- a/peridotspoke/platform/tests/test_settings.py
+++ b/peridotspoke/platform/tests/test_settings.py
@@ -92,6 +92,9 @@
         ("bounds.strictRevoke=true\nbounds.revokeMs=0\n", "bounds.revokeMs"),
         ("limits.memoryMb=nan\n", "limits.memoryMb"),
         ("limits.maxFds=many\n", "limits.maxFds"),
+        ("limits.maxFds=inf\n", "limits.maxFds"),
+        ("limits.maxFds=nan\n", "limits.maxFds"),
+        ("callers.maxConnections=inf\n", "callers.maxConnections"),
     ],
 )
 def test_a_fault_in_the_bounds_and_limits_of_the_process_is_reported(lines, key):
