Remove the unused `Configuration.find_workspace`

Cause: nothing calls it; the nodes index the workspaces by name once for each configuration. Change: it is removed.

--- a/peridotspoke/workloads/configuration.py
+++ b/peridotspoke/workloads/configuration.py
@@ -143,10 +143,6 @@
                 found = queue
         return found
 
-    def find_workspace(self, name):
-        """Return the `Workspace` with the given name, or None."""
-        return next((item for item in self.workspaces if item.name == name), None)
-
     def find_pool(self, name):
         """Return the `WorkPool` with the given name, or None."""
         return next((pool for pool in self.pools if pool.name == name), None)
