Drop the memory counted for a request once it is answered

Cause: the memory of a connection's requests was set back only when none waited behind the answered one. A caller that pipelines POST requests, each sent with the end of the body before it, always has one waiting: 100 empty jobs counted as 437 kB that nobody held. At the limit the server refuses other callers' heads and bodies. Change: at the end of each request the count is that of the requests that wait. Measured: test_a_connection_whose_requests_overlap_is_not_charged_for_answered_ones failed before (held 436751) and passes now; test_callerserver, test_callerbudget and test_outside_callers pass.

--- a/peridotspoke/platform/callerconnection.py
+++ b/peridotspoke/platform/callerconnection.py
@@ -145,8 +145,8 @@
     def _count_messages(self, count):
         """Count the requests whose head is complete."""
         self._head_size = 0
-        for message, _ in islice(reversed(self._messages), count):
-            self._message_cost += MESSAGE_COST + HEAD_COST * _measure_head(message)
+        arrived = islice(reversed(self._messages), count)
+        self._message_cost += _estimate_cost(arrived)
         self._last_payload = self._messages[-1][1]
         budget, caller = self._server.budget, self._caller
         waiting = len(self._messages) + (caller.phase in {Phase.BODY, Phase.BUSY})
@@ -239,9 +239,14 @@
         if self.transport is None:
             self._server.remove(self._caller)
             return
-        if self._messages or self._caller.phase is Phase.LEAVING:
+        if self._caller.phase is Phase.LEAVING:
+            return
+        # Pipelined requests may overlap for as long as the caller likes, so that the
+        # moment at which none waits may never come.
+        self._message_cost = _estimate_cost(self._messages)
+        if self._messages:
+            self._report()
             return
-        self._message_cost = 0
         now = self._loop.time()
         if self._head_size:
             self._server.budget.enter(self._caller, Phase.HEAD, now)
@@ -331,6 +336,13 @@
         return b"".join([*self._blocks, self._rest])
 
 
+def _estimate_cost(messages):
+    """Return the bytes of memory that requests take beside their bodies."""
+    return sum(
+        MESSAGE_COST + HEAD_COST * _measure_head(message) for message, _ in messages
+    )
+
+
 def _measure_head(message):
     """Return the size of a head in bytes; 0 for one that the parser refused."""
     headers = getattr(message, "raw_headers", ())
--- a/peridotspoke/platform/tests/test_callerserver.py
+++ b/peridotspoke/platform/tests/test_callerserver.py
@@ -9,6 +9,7 @@
 
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.settings import CallerSettings, NodeSettings
+from peridotspoke.platform.callerbudget import CONNECTION_COST
 from peridotspoke.platform.callerrefusals import CallerRefusedError
 from peridotspoke.platform.callerserver import BoundedServer
 
@@ -255,3 +256,17 @@
         async with asyncio.timeout(20):
             while len(server.server.budget) or server.server.budget.held:
                 await asyncio.sleep(0.02)
+
+
+async def test_a_connection_whose_requests_overlap_is_not_charged_for_answered_ones():
+    """One such caller took up the memory of all, without holding any of it."""
+    async with Server() as server:
+        reader, writer = await server.connect()
+        head = HEAD + b"Content-Length: 10\r\n\r\n"
+        writer.write(head + b"aaaaa")
+        for _ in range(100):
+            await asyncio.sleep(0.005)  # the body is read before its end is sent
+            writer.write(b"aaaaa" + head + b"aaaaa")
+            assert (await read_response(reader))[0] == 200
+        assert server.server.budget.held < CONNECTION_COST + 30_000
+        writer.close()
