Check the keys of all calls before they take a turn

Cause: GET and DELETE calls were checked within the server's limit on requests carried out at once. One with an unknown key kept its turn until the configuration had been read, 0.25 s or more, so that some hundreds of them at once delayed every caller. Change: the key is checked first for each method, as for POST, and again within the turn. `check_head` takes the step that it logs. Measured: test_callers_with_unknown_keys_hold_up_no_others failed for GET and DELETE before (TimeoutError) and passes now; test_keys and test_access pass. The delay at a whole node's limits was not measured.

--- a/peridotspoke/nodes/jobrequests.py
+++ b/peridotspoke/nodes/jobrequests.py
@@ -62,20 +62,22 @@
         """Whether calls may be refused for their API keys."""
         return self._access.is_needed
 
-    async def check_head(self, host, path, key):
-        """Return the answer to a submission that needs no body for it, or None.
+    async def check_head(self, host, path, key, step="submit"):
+        """Return the answer to a call that needs no more than its head, or None.
 
         Parameters
         ----------
         host, path : str
             As in `submit`.
         key : CallerKey
+        step : str, optional
+            What the call asks for: submit, show or cancel.
 
         Returns
         -------
         KeyRefused, Refused, UnknownQueue or None
         """
-        found, _ = await self._admit("submit", host, path, key)
+        found, _ = await self._admit(step, host, path, key)
         return None if isinstance(found, tuple) else found
 
     @property
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -18,6 +18,7 @@
 
 READY_PATH = "/peridotspoke/ready"
 JSON_TYPE = "application/json"
+STEPS = {"POST": "submit", "GET": "show", "DELETE": "cancel"}
 KEEPALIVE_TIMEOUT = 75.0  # seconds until an idle connection is closed
 SHUTDOWN_TIMEOUT = 2.0  # seconds that open requests have when the server closes
 ACCEPT_BACKLOG = 512  # connections that wait to be accepted
@@ -125,11 +126,14 @@
         host = request.headers.get("Host", "").partition(":")[0]
         key = CallerKey(tuple(request.headers.getall(KEY_HEADER, ())))
         body = b""
+        step = STEPS.get(request.method)
+        # A body without a valid key isn't read, and a caller whose key is unknown waits
+        # for a read of the configuration without the turn that others need.
+        if step and self._job_handler.checks_keys:
+            answer = await self._job_handler.check_head(host, request.path, key, step)
+            if answer is not None:
+                return _make_job_response(answer, 404)
         if request.method == "POST":
-            if self._job_handler.checks_keys:  # a body without a valid key isn't read
-                answer = await self._job_handler.check_head(host, request.path, key)
-                if answer is not None:
-                    return _make_job_response(answer, 404)
             max_size = self._job_handler.max_body_size
             body = await self._callers.read_body(request, max_size)
         async with self._callers.turn:
