--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -93,8 +93,7 @@
         self.slow_stops = {}
         self.job_runs = {}
         self.held_places = {}
-        self.copied_runs = set()
-        self.given_up_runs = []
+        self.copied_runs, self.given_up_runs = set(), []
         self.rules = rules
         self.taken_over_at = now
         self.former_bound = LeaseBound(now + rules.inherited_lease, "takeover", now)
--- a/tests/test_librarylogs.py
+++ b/tests/test_librarylogs.py
@@ -103,3 +103,42 @@
     assert counted.count("run-ordered") == 99  # the first was being written
     for descriptor in (writer, error_reader, error_writer):
         os.close(descriptor)
+
+
+def test_a_stuck_reader_that_leaves_costs_one_line_too(monkeypatch):
+    """The line for which the full buffer was flushed was written to a lost reader."""
+    reader, writer = os.pipe()
+    error_reader, error_writer = os.pipe()
+    monkeypatch.setattr(logsink, "STANDARD_ERROR", error_writer)
+    rules = SinkRules(rate=1e6, burst=1e6, most_waiting=10, reserve=0)
+    sink = BoundedSink(writer, ManualClock(), rules)
+    os.set_blocking(reader, False)
+    while sink._count_waiting() < rules.most_waiting:
+        sink.put("line\n" * 100, INFO, "event=run-ordered")
+    os.close(reader)
+    for _ in range(10):
+        sink.put("line\n", INFO, "event=run-ordered")
+    sink.finish(0.01)
+    assert os.read(error_reader, 65_536) == b"level=WARNING event=log-reader-lost\n"
+    for descriptor in (writer, error_reader, error_writer):
+        os.close(descriptor)
+
+
+def test_a_repeated_conflict_is_limited_although_it_is_essential():
+    """A caller that submits under an ID in use without end filled the log."""
+    reader, writer = os.pipe()
+    sink = BoundedSink(writer, ManualClock(), SinkRules(fault_rate=1, fault_burst=3.0))
+    for number in range(10):
+        sink.put(f"conflict {number}\n", INFO, "event=job-submit outcome=Conflict")
+    text = os.read(reader, 65_536).decode()
+    os.close(reader)
+    os.close(writer)
+    assert text.count("conflict ") == 3
+
+
+def test_a_message_without_its_named_value_is_logged_as_it_is(lines, library):
+    """Such a message raised a KeyError in the library that logged it."""
+    _, _, logger = library
+    logger.warning("lost %(peer)s", {"host": "h"})
+    assert len(lines) == 1
+    assert "lost %(peer)s" in lines[0]
