--- a/peridotspoke/platform/tests/playchecks.py
+++ b/peridotspoke/platform/tests/playchecks.py
@@ -257,7 +257,8 @@
         last = job.states[-1] if job.states else (0, 0, 0, None)
         if job.kind != "lasting" and last[3] != "completed":
             runs = [run for task in _list_tasks(job) for run in by_task.get(task, ())]
-            free = min(_find_free_cpu(play, job), compute_free_quota(play, job))
+            free = _find_free_cpu(play, job)
+            free = min(free, compute_free_quota(play, job, last[1]))
             if all(run.ended_at < last[1] - STANDING for run in runs) and free > 0.5:
                 yield f"LOST {job.job_id} ({job.kind}): {last[2]} {last[3]} at the end"
 
--- a/peridotspoke/platform/tests/playlimitchecks.py
+++ b/peridotspoke/platform/tests/playlimitchecks.py
@@ -11,6 +11,7 @@
 __all__ = ["compute_free_quota", "find_over_limits"]
 
 IN_FORCE = 3.0  # seconds for which a replaced limit may still be in force
+STANDING = 3.0  # seconds in which a job gets what its workspace doesn't use
 NO_LIMIT = (math.inf,) * len(RESOURCES)
 
 
@@ -65,29 +66,49 @@
     return tuple(step[name] for name in RESOURCES)
 
 
-def compute_free_quota(play, job):
-    """Return the free share of the limit of a job's workspace at the end of a play.
+def compute_free_quota(play, job, at):
+    """Return the share of the limit of a job's workspace that was free for a while.
 
-    It is 0 if one of the job's tasks, or a gang of them, doesn't fit what is free. In a
-    play with the seed 5, a gang that needed the whole limit waited for a lasting job of
-    its workspace whose cancellation had been refused.
+    The most that the workspace had running at a time in the last `STANDING` counts. The
+    share is 0 if one of the job's tasks, or a gang of them, doesn't fit beside that. In
+    two plays with the seed 5, a gang that needed the whole limit waited for a lasting
+    job whose cancellation had been refused, and a job waited while others of its
+    workspace used the limit up by turns.
+
+    Parameters
+    ----------
+    play : FleetPlay
+    job : Job
+    at : float
+        Monotonic seconds.
     """
     if not job.workspace:
         return 1.0
     limits = read_versions(play.site.store.configurations)[-1].limits[job.workspace]
-    used = [
-        _find_needs(task, other)
-        for executor in play.site.executors
-        if executor.is_alive
-        for task in executor.running
-        if (other := play.jobs.get(task.partition(".")[0])) is not None
+    runs = [
+        (run, _find_needs(run.task, other))
+        for run in play.site.runs
+        if (other := play.jobs.get(run.task.partition(".")[0])) is not None
         and other.workspace == job.workspace
+        and run.began_at <= at
+        and run.ended_at > at - STANDING
     ]
+    moments = [max(run.began_at, at - STANDING) for run, _ in runs]
     shares = []
     for number, limit in enumerate(limits):
-        free = limit - sum(needs[number] for needs in used)
-        fits = _find_largest(job, number) <= free
-        shares.append(free / limit if fits and limit < math.inf else float(fits))
+        peak = max(
+            (
+                sum(
+                    needs[number]
+                    for run, needs in runs
+                    if run.began_at <= moment < run.ended_at
+                )
+                for moment in moments
+            ),
+            default=0,
+        )
+        fits = _find_largest(job, number) <= limit - peak
+        shares.append(1 - peak / limit if fits else 0.0)
     return min(shares)
 
 
--- a/peridotspoke/platform/tests/test_playlimitchecks.py
+++ b/peridotspoke/platform/tests/test_playlimitchecks.py
@@ -118,20 +118,38 @@
     assert not find(make_runs(*FOUR), configurations, [make_job(workspace="")])
 
 
+def make_play(*spans):
+    document = make_document(4000, 200)
+    store = SimpleNamespace(configurations=[(0, make_document()), (1, document)])
+    site = SimpleNamespace(runs=make_runs(*spans), store=store)
+    return SimpleNamespace(site=site, jobs={JOB_ID: make_job()})
+
+
 def test_the_free_share_of_a_limit_is_that_of_the_scarcest_resource():
     # Guards against jobs that are reported lost while their workspace's limit is used.
-    job = make_job()
-    executor = SimpleNamespace(is_alive=True, running={f"{JOB_ID}.0.0.0": None})
-    store = SimpleNamespace(
-        configurations=[(0, make_document()), (1, make_document(4000, 200))]
-    )
-    site = SimpleNamespace(executors=[executor], store=store)
-    play = SimpleNamespace(site=site, jobs={JOB_ID: job})
-    assert compute_free_quota(play, job) == 0.5
-    assert compute_free_quota(play, make_job(cpu=3000)) == 0.5
-    assert compute_free_quota(play, make_job(cpu=3001)) == 0.0
+    play = make_play((10, math.inf))
+    assert compute_free_quota(play, make_job(), 20) == 0.5
+    assert compute_free_quota(play, make_job(cpu=3000), 20) == 0.5
+    assert compute_free_quota(play, make_job(cpu=3001), 20) == 0.0
     gang = make_job(cpu=400)
     gang.body["steps"][0]["gang"] = True
-    assert compute_free_quota(play, gang) == 0.0
-    assert compute_free_quota(play, make_job(workspace="plum")) == 1.0
-    assert compute_free_quota(play, make_job(workspace="")) == 1.0
+    assert compute_free_quota(play, gang, 20) == 0.0
+    assert compute_free_quota(play, make_job(workspace="plum"), 20) == 1.0
+    assert compute_free_quota(play, make_job(workspace=""), 20) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("spans", "share"),
+    [
+        ([], 1.0),
+        ([(10, 16.9)], 1.0),
+        ([(10, 17.1)], 0.5),
+        ([(19, 19.5), (19.6, 19.9)], 0.5),  # by turns
+        ([(19, 19.7), (19.6, 19.9)], 0.0),
+        ([(20.1, 21)], 1.0),
+    ],
+)
+def test_a_limit_is_free_if_it_was_for_three_seconds(spans, share):
+    # Guards against both: a job that waits for its turn is reported lost, and one that
+    # waits while nothing of its workspace runs is not.
+    assert compute_free_quota(make_play(*spans), make_job(), 20) == share
