Forget quotas' records that were deleted while none was followed

Cause: A node that stops following the quotas' records and follows them again gets only keys that exist as changed ones. A record that was deleted meanwhile stayed in its copy, as of the new revision, so that an owner went by a grant that the store no longer had.

Change: With the first batch after such a time, QuotaRecords.apply also handles the known records that are missing.

Measured: the new test in nodes/tests/test_quotas.py failed before and passes now.

--- a/peridotspoke/nodes/quotas.py
+++ b/peridotspoke/nodes/quotas.py
@@ -69,7 +69,12 @@
         now : float
             Monotonic seconds.
         """
-        for key in followed.changed:
+        changed = followed.changed
+        if self.revision < 0:
+            # Those that were deleted while nothing was followed aren't among them.
+            known = frozenset(map(key_quota, self._records))
+            changed = changed | (known - followed.records.keys())
+        for key in changed:
             name, record = split_quota_key(key), followed.records.get(key)
             known = self._records.get(name, ABSENT)
             if known[1] is None or (record is None and known[0]):
--- a/peridotspoke/nodes/tests/test_quotas.py
+++ b/peridotspoke/nodes/tests/test_quotas.py
@@ -180,6 +180,20 @@
     assert len(await pool.run_round()) == 2
 
 
+async def test_a_record_that_is_deleted_while_none_is_followed_grants_nothing():
+    """Guards against starts by a grant that the store no longer has."""
+    pool = OwnedPool()
+    pool.put(encode_value(QuotaRecord({"pool": QuotaRow(Need(4000))})))
+    pool.follow()
+    assert pool.parts.quotas.list_granted("pool") == [TEAM]
+    pool.parts.quotas.revision = -1
+    followed = FollowedRecords({}, frozenset(), 0.0, FENCE + 1)
+    pool.parts.quotas.apply(followed, pool.clock.read_monotonic())
+    assert not pool.parts.quotas.list_granted("pool")
+    assert TEAM in pool.parts.quotas.lost_at
+    assert not await pool.run_round()
+
+
 async def test_a_wait_for_quota_is_logged_with_the_job():
     pool = OwnedPool()
     others = QuotaRecord({"other": QuotaRow(Need(4000))})
