Wait before a quota's write that a lost ownership has refused is repeated

Cause: Where the ownership was lost, or the record was deleted, a refused write told nothing new, and the next round sent the same one at once, until the watch told the loss: a write for each answer and workspace, also while the watch was silent.

Change: After a refusal that names no newer record, nothing is written for RETRY_DELAY, as after a failed write.

Measured: the new test failed before (a write in each of 20 rounds) and passes now.

--- a/peridotspoke/nodes/quotas.py
+++ b/peridotspoke/nodes/quotas.py
@@ -265,16 +265,21 @@
                     workspace, quota, row, before, result.revision, age
                 )
             else:
-                self._apply_refusal(workspace, quota, result, now)
+                self._apply_refusal(workspace, quota, transaction, result, now)
         finally:
             quota.note_answered()
             self._wake()
 
-    def _apply_refusal(self, workspace, quota, result, now):
-        """Take the record from a refused write. A lost ownership is seen elsewhere."""
+    def _apply_refusal(self, workspace, quota, transaction, result, now):
+        """Take the record from a refused write. A lost ownership is seen elsewhere.
+
+        Until it is, or until the deletion of a record is seen, each write is refused.
+        """
         self._node.metrics.count("quota_writes_refused", pool=self._pool)
         record = result.find_current(key_quota(workspace))
-        if record is not None:
+        if record is None or record.revision == transaction.conditions[-1].revision:
+            self._retry_at = now + RETRY_DELAY
+        else:
             quota.observe(record.revision, record.revision, read_rows(record), now)
 
     def _read_now(self):
--- a/peridotspoke/nodes/tests/test_quotas.py
+++ b/peridotspoke/nodes/tests/test_quotas.py
@@ -117,6 +117,18 @@
     assert KEY not in pool.store.records
 
 
+async def test_a_former_owner_does_not_write_in_each_round():
+    """Guards against a refused write for each answer until the watch tells the loss."""
+    pool = OwnedPool()
+    own_unit(pool.store, "pool", FENCE + 5)
+    for _ in range(20):
+        await pool.run_round()
+    assert pool.woken == 1
+    pool.clock.advance(0.11)
+    await pool.run_round()
+    assert pool.woken == 2
+
+
 async def test_a_refused_write_is_made_anew_from_the_record_that_refused_it():
     """Guards against a wait for the watch when many pools write at once."""
     pool = OwnedPool()
