Keep the wait for a new limit when a record was lost long before

Cause: QuotaBook.note_lost_record is called for each record that was ever lost, and set the end of the workspace's wait back to a time in the past. Where a limit had just been set on a workspace that had none, tasks could start at once, beside those that run elsewhere without grants.

Change: The later of the two ends holds.

Measured: the new test in workloads/tests/test_quotas.py failed before and passes now.

--- a/peridotspoke/workloads/quotas.py
+++ b/peridotspoke/workloads/quotas.py
@@ -84,7 +84,8 @@
 
     def note_lost_record(self, workspace, now):
         """Record that a workspace's record was deleted, so that grants are unknown."""
-        self._settled[workspace] = now + self._rules.settling
+        settled_at = self._settled.get(workspace, float("-inf"))
+        self._settled[workspace] = max(settled_at, now + self._rules.settling)
 
     def note_grant(self, workspace):
         """Follow the quota of a workspace that has a row for the pool in the store."""
--- a/peridotspoke/workloads/tests/test_quotas.py
+++ b/peridotspoke/workloads/tests/test_quotas.py
@@ -159,6 +159,17 @@
     assert row == QuotaRow(Need(4000))  # what all ready tasks need, up to the limit
 
 
+def test_a_record_lost_long_ago_ends_no_later_wait_for_a_new_limit():
+    """Guards against starts beside tasks that run without grants elsewhere."""
+    book, ledger = make_book(Need(4000)), make_ledger("e1")
+    add(ledger, Step(1, CORE))
+    book.set_limits({}, 90.0)
+    book.set_limits({TEAM: Need(4000)}, 100.0, {TEAM})
+    book.note_lost_record(TEAM, 10.0)
+    assert not plan(book, ledger, 102.9)
+    assert plan(book, ledger, 103.1)
+
+
 def test_a_task_that_waits_for_its_quota_blocks_no_smaller_one_of_others():
     """Guards against a quota that counts as a lack of room on executors."""
     book, ledger = make_book(), make_ledger("e1")
