Return the grant of a workspace that is limited again

Cause: PoolQuotas looked for rows of its pool only when the records changed. If the limit of a workspace was removed and set again while others had limits, an owner without jobs of it didn't follow its quota, and kept the row's grant until another pool wrote.

Change: The records are looked through after each change of the configuration as well.

Measured: the new test in nodes/tests/test_quotas.py failed before and passes now.

--- a/peridotspoke/nodes/quotas.py
+++ b/peridotspoke/nodes/quotas.py
@@ -212,7 +212,7 @@
                 return
             records = self._node.quotas
             self._book = QuotaBook(self._pool, self._holding.fence, records.find_known)
-            self._changes = -1
+        self._changes = -1  # a workspace that is limited again may have a row
         known = {workspace.name for workspace in before.workspaces} if before else ()
         self._book.set_limits(limits, now, known)
         if not limits:
--- a/peridotspoke/nodes/tests/test_quotas.py
+++ b/peridotspoke/nodes/tests/test_quotas.py
@@ -29,7 +29,8 @@
 class OwnedPool:
     """The quotas of a pool whose owner has one job of the workspace `TEAM`."""
 
-    def __init__(self, limit=Need(4000), count=2):
+    def __init__(self, limit=Need(4000), count=2, has_others=False):
+        self.has_others = has_others
         self.parts = make_parts()
         self.store, self.clock = self.parts.store, self.parts.clock
         own_unit(self.store, "pool", FENCE)
@@ -55,6 +56,7 @@
     def configure(self, limit):
         view = self.parts.view
         workspaces = () if limit is None else (Workspace(TEAM, limit=limit),)
+        workspaces += (Workspace("limited", limit=Need(1000)),) * self.has_others
         view.apply_configuration(
             replace(
                 view.configuration,
@@ -206,6 +208,22 @@
     assert not await pool.run_round()
 
 
+async def test_a_grant_of_before_is_returned_once_the_workspace_is_limited_again():
+    """Guards against room that an owner without such jobs keeps from other pools."""
+    pool = OwnedPool(has_others=True, count=0)
+    pool.configure(None)
+    await pool.run_round()
+    pool.put(encode_value(QuotaRecord({"pool": QuotaRow(Need(3000))})))
+    pool.follow()
+    await pool.run_round()
+    pool.configure(Need(4000))
+    for _ in range(4):
+        await pool.run_round()
+        pool.clock.advance(1.1)
+        pool.parts.record_store_call("watch", "200", served=True)
+    assert not pool.read()
+
+
 async def test_a_wait_for_quota_is_logged_with_the_job():
     pool = OwnedPool()
     others = QuotaRecord({"other": QuotaRow(Need(4000))})
