Leave what a quota holds back out of the other workspaces' entitlements

Cause: Tasks that wait for quota counted as demand of their workspace, so that one at its quota with a long backlog lowered the entitlements of all others. These were then placed by rank instead of by weight: with 8 cores, a burst got 7 of them beside a workspace within its share.

Change: The entitlements of workspaces without held tasks are computed from the tasks that grants have room for. A workspace whose tasks are held keeps the entitlement of all it waits for: it must still come first to request quota, which is asked only for a place. Its first-pass tasks that are held take no place.

Measured: the new test failed before (7 and 1 starts instead of 4 and 4) and passes now.

--- a/peridotspoke/workloads/quotarounds.py
+++ b/peridotspoke/workloads/quotarounds.py
@@ -7,13 +7,14 @@
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.quotarecords import (
     count_fitting,
+    mask_need,
     multiply_need,
     subtract_needs,
 )
 from peridotspoke.workloads.quotas import compute_quota_need
 from peridotspoke.workloads.runs import compute_need
 
-__all__ = ["RoundQuotas"]
+__all__ = ["RoundQuotas", "count_startable"]
 
 
 class RoundQuotas:
@@ -99,6 +100,38 @@
         )
 
 
+def count_startable(book, work):
+    """Return for each step how many of its tasks the quotas have room for.
+
+    Earlier steps of a workspace take what is unused of its grant before later ones.
+
+    Parameters
+    ----------
+    book : QuotaBook
+    work : list of StepWork
+
+    Returns
+    -------
+    list of int
+    """
+    unused, counts = {}, []
+    for item in work:
+        workspace, step = _describe(item)
+        limit, count = book.limits.get(workspace), len(item.tasks)
+        if limit is not None:
+            if workspace not in unused:
+                unused[workspace] = book.find_unused(workspace)
+            size = step.count if step.gang else 1
+            need = mask_need(compute_quota_need(step), limit)
+            fitting = count_fitting(unused[workspace], need, count)
+            count = fitting - fitting % size
+            if count:
+                taken = multiply_need(need, count)
+                unused[workspace] = subtract_needs(unused[workspace], taken)
+        counts.append(count)
+    return counts
+
+
 def _describe(item):
     job = item.progress.job
     return job.workspace, job.steps[item.step_number]
--- a/peridotspoke/workloads/quotas.py
+++ b/peridotspoke/workloads/quotas.py
@@ -127,6 +127,11 @@
             return True
         return self._open(workspace).has_room(need, self._now)
 
+    def find_unused(self, workspace):
+        """Return how much of a limited workspace's grant nothing uses."""
+        quota = self.quotas.get(workspace)
+        return NOTHING if quota is None else quota.find_unused(self._now)
+
     def reserve(self, workspace, need):
         """Count a task that is going to start, or all tasks of a gang."""
         if workspace in self._limits:
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -90,7 +90,7 @@
     offers = make_offers(ledger, now)
     planned, unplaced_needs = [], []
     if shares is not None:
-        work = shares.order_work(ledger, work, offers, planned)
+        work = shares.order_work(ledger, work, offers, planned, quotas)
     quotas = quotas and RoundQuotas(quotas, offers)
     for item in work:
         step = item.progress.job.steps[item.step_number]
--- a/peridotspoke/workloads/sharedrounds.py
+++ b/peridotspoke/workloads/sharedrounds.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from peridotspoke.workloads.quotarounds import count_startable
 from peridotspoke.workloads.runs import compute_need
 from peridotspoke.workloads.shares import (
     TOLERANCE,
@@ -53,6 +54,9 @@
         Amounts in use by workspace; changed by `record`.
     ready : dict of str to list of int
         Amounts that waiting tasks need, by workspace.
+    startable : dict of str to list of int
+        The part of them that quotas have room for. What a quota holds back counts for
+        the entitlement of its workspace alone, which may be granted more in this round.
     capacity : list of int
         Total of the executors that take work.
     free : list of int
@@ -61,24 +65,33 @@
         Positive, for each workspace.
     """
 
-    def __init__(self, uses, ready, capacity, free, weights):
+    def __init__(self, uses, ready, startable, capacity, free, weights):
         self._uses = uses
         self._capacity = capacity
-        demands = dict(uses)
-        for name, (cpu, memory, accelerators) in ready.items():
-            used = uses.get(name, (0, 0, 0))
-            demands[name] = (cpu + used[0], memory + used[1], accelerators + used[2])
-        demands = {name: divide(item, capacity) for name, item in demands.items()}
         available = [sum(column) for column in zip(free, *uses.values(), strict=True)]
         left = divide(available, capacity)
+        demands = self._sum_demands(ready)
         self._demands = {name: max(shares) for name, shares in demands.items()}
         self._entitlements = share_out(demands, weights, left)
+        if startable is not ready:
+            others = share_out(self._sum_demands(startable), weights, left)
+            for name, entitlement in others.items():
+                if startable.get(name) == ready.get(name):
+                    self._entitlements[name] = entitlement
         self.limits = {
             name: entitlement
             for name, entitlement in self._entitlements.items()
             if entitlement < self._demands[name] - TOLERANCE
         }
 
+    def _sum_demands(self, ready):
+        """Return the shares of the resources in use or needed, by workspace."""
+        demands = dict(self._uses)
+        for name, (cpu, memory, accelerators) in ready.items():
+            used = self._uses.get(name, (0, 0, 0))
+            demands[name] = (cpu + used[0], memory + used[1], accelerators + used[2])
+        return {name: divide(item, self._capacity) for name, item in demands.items()}
+
     def list_standings(self):
         """Return the `Standing` of each workspace by name."""
         return {
@@ -120,7 +133,7 @@
         self.latest = None
         self._filled = {}
 
-    def order_work(self, ledger, work, offers, planned):
+    def order_work(self, ledger, work, offers, planned, quotas=None):
         """Return the steps of a round in the order in which to place them.
 
         Steps of jobs without a workspace and of workspaces that use less than their
@@ -135,6 +148,7 @@
         offers : dict of str to Offer
         planned : list of Run
             The caller appends the runs of each step before it asks for the next one.
+        quotas : QuotaBook or None, optional
 
         Returns
         -------
@@ -144,17 +158,23 @@
         free, largest = _sum_free(offers.values())
         if not _has_place(work, largest):
             return work
-        ready, total = _sum_ready(work)
+        waiting = [len(item.tasks) for item in work]
+        ready, total = _sum_ready(work, waiting)
         fits = all(need <= room for need, room in zip(total, free, strict=True))
         if fits or not ready:
             self.latest = None
             return work
-        self.latest = self._measure(ledger, offers, ready, free)
+        startable = ready
+        if quotas is not None:
+            counts = count_startable(quotas, work)
+            if counts != waiting:
+                startable, _ = _sum_ready(work, counts)
+        self.latest = self._measure(ledger, offers, ready, startable, free)
         if not self.latest.limits:
             return work
         return _list_passes(work, planned, self.latest)
 
-    def _measure(self, ledger, offers, ready, free):
+    def _measure(self, ledger, offers, ready, startable, free):
         """Return the `RoundShares` by the runs of the executors that make offers."""
         uses, capacity = {}, [0, 0, 0]
         for executor_id in offers:
@@ -170,7 +190,7 @@
         missing = (uses.keys() | ready.keys()) - self._filled.keys()
         if missing:
             self._filled |= fill_weights(self.weights, missing)
-        return RoundShares(uses, ready, capacity, free, self._filled)
+        return RoundShares(uses, ready, startable, capacity, free, self._filled)
 
 
 def _list_passes(work, planned, shares):
@@ -210,14 +230,14 @@
     return False
 
 
-def _sum_ready(work):
-    """Return what waiting tasks need, by workspace and in total.
+def _sum_ready(work, counts):
+    """Return what `counts` tasks of the steps need, by workspace and in total.
 
     Jobs without a workspace count in the total alone.
     """
     ready = {}
-    for item in work:
-        job, count = item.progress.job, len(item.tasks)
+    for item, count in zip(work, counts, strict=True):
+        job = item.progress.job
         step, name = job.steps[item.step_number], job.workspace
         if name not in ready:
             ready[name] = [0, 0, 0]
--- a/peridotspoke/workloads/tests/test_sharedrounds.py
+++ b/peridotspoke/workloads/tests/test_sharedrounds.py
@@ -6,6 +6,8 @@
 
 from peridotspoke.workloads.admission import compute_cutoff, compute_retry_delay
 from peridotspoke.workloads.jobs import Need, Step
+from peridotspoke.workloads.quotarecords import QuotaRow
+from peridotspoke.workloads.quotas import QuotaBook
 from peridotspoke.workloads.scheduling import plan_runs
 from peridotspoke.workloads.sharedrounds import PoolShares
 from peridotspoke.workloads.tests.ledgers import WALL_EPOCH, add_job, make_ledger
@@ -209,6 +211,29 @@
     assert standings["b"].entitlement == pytest.approx(0.75)
 
 
+def test_what_a_quota_holds_back_takes_no_share_of_the_others():
+    """Guards against a burst that passes others, as one at its quota counts too.
+
+    Without the held tasks, 8 cores are divided between "hot", which is first in line,
+    and "calm", which needs less than its half.
+    """
+    ledger = make_ledger("e0")
+    held = Step(100, Need(1000, 100), TASK_S)
+    add_job(ledger, held, job_id="held", workspace="held")
+    for number in range(24):
+        workspace = "hot" if number < 20 else "calm"
+        single = Step(1, Need(1000, 100), TASK_S)
+        add_job(ledger, single, job_id=f"{number}", workspace=workspace)
+    shares = PoolShares({"held": 10.0, "hot": 1.0, "calm": 1.0})
+    quotas = QuotaBook("pool", 7, lambda name: (10, 9, {"other": QuotaRow(Need(1000))}))
+    quotas.set_limits({"held": Need(1000)}, 0.0)
+    quotas.begin_round({}, 1.0, WALL_EPOCH + 1.0)
+    runs = plan_runs(ledger, 1.0, WALL_EPOCH + 1.0, None, shares, quotas)
+    started = [run.progress.job.workspace for run in runs]
+    assert (started.count("hot"), started.count("calm")) == (4, 4)
+    assert shares.latest.list_standings()["held"].is_limited
+
+
 def make_burst(seed, end):
     """Return 19 workspaces within their shares, and one that sends 7 times as much."""
     rate = 0.9 * CORES / 20
--- a/peridotspoke/workloads/workspacequota.py
+++ b/peridotspoke/workloads/workspacequota.py
@@ -127,6 +127,12 @@
         is_alone = self.others == NOTHING and self.use == NOTHING
         return is_alone and self._is_oversized(need)
 
+    def find_unused(self, now):
+        """Return how much of the grant nothing uses, in the limited resources."""
+        if not self.is_known or now < self.settled_at:
+            return NOTHING
+        return raise_to_zero(subtract_needs(self.granted, self.use))
+
     def reserve(self, need):
         """Count a task that starts, or all of a gang."""
         need = mask_need(need, self.limit)
