Bound the workspaces' labels of shares and quotas by BoundedLabels

Cause: Both reports had their own copy of what BoundedLabels does; that of quotas also kept every further workspace's name.

Change: Both use BoundedLabels, each with its own limit as before.

Measured: nodes/tests/test_poolshares.py, among it the test of bounded labels, and nodes/tests/test_quotas.py pass.

--- a/peridotspoke/nodes/poolshares.py
+++ b/peridotspoke/nodes/poolshares.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from peridotspoke.labels import BoundedLabels
 from peridotspoke.workloads.sharedrounds import PoolShares
 
 __all__ = ["SharedRounds", "read_weights"]
@@ -11,7 +12,6 @@
 LINE_INTERVAL = 1.0  # seconds between two groups of lines
 MAX_LINES = 8  # of a group; the other changes are logged in later ones
 MAX_LABELS = 250  # workspaces with a label of their own in the metrics
-OTHER_LABEL = "other"
 USE_GAUGE = "workspace_use_share"
 ENTITLED_GAUGE = "workspace_entitled_share"
 WAIT_GAUGE = "workspace_wait_seconds"
@@ -53,7 +53,7 @@
         self._log = log
         self._configuration = None
         self._shares = None
-        self._labels = {}
+        self._labels = BoundedLabels(MAX_LABELS)
         self._shown = set()
         self._told = set()
         self._differing_since = {}
@@ -101,7 +101,7 @@
     def _set_gauges(self, standings, waits):
         shown = {}
         for name in standings.keys() | waits.keys():
-            row = shown.setdefault(self._find_label(name), [0.0, 0.0, 0.0])
+            row = shown.setdefault(self._labels.bound(name), [0.0, 0.0, 0.0])
             standing = standings.get(name)
             if standing is not None:
                 row[0] += standing.use
@@ -115,11 +115,6 @@
                 self._metrics.set_gauge(gauge, value, pool=self._pool, workspace=label)
         self._shown = set(shown)
 
-    def _find_label(self, name):
-        if name not in self._labels and len(self._labels) < MAX_LABELS:
-            self._labels[name] = name
-        return self._labels.get(name, OTHER_LABEL)
-
     def _tell(self, standings, waits, now):
         """Log each workspace that has begun or ceased to need more than its share."""
         limited = {name for name, item in standings.items() if item.is_limited}
--- a/peridotspoke/nodes/quotareports.py
+++ b/peridotspoke/nodes/quotareports.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime
 
+from peridotspoke.labels import BoundedLabels
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.quotarecords import NOTHING
 
@@ -40,7 +41,7 @@
 
     def __init__(self, pool, metrics, log):
         self._pool, self._metrics, self._log = pool, metrics, log
-        self._told_at, self._labels = {}, {}
+        self._told_at, self._labels = {}, BoundedLabels(MAX_LABELS)
         self._shown, self._updated_at = set(), float("-inf")
 
     def note_stored(self, workspace, quota, row, before, revision, age):
@@ -116,7 +117,7 @@
     def _set_gauges(self, book):
         sums = {shown: [0, 0, 0] for shown in self._shown}
         for workspace, quota in book.quotas.items():
-            label = self._find_label(workspace)
+            label = self._labels.bound(workspace)
             for name, need in zip(GAUGES, (quota.use, quota.granted), strict=True):
                 total = sums.setdefault((name, label), [0, 0, 0])
                 total[0] += need.cpu
@@ -126,7 +127,7 @@
             self._set_gauge(name, label, Need(*total))
         self._shown = set(sums)
         for workspace, limit in book.limits.items():
-            label = self._find_label(workspace)
+            label = self._labels.bound(workspace)
             if label != OTHER:
                 self._set_gauge("quota_limit", label, limit, pool=None)
 
@@ -137,9 +138,3 @@
         for resource in RESOURCES:
             amount = getattr(need, resource)
             self._metrics.set_gauge(name, amount, resource=resource, **labels)
-
-    def _find_label(self, workspace):
-        if workspace not in self._labels:
-            is_over = len(self._labels) >= MAX_LABELS
-            self._labels[workspace] = OTHER if is_over else workspace
-        return self._labels[workspace]
