--- a/peridotspoke/nodes/quotas.py
+++ b/peridotspoke/nodes/quotas.py
@@ -63,7 +63,12 @@
         now : float
             Monotonic seconds.
         """
-        for key in followed.changed:
+        changed = followed.changed
+        if self.revision < 0:
+            # Those that were deleted while nothing was followed aren't among them.
+            known = frozenset(map(key_quota, self._records))
+            changed = changed | (known - followed.records.keys())
+        for key in changed:
             name, record = split_quota_key(key), followed.records.get(key)
             known = self._records.get(name, ABSENT)
             if known[1] is None or (record is None and known[0]):
@@ -201,7 +206,7 @@
                 return
             records = self._node.quotas
             self._book = QuotaBook(self._pool, self._holding.fence, records.find_known)
-            self._changes = -1
+        self._changes = -1  # a workspace that is limited again may have a row
         known = {workspace.name for workspace in before.workspaces} if before else ()
         self._book.set_limits(limits, now, known)
         if not limits:
@@ -254,16 +259,21 @@
                     workspace, quota, row, before, result.revision, age
                 )
             else:
-                self._apply_refusal(workspace, quota, result, now)
+                self._apply_refusal(workspace, quota, transaction, result, now)
         finally:
             quota.note_answered()
             self._wake()
 
-    def _apply_refusal(self, workspace, quota, result, now):
-        """Take the record from a refused write. A lost ownership is seen elsewhere."""
+    def _apply_refusal(self, workspace, quota, transaction, result, now):
+        """Take the record from a refused write. A lost ownership is seen elsewhere.
+
+        Until it is, or until the deletion of a record is seen, each write is refused.
+        """
         self._node.metrics.count("quota_writes_refused", pool=self._pool)
         record = result.find_current(key_quota(workspace))
-        if record is not None:
+        if record is None or record.revision == transaction.conditions[-1].revision:
+            self._retry_at = now + RETRY_DELAY
+        else:
             quota.observe(record.revision, record.revision, read_rows(record), now)
 
     def _read_now(self):
--- a/peridotspoke/nodes/tests/test_quotas.py
+++ b/peridotspoke/nodes/tests/test_quotas.py
@@ -29,7 +29,8 @@
 class OwnedPool:
     """The quotas of a pool whose owner has one job of the workspace `TEAM`."""
 
-    def __init__(self, limit=Need(4000), count=2):
+    def __init__(self, limit=Need(4000), count=2, has_others=False):
+        self.has_others = has_others
         self.parts = make_parts()
         self.store, self.clock = self.parts.store, self.parts.clock
         own_unit(self.store, "pool", FENCE)
@@ -55,6 +56,7 @@
     def configure(self, limit):
         view = self.parts.view
         workspaces = () if limit is None else (Workspace(TEAM, limit=limit),)
+        workspaces += (Workspace("limited", limit=Need(1000)),) * self.has_others
         view.apply_configuration(
             replace(
                 view.configuration,
@@ -117,6 +119,18 @@
     assert KEY not in pool.store.records
 
 
+async def test_a_former_owner_does_not_write_in_each_round():
+    """Guards against a refused write for each answer until the watch tells the loss."""
+    pool = OwnedPool()
+    own_unit(pool.store, "pool", FENCE + 5)
+    for _ in range(20):
+        await pool.run_round()
+    assert pool.woken == 1
+    pool.clock.advance(0.11)
+    await pool.run_round()
+    assert pool.woken == 2
+
+
 async def test_a_refused_write_is_made_anew_from_the_record_that_refused_it():
     """Guards against a wait for the watch when many pools write at once."""
     pool = OwnedPool()
@@ -180,6 +194,36 @@
     assert len(await pool.run_round()) == 2
 
 
+async def test_a_record_that_is_deleted_while_none_is_followed_grants_nothing():
+    """Guards against starts by a grant that the store no longer has."""
+    pool = OwnedPool()
+    pool.put(encode_value(QuotaRecord({"pool": QuotaRow(Need(4000))})))
+    pool.follow()
+    assert pool.parts.quotas.list_granted("pool") == [TEAM]
+    pool.parts.quotas.revision = -1
+    followed = FollowedRecords({}, frozenset(), 0.0, FENCE + 1)
+    pool.parts.quotas.apply(followed, pool.clock.read_monotonic())
+    assert not pool.parts.quotas.list_granted("pool")
+    assert TEAM in pool.parts.quotas.lost_at
+    assert not await pool.run_round()
+
+
+async def test_a_grant_of_before_is_returned_once_the_workspace_is_limited_again():
+    """Guards against room that an owner without such jobs keeps from other pools."""
+    pool = OwnedPool(has_others=True, count=0)
+    pool.configure(None)
+    await pool.run_round()
+    pool.put(encode_value(QuotaRecord({"pool": QuotaRow(Need(3000))})))
+    pool.follow()
+    await pool.run_round()
+    pool.configure(Need(4000))
+    for _ in range(4):
+        await pool.run_round()
+        pool.clock.advance(1.1)
+        pool.parts.record_store_call("watch", "200", served=True)
+    assert not pool.read()
+
+
 async def test_a_wait_for_quota_is_logged_with_the_job():
     pool = OwnedPool()
     others = QuotaRecord({"other": QuotaRow(Need(4000))})
--- a/peridotspoke/workloads/quotas.py
+++ b/peridotspoke/workloads/quotas.py
@@ -84,7 +84,8 @@
 
     def note_lost_record(self, workspace, now):
         """Record that a workspace's record was deleted, so that grants are unknown."""
-        self._settled[workspace] = now + self._rules.settling
+        settled_at = self._settled.get(workspace, float("-inf"))
+        self._settled[workspace] = max(settled_at, now + self._rules.settling)
 
     def note_grant(self, workspace):
         """Follow the quota of a workspace that has a row for the pool in the store."""
@@ -126,6 +127,11 @@
             return True
         return self._open(workspace).has_room(need, self._now)
 
+    def find_unused(self, workspace):
+        """Return how much of a limited workspace's grant nothing uses."""
+        quota = self.quotas.get(workspace)
+        return NOTHING if quota is None else quota.find_unused(self._now)
+
     def reserve(self, workspace, need):
         """Count a task that is going to start, or all tasks of a gang."""
         if workspace in self._limits:
