Count what quotas have room for only while one lacks room

Change: the tasks are counted only if some workspace needs more than is unused of its grant.

Measured: tests of shared rounds and quotas pass unchanged; the time of a round was not measured again.

--- a/peridotspoke/workloads/quotas.py
+++ b/peridotspoke/workloads/quotas.py
@@ -8,7 +8,13 @@
 
 from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.progress import TaskStatus
-from peridotspoke.workloads.quotarecords import NOTHING, QuotaRules, multiply_need
+from peridotspoke.workloads.quotarecords import (
+    NOTHING,
+    QuotaRules,
+    covers,
+    mask_need,
+    multiply_need,
+)
 from peridotspoke.workloads.workspacequota import WorkspaceQuota
 
 __all__ = ["QuotaBook", "UseCounter", "compute_quota_need"]
@@ -127,6 +133,20 @@
             return True
         return self._open(workspace).has_room(need, self._now)
 
+    def lacks_room(self, needs):
+        """Return whether any workspace needs more than is unused of its grant.
+
+        Parameters
+        ----------
+        needs : dict of str to Need
+            By workspace.
+        """
+        return any(
+            not covers(self.find_unused(name), mask_need(needs[name], limit))
+            for name, limit in self._limits.items()
+            if name in needs
+        )
+
     def find_unused(self, workspace):
         """Return how much of a limited workspace's grant nothing uses."""
         quota = self.quotas.get(workspace)
--- a/peridotspoke/workloads/sharedrounds.py
+++ b/peridotspoke/workloads/sharedrounds.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from peridotspoke.workloads.jobs import Need
 from peridotspoke.workloads.quotarounds import count_startable
 from peridotspoke.workloads.runs import compute_need
 from peridotspoke.workloads.shares import (
@@ -164,11 +165,7 @@
         if fits or not ready:
             self.latest = None
             return work
-        startable = ready
-        if quotas is not None:
-            counts = count_startable(quotas, work)
-            if counts != waiting:
-                startable, _ = _sum_ready(work, counts)
+        startable = ready if quotas is None else _sum_startable(quotas, work, ready)
         self.latest = self._measure(ledger, offers, ready, startable, free)
         if not self.latest.limits:
             return work
@@ -247,6 +244,14 @@
     return ready, total
 
 
+def _sum_startable(quotas, work, ready):
+    """Return the part of `ready` that the quotas have room for; `ready` if for all."""
+    needs = {name: Need(*amounts) for name, amounts in ready.items()}
+    if not quotas.lacks_room(needs):
+        return ready
+    return _sum_ready(work, count_startable(quotas, work))[0]
+
+
 def _add(amounts, step, count):
     """Add what a number of a step's tasks take to a list of amounts."""
     need = compute_need(step)
