--- a/peridotspoke/nodes/tests/operators.py
+++ b/peridotspoke/nodes/tests/operators.py
@@ -10,7 +10,7 @@
 )
 from peridotspoke.nodes.access import FreshReads
 from peridotspoke.nodes.jobrequests import JobRequestHandler
-from peridotspoke.nodes.node import DocumentCodec
+from peridotspoke.nodes.node import DocumentCodec, Node
 from peridotspoke.nodes.settings import Bounds
 from peridotspoke.nodes.tests.stores import InMemoryStore, make_parts
 from peridotspoke.store import Change, Record, Snapshot, WatchBatch
@@ -171,3 +171,12 @@
     """Let the other tasks run until they wait."""
     for _ in range(turns):
         await asyncio.sleep(0)
+
+
+async def follow_operator(parts):
+    """Let a node follow the operator's records; return the task."""
+    node = Node(parts, make_codec(parts.store))
+    parts.view.proved_at = float("-inf")
+    following = asyncio.ensure_future(node._follow_operator())
+    await run_tasks()
+    return following
--- a/peridotspoke/workloads/tests/test_quota_walks.py
+++ b/peridotspoke/workloads/tests/test_quota_walks.py
@@ -2,11 +2,8 @@
 
 import pytest
 
-from peridotspoke.workloads.tests.quotamodel import (
-    QuotaBrokenError,
-    walk,
-    walk_returns,
-)
+from peridotspoke.workloads.tests.quotamodel import QuotaBrokenError
+from peridotspoke.workloads.tests.quotawalks import walk, walk_returns
 from peridotspoke.workloads.tests.weakenedquotas import WEAKENINGS, HoardingBook
 
 # A walk and the seeds with which it finds a safeguard that is missing.
