Test further crowds: trailers, half-closed bodies, other addresses, a series

What callers saw: such crowds ended node processes, whose memory ran out. The crowd tests so far send one crowd to one process, only to the address for callers.

Change: crowds of trailer fields without end, of bodies whose senders end their sending direction, of bodies for no queue; heads without end at the readiness and the metrics address; a series of crowds on one process, once with the test's low limits and once with those of the smallest prepared instances. Bounds are the memory and descriptors that the node's settings state, as in the other crowd tests.

--- a/peridotspoke/platform/tests/outsidecallers.py
+++ b/peridotspoke/platform/tests/outsidecallers.py
@@ -87,6 +87,37 @@
     await _send_slowly(writer, b"1\r\na\r\n" * 100_000, 6 * 2000)
 
 
+async def _send_trailers(writer, number):
+    """Send a chunked body of one byte, and trailer fields without an end."""
+    writer.write(POST % number + b"Transfer-Encoding: chunked\r\n\r\n")
+    writer.write(b"1\r\na\r\n0\r\n")
+    for line in range(120):
+        writer.write(b"X-Line-%d: " % line + b"a" * 8000 + b"\r\n")
+        await writer.drain()
+
+
+async def _send_half_closed_body(writer, number):
+    """Send a body without its last bytes, and end the sending direction."""
+    await _send_whole_body(writer, number)
+    writer.write_eof()
+    await asyncio.sleep(0.5)
+
+
+async def _send_body(writer, number):
+    """Send a whole body of the largest size."""
+    writer.write(POST % number + b"Content-Length: %d\r\n\r\n" % LARGEST_BODY)
+    writer.write(b"a" * LARGEST_BODY)
+    await writer.drain()
+
+
+async def _send_body_for_no_queue(writer, number):
+    """Send a whole body of the largest size to a path of no queue."""
+    head = (POST % number).replace(b"/q/", b"/none/")
+    writer.write(head + b"Content-Length: %d\r\n\r\n" % LARGEST_BODY)
+    writer.write(b"a" * LARGEST_BODY)
+    await writer.drain()
+
+
 async def _send_nothing(writer, number):
     """Open a connection and leave it."""
 
@@ -127,7 +158,10 @@
     writer.transport.abort()
 
 
-ROUNDS = {"left-bodies": 5}  # connections after one another; 1 for other crowds
+ROUNDS = {
+    "left-bodies": 5,
+    "half-closed-bodies": 3,
+}  # connections after one another; 1 for other crowds
 # The connections at once of each crowd, and what each of them sends.
 CROWDS = {
     "endless-heads": (200, _send_endless_head),
@@ -138,6 +172,10 @@
     "body-pieces": (200, _send_body_pieces),
     "large-chunks": (200, _send_large_chunks),
     "small-chunks": (80, _send_small_chunks),
+    "trailers": (200, _send_trailers),
+    "half-closed-bodies": (200, _send_half_closed_body),
+    "bodies": (200, _send_body),
+    "bodies-for-no-queue": (200, _send_body_for_no_queue),
     "left-connections": (200, _send_nothing),
     "unread-responses": (200, _send_requests),
     "pipelined-bodies": (200, _send_posts),
--- a/peridotspoke/platform/tests/smallnode.py
+++ b/peridotspoke/platform/tests/smallnode.py
@@ -14,7 +14,10 @@
 from peridotspoke.platform.storestandin import MetadataStandIn
 from peridotspoke.platform.tests.platforms import CONFIG, call
 
-__all__ = ["DESCRIPTORS", "MEMORY", "SmallNode"]
+__all__ = ["DESCRIPTORS", "FRONT_PORT", "MEMORY", "READY_PORT", "SmallNode"]
+
+FRONT_PORT = 8624
+READY_PORT = 8622
 
 MEMORY = 100  # MB, limits.memoryMb
 DESCRIPTORS = 400  # limits.maxFds where the crowd is to use memory
@@ -28,8 +31,8 @@
 heartbeatMs=1500
 limits.memoryMb={memory}
 limits.maxFds={descriptors}
-listen.front={host}:8624
-listen.ready={host}:8622
+listen.front={host}:{front}
+listen.ready={host}:{ready}
 platform.address={store}
 """
 
@@ -44,6 +47,8 @@
     descriptors : int, optional
     output : int, optional
         Descriptor that becomes the process's standard output, instead of a file.
+    memory : int, optional
+        MB.
 
     Attributes
     ----------
@@ -54,8 +59,9 @@
         Highest number of open descriptors that was seen.
     """
 
-    def __init__(self, folder, descriptors=DESCRIPTORS, output=None):
+    def __init__(self, folder, descriptors=DESCRIPTORS, output=None, memory=MEMORY):
         self.folder, self.descriptors, self.output = folder, descriptors, output
+        self.memory = memory
         self.most_memory = self.most_descriptors = self.first_memory = 0
         self.process, self._runners, self._sampling = None, [], None
         self._host = f"127.{os.getpid() % 200 + 10}.{os.getpid() // 200 % 250}.201"
@@ -66,9 +72,11 @@
         executor.address = await self._serve(executor.handle)
         store.put("servers/i-0", executor.describe())
         settings = SETTINGS.format(
-            memory=MEMORY,
+            memory=self.memory,
             descriptors=self.descriptors,
             host=self._host,
+            front=FRONT_PORT,
+            ready=READY_PORT,
             store=await self._serve(store.handle),
         )
         (self.folder / "node.conf").write_text(settings, encoding="utf-8")
@@ -124,14 +132,14 @@
             while True:
                 with contextlib.suppress(aiohttp.ClientError):
                     status, _ = await call(
-                        f"{self._host}:8624", "POST", f"{number:016x}", ONE_STEP
+                        f"{self._host}:{FRONT_PORT}", "POST", f"{number:016x}", ONE_STEP
                     )
                     if status == 200:
                         return
                 await asyncio.sleep(0.2)
 
     @contextlib.asynccontextmanager
-    async def meet(self, kind):
+    async def meet(self, kind, port=FRONT_PORT):
         """Let a crowd send, and keep its connections open inside the block."""
         crowd = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -140,7 +148,7 @@
             "peridotspoke.platform.tests.outsidecallers",
             kind,
             self._host,
-            "8624",
+            str(port),
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
--- a/peridotspoke/platform/tests/test_outside_callers.py
+++ b/peridotspoke/platform/tests/test_outside_callers.py
@@ -6,18 +6,27 @@
 """
 
 import asyncio
+import contextlib
 import fcntl
 import os
 
 import pytest
 
-from peridotspoke.platform.tests.smallnode import DESCRIPTORS, MEMORY, SmallNode
+from peridotspoke.platform.settings import METRICS_PORT
+from peridotspoke.platform.tests.smallnode import (
+    DESCRIPTORS,
+    MEMORY,
+    READY_PORT,
+    SmallNode,
+)
 
 MEGABYTE = 1_000_000  # bytes
 FEW_DESCRIPTORS = 160  # limits.maxFds where the crowd is to take descriptors
 SPARE_DESCRIPTORS = 20  # for the store, the executors and the log
 MOST_OUTPUT = 65_536  # bytes of standard output and error
 MOST_ERRORS = 1000  # bytes of standard error where the reader of the log has left
+SMALLEST_MEMORY = 160  # MB, that of the smallest prepared instances
+SMALLEST_DESCRIPTORS = 4100  # those of the smallest prepared instances
 CALLS = 20  # ordinary calls, each of which is logged
 MEMORY_CROWDS = (
     "endless-heads",
@@ -27,9 +36,22 @@
     "small-chunks",
     "unread-responses",
     "pipelined-bodies",
+    "trailers",
+    "half-closed-bodies",
+    "bodies-for-no-queue",
 )
 DESCRIPTOR_CROWDS = ("head-bytes", "empty-lines", "left-connections")
 OUTPUT_CROWDS = ("oversized-heads", "malformed-heads", "left-bodies")
+# Crowds one after another on one process, and at last several at once.
+SERIES = (
+    ("whole-bodies",),
+    ("bodies-for-no-queue",),
+    ("large-chunks",),
+    ("bodies",),
+    ("body-pieces",),
+    ("half-closed-bodies",),
+    ("whole-bodies", "large-chunks", "bodies", "body-pieces"),
+)
 
 
 @pytest.fixture
@@ -45,24 +67,33 @@
     """Check that a node withstands a crowd and answers an ordinary caller beside it."""
     async with SmallNode(folder, descriptors) as node:
         async with node.meet(kind):
-            answered = True
-            try:
-                await node.call_ordinarily(2)
-            except TimeoutError:
-                answered = False
-        await asyncio.sleep(0.5)  # for what the end of the connections writes
-        measured = (
-            f"memory {node.first_memory / MEGABYTE:.1f} to "
-            f"{node.most_memory / MEGABYTE:.1f} MB, "
-            f"descriptors {node.most_descriptors}, output {node.measure_output()} "
-            f"bytes, answered {answered}"
-        )
-        print(f"{kind}: {measured}")
-        assert node.process.poll() is None, measured
-        assert node.most_memory <= MEMORY * MEGABYTE, measured
-        assert node.most_descriptors <= descriptors - SPARE_DESCRIPTORS, measured
-        assert node.measure_output() <= MOST_OUTPUT, measured
-        assert answered, measured
+            answered = await answers_ordinary_call(node, 2)
+        await check_bounds(node, kind, answered)
+
+
+async def answers_ordinary_call(node, number):
+    try:
+        await node.call_ordinarily(number)
+    except TimeoutError:
+        return False
+    return True
+
+
+async def check_bounds(node, kind, answered):
+    """Check that a node lives and has kept to the bounds of its instance."""
+    await asyncio.sleep(0.5)  # for what the end of the connections writes
+    measured = (
+        f"memory {node.first_memory / MEGABYTE:.1f} to "
+        f"{node.most_memory / MEGABYTE:.1f} MB, "
+        f"descriptors {node.most_descriptors}, output {node.measure_output()} "
+        f"bytes, answered {answered}"
+    )
+    print(f"{kind}: {measured}")
+    assert node.process.poll() is None, measured
+    assert node.most_memory <= node.memory * MEGABYTE, measured
+    assert node.most_descriptors <= node.descriptors - SPARE_DESCRIPTORS, measured
+    assert node.measure_output() <= MOST_OUTPUT, measured
+    assert answered, measured
 
 
 @pytest.mark.parametrize("kind", MEMORY_CROWDS)
@@ -80,6 +111,31 @@
     await meet_crowd(tmp_path, kind, DESCRIPTORS)
 
 
+@pytest.mark.parametrize("port", [READY_PORT, METRICS_PORT])
+async def test_heads_at_other_addresses_stay_within_the_instance(alone, tmp_path, port):
+    async with SmallNode(tmp_path) as node:
+        async with node.meet("endless-heads", port):
+            answered = await answers_ordinary_call(node, 2)
+        await check_bounds(node, port, answered)
+
+
+@pytest.mark.parametrize(
+    ("memory", "descriptors"),
+    [(MEMORY, DESCRIPTORS), (SMALLEST_MEMORY, SMALLEST_DESCRIPTORS)],
+)
+async def test_a_series_of_crowds_stays_within_the_instance(
+    alone, tmp_path, memory, descriptors
+):
+    async with SmallNode(tmp_path, descriptors, memory=memory) as node:
+        answered = True
+        for number, kinds in enumerate(SERIES, start=2):
+            async with contextlib.AsyncExitStack() as crowds:
+                for kind in kinds:
+                    await crowds.enter_async_context(node.meet(kind))
+                answered &= await answers_ordinary_call(node, number)
+        await check_bounds(node, "series", answered)
+
+
 async def test_a_log_reader_that_leaves_costs_one_line(alone, tmp_path):
     reader, writer = os.pipe()
     async with SmallNode(tmp_path, DESCRIPTORS, writer) as node:
