Free the body of a caller that has left without the garbage collector

What callers saw: a node's memory grew past its instance's with callers that left in the middle of large bodies, or ended their sending direction, wave after wave; the process was ended. The budget counted nothing of it.

Cause: the HTTP library keeps the error of a lost connection in the request's stream. Its traceback keeps the frames that read the body, these keep the body and the request, and the request keeps its stream: a reference cycle. The budget drops such a body as its request ends, but the memory stays until a full collection, which CPython makes only once the young objects are a quarter of the old ones.

Why it works: without its traceback the error keeps no frame, so the body is freed as the handler returns.

--- a/peridotspoke/platform/callerconnection.py
+++ b/peridotspoke/platform/callerconnection.py
@@ -181,6 +181,9 @@
             raise make_dismissal(self._dismissed_for) from None
         except BODY_ERRORS as error:
             self._server.count_refusal("malformed")
+            # The request's stream keeps the error, whose traceback keeps the body: a
+            # reference cycle, which the garbage collector may not find for long.
+            error.__traceback__ = None
             reason = str(error).partition("\n")[0]
             raise CallerRefusedError(400, f"the body is incomplete: {reason}") from None
         finally:
--- a/peridotspoke/platform/tests/test_callerserver.py
+++ b/peridotspoke/platform/tests/test_callerserver.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import gc
+import tracemalloc
 
 import msgspec
 import pytest
@@ -258,6 +260,29 @@
                 await asyncio.sleep(0.02)
 
 
+async def test_bodies_of_callers_that_have_left_are_freed_at_once():
+    """Each kept its memory until the garbage collector found a reference cycle."""
+    async with Server() as server:
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            for _ in range(20):
+                _, writer = await send_body(server, BODY, short=44)
+                writer.write_eof()
+                await asyncio.sleep(0.02)
+                writer.close()
+            async with asyncio.timeout(20):
+                while len(server.server.budget):
+                    await asyncio.sleep(0.02)
+            del writer
+            await asyncio.sleep(0.05)
+            assert tracemalloc.get_traced_memory()[0] < 4 * BODY
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+
 async def test_a_connection_whose_requests_overlap_is_not_charged_for_answered_ones():
     """One such caller took up the memory of all, without holding any of it."""
     async with Server() as server:
