Count and limit the trailer of a chunked body

What callers saw: callers that sent trailer fields without an end took a node's memory past its instance's, until the process was ended.

Cause: the HTTP library limits each field to 16 KB and their number to 128, 2 MB for each connection, and keeps them raw and decoded. The budget counted the head and the data of a body, but nothing that arrives after the last data. Nor did it count the head of a body that was refused while the rest of it was discarded.

Why it works: bytes of a body after its latest data are counted like those of a head, and refused above 65,536, as much as a head may have. A refused body isn't waited for where its head or trailer is large, and what it keeps meanwhile stays counted.

--- a/peridotspoke/platform/callerconnection.py
+++ b/peridotspoke/platform/callerconnection.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from peridotspoke.logs import log_event
-from peridotspoke.platform.callerbudget import Phase
+from peridotspoke.platform.callerbudget import CONNECTION_COST, Phase
 from peridotspoke.platform.callerrefusals import (
     CallerRefusedError,
     make_dismissal,
@@ -25,7 +25,10 @@
 # parse as a large one, and hundreds of reads full of them stop the event loop.
 WASTEFUL_FACTOR = 2
 MAX_HEAD = 65_536  # bytes of a head, empty lines before it included
-# Memory for each byte of a head: the library keeps it raw and decoded.
+# Bytes of a chunked body without data: trailer fields, which the library keeps like
+# those of a head, or a chunk's extensions.
+MAX_TRAILER = 65_536
+# Memory for each byte of a head or trailer: the library keeps it raw and decoded.
 HEAD_COST = 3
 MESSAGE_COST = 4096  # bytes of memory for a request beside its head and body
 BODY_COST = 1.0625  # memory for each byte of a body, with its blocks' overhead
@@ -61,6 +64,7 @@
         "_last_payload",
         "_message_cost",
         "_server",
+        "_trailer_size",
         "_wire_size",
     )
 
@@ -72,7 +76,7 @@
         self._body_timeout = None
         self._last_payload = None
         self._is_held_back = False
-        self._head_size = self._body_size = 0
+        self._head_size = self._body_size = self._trailer_size = 0
         self._message_cost = self._behind_size = self._wire_size = 0
         self._is_wasteful = self._is_handling = False
 
@@ -106,17 +110,28 @@
         was_in_body = self._is_in_body()
         body_size = self._last_payload.total_bytes if was_in_body else 0
         super().data_received(data)
-        if self._force_close or self._caller.phase is Phase.LEAVING:
+        if self._force_close:
+            return
+        progress = self._last_payload.total_bytes - body_size if was_in_body else 0
+        if was_in_body:
+            self._update_trailer(len(data), progress)
+        if self._caller.phase is Phase.LEAVING:
+            if self._trailer_size > READ_SIZE:  # what still arrives isn't counted
+                self.force_close()
             return
         count = self._request_count - previous
         self._wire_size += len(data)
-        has_more_body = was_in_body and self._last_payload.total_bytes > body_size
-        if (self._is_wasteful and has_more_body) or self._upgraded:
+        if (self._is_wasteful and progress) or self._upgraded:
             self._hold_back()
         if count:
             self._count_messages(count)
         elif data and not was_in_body:
             self._count_head(len(data))
+        elif self._trailer_size > MAX_TRAILER:
+            self._server.count_refusal("trailer-size")
+            self.dismiss("trailer-size")
+        elif self._trailer_size:
+            self._report()
 
     def _is_in_body(self):
         return self._last_payload is not None and not self._last_payload.is_eof()
@@ -135,6 +150,18 @@
             return
         self._report()
 
+    def _update_trailer(self, size, progress):
+        """Count bytes after the latest data of a body, which may belong to a trailer.
+
+        The framing of the chunks that arrived with these data counts as well, until
+        more data arrives.
+        """
+        if not self._is_in_body():
+            self._trailer_size = 0
+            return
+        previous = 0 if progress else self._trailer_size
+        self._trailer_size = previous + max(size - progress, 0)
+
     def _close_unless_busy(self, limit):
         if self._caller.phase is Phase.HEAD:
             self.dismiss(limit)
@@ -158,7 +185,8 @@
         self._report()
 
     def _report(self):
-        size = HEAD_COST * self._head_size + self._message_cost + self._behind_size
+        size = HEAD_COST * (self._head_size + self._trailer_size)
+        size += self._message_cost + self._behind_size
         size += int(BODY_COST * self._body_size)
         self._server.budget.hold(self._caller, size)
         self._server.relieve(self._caller)
@@ -189,6 +217,7 @@
         finally:
             self._body_timeout = None
             self._is_wasteful = False
+            self._trailer_size = 0
             self._set_read_size(READ_SIZE)
             if caller.phase is Phase.BODY:
                 budget.enter(caller, Phase.BUSY, self._loop.time())
@@ -264,7 +293,11 @@
         self._dismissed_for = limit
         self._caller.phase = Phase.LEAVING
         if self._body_timeout is not None:
-            self._server.budget.hold(self._caller, 0)
+            # While the rest of the body is discarded, the head and trailer are kept.
+            kept = self._message_cost + HEAD_COST * self._trailer_size
+            if kept > CONNECTION_COST:
+                self._lingering_time = 0.0
+            self._server.budget.hold(self._caller, kept)
             self._body_timeout.reschedule(self._loop.time())
             return
         self._server.remove(self._caller)
--- a/peridotspoke/platform/callerrefusals.py
+++ b/peridotspoke/platform/callerrefusals.py
@@ -50,6 +50,8 @@
     """
     if limit == "body":
         return CallerRefusedError(408, "the body arrives too slowly")
+    if limit == "trailer-size":
+        return CallerRefusedError(431, "the body's trailer is too long")
     return CallerRefusedError(503, "too many requests at once")
 
 
--- a/peridotspoke/platform/tests/test_callerserver.py
+++ b/peridotspoke/platform/tests/test_callerserver.py
@@ -260,6 +260,33 @@
                 await asyncio.sleep(0.02)
 
 
+async def test_a_body_with_a_trailer_is_served():
+    async with Server() as server:
+        reader, writer = await server.connect()
+        writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"5\r\naaaaa\r\n0\r\nX-Sum: %s\r\n\r\n" % (b"1" * 5000))
+        assert (await read_response(reader))[2] == b"5"
+        writer.write(GET % 1)
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+
+async def test_a_trailer_above_the_limit_is_refused():
+    """A caller could send trailer fields until the memory was used up."""
+    async with Server() as server:
+        reader, writer = await server.connect()
+        writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n")
+        with contextlib.suppress(ConnectionError):
+            for number in range(12):
+                writer.write(b"X-%d: " % number + b"a" * 6000 + b"\r\n")
+                await writer.drain()
+            status, _, body = await read_response(reader)
+            assert status == 431 and b"not accepted" in body
+        assert not server.handled
+        assert server.metrics.get_count("caller_refusals", limit="trailer-size") == 1
+        writer.close()
+
+
 async def test_bodies_of_callers_that_have_left_are_freed_at_once():
     """Each kept its memory until the garbage collector found a reference cycle."""
     async with Server() as server:
--- a/peridotspoke/programs/reference.py
+++ b/peridotspoke/programs/reference.py
@@ -43,6 +43,10 @@
     "pause": "longest time between two pieces of a body, and for which a response is "
     "not read, milliseconds",
 }
+NODE_FOOTER = """
+Beside these, a head may have 65,536 bytes, and so may the trailer of a chunked body;
+both limits are fixed.
+"""
 
 
 def format_reference():
@@ -67,7 +71,7 @@
         key, factor = CALLER_FIELDS[item.name]
         meaning = CALLER_MEANINGS[item.name]
         rows.append(f"| `{key}` | {item.default / factor:g} | {meaning} |\n")
-    return NODE_HEADER + "".join(rows)
+    return NODE_HEADER + "".join(rows) + NODE_FOOTER
 
 
 if __name__ == "__main__":
