Limit the callers of the readiness and metrics addresses

Cause: only the address for callers has the BoundedServer; the other two were the HTTP library's plain server, which keeps up to 2 MB of fields for each connection and limits neither the connections nor the time in which a head arrives.

Why it works: all three are served by BoundedServer, each with a budget of its own, so that a crowd at one leaves room at the others: 1 MB and 8 to 32 connections for each of the two. A balancer checks once a second, and the metrics are read every few seconds. Callers keep 2 MB and 64 connections less. Metrics and log lines tell the listener.

--- a/peridotspoke/platform/callerbudget.py
+++ b/peridotspoke/platform/callerbudget.py
@@ -13,6 +13,7 @@
     "Caller",
     "CallerBudget",
     "CallerLimits",
+    "Listener",
     "Phase",
     "derive_limits",
 ]
@@ -33,6 +34,12 @@
 # response stay open for a few more seconds while later calls open others.
 STORE_CONNECTIONS = 4
 LEAST_CONNECTIONS = 16
+# Each address for readiness checks or metrics has limits of its own, so that a crowd at
+# one address leaves room at the others.
+MONITORING_MEMORY = 1  # MB
+MONITORING_SHARE = 1 / 64  # connections, for each descriptor
+LEAST_MONITORING = 8  # connections
+MOST_MONITORING = 32  # connections
 CONNECTION_COST = 16_384  # bytes that a connection takes without a request
 UNFINISHED_SHARE = 0.875  # share of the memory that heads and bodies fill at most
 RELIEVED_SHARE = 0.8  # share to which connections that give way reduce it
@@ -42,6 +49,17 @@
 PAUSE = 5.0  # seconds without a byte after which a body doesn't count as arriving
 
 
+class Listener(enum.Enum):
+    """The addresses of a node that have limits, by who calls them."""
+
+    CALLERS = "callers"
+    READINESS = "readiness"
+    METRICS = "metrics"
+
+
+MONITORING = (Listener.READINESS, Listener.METRICS)
+
+
 class Phase(enum.Enum):
     """What a connection of a caller waits for."""
 
@@ -54,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Limits on all callers of a process together, and on each of them.
+    """Limits on all callers of a listener together, and on each of them.
 
     Parameters
     ----------
@@ -81,8 +99,8 @@
     pause: float
 
 
-def derive_limits(settings, descriptors):
-    """Return the `CallerLimits` of a process.
+def derive_limits(settings, descriptors, listener=Listener.CALLERS):
+    """Return the `CallerLimits` of a listener.
 
     Parameters
     ----------
@@ -90,6 +108,7 @@
         What `CallerSettings` leaves open follows from the memory of the instance.
     descriptors : int
         File descriptors that the process may have open.
+    listener : Listener, optional
 
     Examples
     --------
@@ -97,22 +116,27 @@
     >>> node = NodeSettings("n", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
     >>> limits = derive_limits(node, 4100)
     >>> limits.memory, limits.connections, limits.handled
-    (160000000, 2224, 341)
+    (160000000, 2160, 341)
     """
     callers = settings.callers
+    timing = (callers.arrival, callers.rate, callers.pause)
+    handled = max(1, int(HANDLED_SHARE * descriptors))
+    monitoring = int(MONITORING_SHARE * descriptors)
+    monitoring = min(max(LEAST_MONITORING, monitoring), MOST_MONITORING)
+    if listener in MONITORING:
+        memory = MONITORING_MEMORY * BYTES_PER_MB
+        return CallerLimits(memory, monitoring, handled, *timing)
     memory = CALLER_SHARE * (settings.memory - PROCESS_MEMORY)
+    memory -= len(MONITORING) * MONITORING_MEMORY
     derived_memory = min(max(LEAST_MEMORY, memory), MOST_MEMORY)
     reserved = max(LEAST_RESERVED, int(RESERVED_SHARE * descriptors))
-    handled = max(1, int(HANDLED_SHARE * descriptors))
-    reserved += STORE_CONNECTIONS * handled
+    reserved += STORE_CONNECTIONS * handled + len(MONITORING) * monitoring
     derived_connections = max(LEAST_CONNECTIONS, descriptors - reserved)
     return CallerLimits(
         int((callers.memory or derived_memory) * BYTES_PER_MB),
         callers.connections or derived_connections,
         handled,
-        callers.arrival,
-        callers.rate,
-        callers.pause,
+        *timing,
     )
 
 
--- a/peridotspoke/platform/callerserver.py
+++ b/peridotspoke/platform/callerserver.py
@@ -14,6 +14,7 @@
 from peridotspoke.logs import log_event
 from peridotspoke.platform.callerbudget import (
     CallerBudget,
+    Listener,
     derive_limits,
     may_give_way,
 )
@@ -47,6 +48,7 @@
     metrics : MetricsRegistry
     checks_keys : callable, optional
         Returns whether calls are refused for their API keys; takes no arguments.
+    listener : Listener, optional
     **options
         Those of `web.Server`.
 
@@ -59,7 +61,13 @@
     """
 
     def __init__(
-        self, handler, settings, metrics, checks_keys=lambda: False, **options
+        self,
+        handler,
+        settings,
+        metrics,
+        checks_keys=lambda: False,
+        listener=Listener.CALLERS,
+        **options,
     ):
         super().__init__(
             self._handle,
@@ -70,12 +78,14 @@
         descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         if descriptors == resource.RLIM_INFINITY:
             descriptors = settings.descriptors
-        limits = derive_limits(settings, min(descriptors, settings.descriptors))
+        descriptors = min(descriptors, settings.descriptors)
+        limits = derive_limits(settings, descriptors, listener)
         self.budget = CallerBudget(limits)
         self.turn = asyncio.Semaphore(limits.handled)
         self.checks_keys = checks_keys
         self._handler = handler
         self._metrics = metrics
+        self._listener = listener.value
         self._connection_of = {}
         self._refusals = Counter()
         self._noticed_at = self._scanned_at = float("-inf")
@@ -115,7 +125,7 @@
 
         The log gets one line for all of them in `NOTICE_INTERVAL` seconds.
         """
-        self._metrics.count("caller_refusals", limit=limit)
+        self._metrics.count("caller_refusals", limit=limit, listener=self._listener)
         self._refusals[limit] += 1
 
     def add(self, connection):
@@ -167,8 +177,9 @@
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL, self._sweep)
         for caller, limit in self.budget.find_overdue(now):
             self._dismiss(caller, limit)
-        self._metrics.set_gauge("caller_connections", len(self.budget))
-        self._metrics.set_gauge("caller_bytes_held", self.budget.held)
+        label = {"listener": self._listener}
+        self._metrics.set_gauge("caller_connections", len(self.budget), **label)
+        self._metrics.set_gauge("caller_bytes_held", self.budget.held, **label)
         if self._refusals and now - self._noticed_at >= NOTICE_INTERVAL:
             self._noticed_at = now
             limits = ",".join(f"{key}:{n}" for key, n in self._refusals.most_common())
@@ -178,6 +189,7 @@
                 limits=limits,
                 connections=len(self.budget),
                 held=self.budget.held,
+                listener=self._listener,
             )
             self._refusals.clear()
 
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -9,6 +9,7 @@
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes import jobanswers
+from peridotspoke.platform.callerbudget import Listener
 from peridotspoke.platform.callerrefusals import KEY_HEADER, CallerRefusedError
 from peridotspoke.platform.callerserver import BoundedServer
 from peridotspoke.platform.submissions import encode_state, encode_waiting
@@ -64,11 +65,15 @@
             **options,
         )
         await self._listen(self._settings.front, self._callers)
-        ready = web.Server(self._handle_ready, **options)
-        await self._listen(self._settings.ready, ready)
+        monitoring = [(Listener.READINESS, self._settings.ready, self._handle_ready)]
         if self._settings.metrics:
-            metrics = web.Server(self._handle_metrics, **options)
-            await self._listen(self._settings.metrics, metrics)
+            address = self._settings.metrics
+            monitoring.append((Listener.METRICS, address, self._handle_metrics))
+        for listener, address, handler in monitoring:
+            server = BoundedServer(
+                handler, self._settings, self._metrics, listener=listener, **options
+            )
+            await self._listen(address, server)
 
     @property
     def addresses(self):
--- a/peridotspoke/platform/tests/test_callerserver.py
+++ b/peridotspoke/platform/tests/test_callerserver.py
@@ -57,6 +57,11 @@
         await self.may_answer.wait()
         return web.Response(text=str(len(body)))
 
+    def count_refusals(self, limit):
+        return self.metrics.get_count(
+            "caller_refusals", limit=limit, listener="callers"
+        )
+
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.port)
 
@@ -233,7 +238,7 @@
         reader, writer = await send_body(server, BODY, short=44)
         status, _, body = await read_response(reader)
         assert status == 408 and b"not accepted" in body
-        assert server.metrics.get_count("caller_refusals", limit="body") == 1
+        assert server.count_refusals("body") == 1
         writer.close()
 
 
@@ -243,7 +248,7 @@
         writer.write(b"POST / HTTP/1.1\r\nBad Name: 1\r\n\r\n")
         status, _, body = await read_response(reader)
         assert status == 400 and b"not accepted" in body
-        assert server.metrics.get_count("caller_refusals", limit="malformed") == 1
+        assert server.count_refusals("malformed") == 1
         assert not await reader.read()
         writer.close()
 
@@ -283,7 +288,7 @@
             status, _, body = await read_response(reader)
             assert status == 431 and b"not accepted" in body
         assert not server.handled
-        assert server.metrics.get_count("caller_refusals", limit="trailer-size") == 1
+        assert server.count_refusals("trailer-size") == 1
         writer.close()
 
 
--- a/peridotspoke/programs/reference.py
+++ b/peridotspoke/programs/reference.py
@@ -33,8 +33,8 @@
 """  # noqa: E501
 CALLER_MEANINGS = {
     "memory": "memory that callers' connections and requests may hold together, MB; "
-    "0: nine tenths of `limits.memoryMb` above 80 MB, from 8 to 160 MB",
-    "connections": "connections of callers that may be open at once; 0: some 54 % of "
+    "0: nine tenths of `limits.memoryMb` above 80 MB, less 2 MB, from 8 to 160 MB",
+    "connections": "connections of callers that may be open at once; 0: some 53 % of "
     "`limits.maxFds`, less where it is below 512, and at least 16",
     "arrival": "time in which a head or a body has to arrive, beside the time that its "
     "bytes take at `callers.bytesPerS`, milliseconds",
@@ -45,7 +45,8 @@
 }
 NODE_FOOTER = """
 Beside these, a head may have 65,536 bytes, and so may the trailer of a chunked body;
-both limits are fixed.
+both limits are fixed. The addresses for readiness checks and for metrics hold 1 MB
+each, and as many connections as one in 64 of `limits.maxFds`, from 8 to 32.
 """
 
 
