Test crowds of jobs with many steps, with many faults, and of the largest size

What callers saw: not by callers yet; found by reading what a body of legal size does once it has arrived whole.

Change: three crowds of 200 whole bodies, each sent once: 20,000 steps, 5,000 steps with several faults each, and jobs within all limits whose steps name long images. The bounds are those of the other crowds. A crowd's number of connections may be given for runs by hand.

--- a/peridotspoke/platform/tests/outsidecallers.py
+++ b/peridotspoke/platform/tests/outsidecallers.py
@@ -1,8 +1,8 @@
 """Crowds of callers outside the limits, run as a process of their own.
 
-``python -m peridotspoke.platform.tests.outsidecallers KIND HOST PORT`` opens the
-connections of one crowd, sends what the crowd sends, prints ``sent``, and keeps the
-connections open until its standard input is closed.
+``python -m peridotspoke.platform.tests.outsidecallers KIND HOST PORT [CONNECTIONS]``
+opens the connections of one crowd, sends what the crowd sends, prints ``sent``, and
+keeps the connections open until its standard input is closed.
 """
 
 import asyncio
@@ -110,6 +110,30 @@
     await writer.drain()
 
 
+async def _send_job(writer, number, steps):
+    body = b'{"spec":"s","steps":[' + b",".join(steps) + b"]}"
+    writer.write(POST % (number + 100) + b"Content-Length: %d\r\n\r\n" % len(body))
+    writer.write(body)
+    await writer.drain()
+
+
+async def _send_job_of_many_steps(writer, number):
+    """Send a whole job of almost the largest size, with far too many steps."""
+    await _send_job(writer, number, [b'{"count":1}'] * 20_000)
+
+
+async def _send_job_of_many_faults(writer, number):
+    """Send a whole job of almost the largest size, each step with several faults."""
+    step = b'{"count":0,"cpu":-1,"mayMiss":-1,"after":[9]}'
+    await _send_job(writer, number, [step] * 5_000)
+
+
+async def _send_large_job(writer, number):
+    """Send a job within all limits of almost the largest size, of few tasks."""
+    step = b'{"count":1,"cpu":1,"image":"%s"}' % (b"i" * 3_900)
+    await _send_job(writer, number, [step] * 64)
+
+
 async def _send_body_for_no_queue(writer, number):
     """Send a whole body of the largest size to a path of no queue."""
     head = (POST % number).replace(b"/q/", b"/none/")
@@ -175,6 +199,9 @@
     "trailers": (200, _send_trailers),
     "half-closed-bodies": (200, _send_half_closed_body),
     "bodies": (200, _send_body),
+    "jobs-of-many-steps": (200, _send_job_of_many_steps),
+    "jobs-of-many-faults": (200, _send_job_of_many_faults),
+    "large-jobs": (200, _send_large_job),
     "bodies-for-no-queue": (200, _send_body_for_no_queue),
     "left-connections": (200, _send_nothing),
     "unread-responses": (200, _send_requests),
@@ -193,11 +220,11 @@
             await CROWDS[kind][1](writer, number)
 
 
-async def _main(kind, host, port):
+async def _main(kind, host, port, connections=None):
     writers = []
     callers = [
-        _run_caller(kind, host, port, number, writers)
-        for number in range(CROWDS[kind][0])
+        _run_caller(kind, host, int(port), number, writers)
+        for number in range(int(connections or CROWDS[kind][0]))
     ]
     await asyncio.gather(*callers)
     print("sent", flush=True)
@@ -205,4 +232,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(_main(sys.argv[1], sys.argv[2], int(sys.argv[3])))
+    asyncio.run(_main(*sys.argv[1:]))
--- a/peridotspoke/platform/tests/smallnode.py
+++ b/peridotspoke/platform/tests/smallnode.py
@@ -139,8 +139,16 @@
                 await asyncio.sleep(0.2)
 
     @contextlib.asynccontextmanager
-    async def meet(self, kind, port=FRONT_PORT):
-        """Let a crowd send, and keep its connections open inside the block."""
+    async def meet(self, kind, port=FRONT_PORT, connections=0):
+        """Let a crowd send, and keep its connections open inside the block.
+
+        Parameters
+        ----------
+        kind : str
+        port : int, optional
+        connections : int, optional
+            By default, those of the crowd.
+        """
         crowd = await asyncio.create_subprocess_exec(
             sys.executable,
             "-B",
@@ -149,6 +157,7 @@
             kind,
             self._host,
             str(port),
+            str(connections or ""),
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
--- a/peridotspoke/platform/tests/test_outside_callers.py
+++ b/peridotspoke/platform/tests/test_outside_callers.py
@@ -39,6 +39,9 @@
     "trailers",
     "half-closed-bodies",
     "bodies-for-no-queue",
+    "jobs-of-many-steps",
+    "jobs-of-many-faults",
+    "large-jobs",
 )
 DESCRIPTOR_CROWDS = ("head-bytes", "empty-lines", "left-connections")
 OUTPUT_CROWDS = ("oversized-heads", "malformed-heads", "left-bodies")
