Refuse jobs of too many steps or faults without decoding or telling all of them

What callers saw: a body of legal size with 20,000 steps occupied the node for a fifth of a second; beside 200 of them an ordinary call had no answer for 30 s. One with 5,000 steps that are all wrong got an answer of a quarter of a megabyte, which its log line repeated.

Cause: all steps were decoded, made and checked before their number was looked at, and the error joins every fault of every step.

A list of earlier steps has at most 64 numbers, as many as a job has steps.

--- a/peridotspoke/platform/submissions.py
+++ b/peridotspoke/platform/submissions.py
@@ -4,6 +4,7 @@
 
 from peridotspoke.decoding import decode_json
 from peridotspoke.exceptions import MalformedDataError, RequestError
+from peridotspoke.workloads.checking import check_step_count
 from peridotspoke.workloads.jobs import Job, Need, Step
 
 __all__ = ["decode_submission", "encode_state", "encode_waiting"]
@@ -36,7 +37,7 @@
 
 class _Submission(msgspec.Struct, rename="camel"):
     spec: str
-    steps: list[_Step]
+    steps: list[msgspec.Raw]  # each of them a `_Step`
     repeat_count: int = 0
     first_ms: float = 0.0
     interval_ms: float = 0.0
@@ -63,10 +64,13 @@
     Raises
     ------
     RequestError
-        If the body is not JSON of the expected form. The values are not checked.
+        If the body is not JSON of the expected form, or has too many steps. The other
+        values are not checked.
     """
     try:
         submission = decode_json(body, _Submission)
+        check_step_count(job_id, len(submission.steps))
+        steps = [decode_json(step, _Step) for step in submission.steps]
     except MalformedDataError as error:
         raise RequestError(str(error), step="read job", peer=job_id) from error
     return Job(
@@ -74,7 +78,7 @@
         queue=queue.name,
         pool=queue.pool,
         spec=submission.spec,
-        steps=tuple(_make_step(step) for step in submission.steps),
+        steps=tuple(_make_step(step) for step in steps),
         terms=queue.terms,
         accepted_at=accepted_at,
         first_due=submission.first_ms / 1000,
--- a/peridotspoke/platform/tests/test_documents.py
+++ b/peridotspoke/platform/tests/test_documents.py
@@ -306,3 +306,24 @@
     """Cycles, unknown steps, values out of range and mistyped fields are refused."""
     with pytest.raises(RequestError):
         decode_and_check(**fields)
+
+
+def test_the_text_of_many_faults_is_short():
+    """A body full of faults became an answer and a log line of a megabyte."""
+    step = {"count": 0, "cpu": -1, "mayMiss": -1, "after": [9] * 60}
+    with pytest.raises(RequestError) as caught:
+        decode_and_check(steps=[step] * 64)
+    assert len(str(caught.value)) < 4000
+    assert "step 0: expected a count of at least 1" in str(caught.value)
+
+
+def test_a_job_of_too_many_steps_is_refused_before_they_are_decoded():
+    """Each such body occupied the node for a fifth of a second."""
+    with pytest.raises(RequestError, match="expected 1 to 64 steps, found 20000"):
+        decode_and_check(steps=[{"count": "none"}] * 20_000)
+
+
+def test_a_long_list_of_earlier_steps_is_a_request_error():
+    steps = [{"count": 1}, {"count": 1, "after": [0] * 100_000}]
+    with pytest.raises(RequestError, match="at most 64 steps in after"):
+        decode_and_check(steps=steps)
--- a/peridotspoke/workloads/checking.py
+++ b/peridotspoke/workloads/checking.py
@@ -1,15 +1,18 @@
 """Validation of submitted jobs."""
 
+from itertools import chain, islice
+
 from peridotspoke.exceptions import RequestError
 from peridotspoke.workloads.jobs import Job
 
-__all__ = ["check_job", "is_job_id"]
+__all__ = ["check_job", "check_step_count", "is_job_id"]
 
 JOB_ID_LENGTH = 16  # hexadecimal digits
 MAX_SPEC_SIZE = 4000  # bytes
 MAX_STEPS = 64
 MAX_TASKS = 4096
 MAX_REPEATS = 100_000
+MAX_FAULTS = 8  # faults of one job that are told
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -24,24 +27,42 @@
     return len(text) == JOB_ID_LENGTH and HEX_DIGITS.issuperset(text)
 
 
+def check_step_count(job_id, count):
+    """Raise `RequestError` if a job has no steps or too many.
+
+    Before the steps are decoded, this spares the time that a body full of them takes.
+    """
+    if not 0 < count <= MAX_STEPS:
+        raise RequestError(_describe_step_count(count), step="check job", peer=job_id)
+
+
 def check_job(job: Job):
-    """Raise `RequestError` that lists every fault if a job is not valid."""
-    faults = [*_find_job_faults(job)]
-    for number, step in enumerate(job.steps):
-        faults += [
-            f"step {number}: {fault}" for fault in _find_step_faults(number, step)
-        ]
+    """Raise `RequestError` that lists the first `MAX_FAULTS` if a job is not valid."""
+    steps = enumerate(job.steps[:MAX_STEPS])
+    step_faults = (
+        f"step {number}: {fault}"
+        for number, step in steps
+        for fault in _find_step_faults(number, step)
+    )
+    found = chain(_find_job_faults(job), step_faults)
+    faults = list(islice(found, MAX_FAULTS))
+    if next(found, None) is not None:
+        faults.append("more faults")
     if faults:
         raise RequestError("; ".join(faults), step="check job", peer=job.job_id)
 
 
+def _describe_step_count(count):
+    return f"expected 1 to {MAX_STEPS} steps, found {count}"
+
+
 def _find_job_faults(job):
     if not is_job_id(job.job_id):
         yield f"expected an ID of {JOB_ID_LENGTH} hexadecimal digits"
     if len(job.spec.encode()) > MAX_SPEC_SIZE:
         yield f"expected a spec of at most {MAX_SPEC_SIZE} bytes"
     if not 0 < len(job.steps) <= MAX_STEPS:
-        yield f"expected 1 to {MAX_STEPS} steps, found {len(job.steps)}"
+        yield _describe_step_count(len(job.steps))
     if sum(max(0, step.count) for step in job.steps) > MAX_TASKS:
         yield f"expected at most {MAX_TASKS} tasks"
     if not 0 <= job.repeats <= MAX_REPEATS:
@@ -57,7 +78,9 @@
         yield "expected needs of at least 0"
     if step.estimate < 0:
         yield "expected an estimate of at least 0"
-    if any(not 0 <= earlier < number for earlier in step.after):
+    if len(step.after) > MAX_STEPS:
+        yield f"expected at most {MAX_STEPS} steps in after, found {len(step.after)}"
+    elif any(not 0 <= earlier < number for earlier in step.after):
         yield f"expected only earlier steps in after, found {list(step.after)}"
     if step.most_per_executor < 0:
         yield "expected a limit for each executor of at least 0"
