Refuse jobs whose numbers are out of any range

What callers saw: 504, "the outcome is unknown", for a job with a number of 400 digits.

Cause: whole numbers of JSON were read without a limit, which the encoder of the store's records has; times were only checked to be 0 or more, and their sums are infinite.

Why it works: needs and limits are at most 2**53, durations 1e9 s (31 years), and times before the year 10000; anything else is refused with 400 before it is stored. A number of thousands of digits is refused by the decoder. The check doesn't mend jobs that are in a store already.

--- a/peridotspoke/platform/submissions.py
+++ b/peridotspoke/platform/submissions.py
@@ -1,44 +1,50 @@
 """Decodes the jobs that callers submit, and encodes the states returned to them."""
 
+from typing import Annotated
+
 import msgspec
 
 from peridotspoke.decoding import decode_json
 from peridotspoke.exceptions import MalformedDataError, RequestError
-from peridotspoke.workloads.checking import check_step_count
+from peridotspoke.workloads.checking import MAX_AMOUNT, check_step_count
 from peridotspoke.workloads.jobs import Job, Need, Step
 
 __all__ = ["decode_submission", "encode_state", "encode_waiting"]
 
 
+# A whole number of JSON may have thousands of digits.
+_Number = Annotated[int, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+
+
 class _Step(msgspec.Struct, rename="camel"):
     """A step as submitted; `Step` describes the fields."""
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    count: _Number
+    cpu: _Number = 0
+    mem_mb: _Number = 0
+    gpu: _Number = 0
     estimate_ms: float = 0.0
-    after: list[int] = []
+    after: list[_Number] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
     # The wire's "antiAffinity" is a number: the most tasks of the step on one executor.
-    anti_affinity: int = 0
+    anti_affinity: _Number = 0
     speculative: bool = False
     # The wire's "longRunning" means that the tasks run until the job is cancelled.
     long_running: bool = False
     image: str = ""
     target_ms: float = 0.0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: _Number = 0
 
 
 class _Submission(msgspec.Struct, rename="camel"):
     spec: str
     steps: list[msgspec.Raw]  # each of them a `_Step`
-    repeat_count: int = 0
+    repeat_count: _Number = 0
     first_ms: float = 0.0
     interval_ms: float = 0.0
 
--- a/peridotspoke/platform/tests/smallnode.py
+++ b/peridotspoke/platform/tests/smallnode.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import resource
 import subprocess
@@ -14,13 +15,23 @@
 from peridotspoke.platform.storestandin import MetadataStandIn
 from peridotspoke.platform.tests.platforms import CONFIG, call
 
-__all__ = ["DESCRIPTORS", "FRONT_PORT", "MEMORY", "READY_PORT", "SmallNode"]
+__all__ = [
+    "DESCRIPTORS",
+    "FRONT_PORT",
+    "MEMORY",
+    "READY_PORT",
+    "SmallNode",
+    "check_bounds",
+]
 
 FRONT_PORT = 8624
 READY_PORT = 8622
 
 MEMORY = 100  # MB, limits.memoryMb
 DESCRIPTORS = 400  # limits.maxFds where the crowd is to use memory
+MEGABYTE = 1_000_000  # bytes
+MOST_OUTPUT = 65_536  # bytes of standard output and error
+SPARE_DESCRIPTORS = 20  # for the store, the executors and the log
 SAMPLE_INTERVAL = 0.02  # seconds
 START_LIMIT = 150  # seconds; beside a load of 20 a start has taken 74 s
 HANG_LIMIT = 30  # seconds after which a node counts as hanging
@@ -138,6 +149,41 @@
                         return
                 await asyncio.sleep(0.2)
 
+    async def submit(self, number, fields):
+        """Submit a job once; return the status of the response.
+
+        Parameters
+        ----------
+        number : int
+            Becomes the job's ID.
+        fields : dict
+            Of the job, beside its spec.
+        """
+        body = json.dumps({"spec": "s", **fields})
+        url = f"http://{self._host}:{FRONT_PORT}/q/{number:016x}"
+        async with (
+            aiohttp.ClientSession(headers={"Host": "jobs.example"}) as session,
+            session.post(url, data=body) as response,
+        ):
+            return response.status
+
+    async def complete(self, number, limit=HANG_LIMIT):
+        """Submit a small job until the node accepts it, and wait for its completion.
+
+        Raises
+        ------
+        TimeoutError
+            If it isn't completed within `limit` seconds.
+        """
+        await self.call_ordinarily(number, limit)
+        async with asyncio.timeout(limit):
+            while True:
+                address = f"{self._host}:{FRONT_PORT}"
+                _, answer = await call(address, "GET", f"{number:016x}")
+                if answer.get("state") == "completed":
+                    return
+                await asyncio.sleep(0.1)
+
     @contextlib.asynccontextmanager
     async def meet(self, kind, port=FRONT_PORT, connections=0):
         """Let a crowd send, and keep its connections open inside the block.
@@ -181,3 +227,20 @@
         self.process.wait()
         for runner in self._runners:
             await runner.cleanup()
+
+
+async def check_bounds(node, kind, answered):
+    """Check that a node lives and has kept to the bounds of its instance."""
+    await asyncio.sleep(0.5)  # for what the end of the connections writes
+    measured = (
+        f"memory {node.first_memory / MEGABYTE:.1f} to "
+        f"{node.most_memory / MEGABYTE:.1f} MB, "
+        f"descriptors {node.most_descriptors}, output {node.measure_output()} "
+        f"bytes, answered {answered}"
+    )
+    print(f"{kind}: {measured}")
+    assert node.process.poll() is None, measured
+    assert node.most_memory <= node.memory * MEGABYTE, measured
+    assert node.most_descriptors <= node.descriptors - SPARE_DESCRIPTORS, measured
+    assert node.measure_output() <= MOST_OUTPUT, measured
+    assert answered, measured
--- a/peridotspoke/platform/tests/test_documents.py
+++ b/peridotspoke/platform/tests/test_documents.py
@@ -1,5 +1,7 @@
 """Tests of the decoders of the operator's, the executors' and callers' documents."""
 
+import json
+
 import msgspec
 import pytest
 
@@ -268,7 +270,7 @@
 
 
 def decode_and_check(**fields):
-    body = msgspec.json.encode({"spec": "s", "steps": [{"count": 1}], **fields})
+    body = json.dumps({"spec": "s", "steps": [{"count": 1}], **fields}).encode()
     job = decode_submission(body, "5c0e7a21d94b36f8", QUEUE, 1.0)
     check_job(job)
     return job
@@ -300,6 +302,19 @@
         {"spec": 7},
         {"spec": "x" * 5000},
         {"repeatCount": 3, "intervalMs": 0},
+        {"repeatCount": 3, "intervalMs": 1e300},
+        {"repeatCount": 3, "intervalMs": 1000, "firstMs": 1e300},
+        {"repeatCount": 3, "intervalMs": 1000, "firstMs": -1e300},
+        {"repeatCount": 10**400, "intervalMs": 1000},
+        {"steps": [{"count": 1, "estimateMs": 1e300}]},
+        {"steps": [{"count": 1, "targetMs": 1e300}]},
+        {"steps": [{"count": 1, "targetMs": -1}]},
+        {"steps": [{"count": 1, "cpu": 10**400}]},
+        {"steps": [{"count": 1, "memMb": 10**400}]},
+        {"steps": [{"count": 1, "gpu": 10**400}]},
+        {"steps": [{"count": 1, "mayMiss": 10**400}]},
+        {"steps": [{"count": 1, "antiAffinity": 10**400}]},
+        {"steps": [{"count": 1}, {"count": 1, "after": [10**4000]}]},
     ],
 )
 def test_an_invalid_job_is_a_request_error(fields):
--- a/peridotspoke/platform/tests/test_outside_callers.py
+++ b/peridotspoke/platform/tests/test_outside_callers.py
@@ -5,9 +5,7 @@
 send. The bounds are those of the instance, which the node's settings file states.
 """
 
-import asyncio
 import contextlib
-import fcntl
 import os
 
 import pytest
@@ -18,12 +16,10 @@
     MEMORY,
     READY_PORT,
     SmallNode,
+    check_bounds,
 )
 
-MEGABYTE = 1_000_000  # bytes
 FEW_DESCRIPTORS = 160  # limits.maxFds where the crowd is to take descriptors
-SPARE_DESCRIPTORS = 20  # for the store, the executors and the log
-MOST_OUTPUT = 65_536  # bytes of standard output and error
 MOST_ERRORS = 1000  # bytes of standard error where the reader of the log has left
 SMALLEST_MEMORY = 160  # MB, that of the smallest prepared instances
 SMALLEST_DESCRIPTORS = 4100  # those of the smallest prepared instances
@@ -57,15 +53,6 @@
 )
 
 
-@pytest.fixture
-def alone(tmp_path_factory):
-    """Let one of these tests run at a time, over all workers of pytest-xdist."""
-    path = tmp_path_factory.getbasetemp().parent / "outside-callers.lock"
-    with open(path, "w", encoding="utf-8") as lock:
-        fcntl.flock(lock, fcntl.LOCK_EX)
-        yield
-
-
 async def meet_crowd(folder, kind, descriptors):
     """Check that a node withstands a crowd and answers an ordinary caller beside it."""
     async with SmallNode(folder, descriptors) as node:
@@ -82,23 +69,6 @@
     return True
 
 
-async def check_bounds(node, kind, answered):
-    """Check that a node lives and has kept to the bounds of its instance."""
-    await asyncio.sleep(0.5)  # for what the end of the connections writes
-    measured = (
-        f"memory {node.first_memory / MEGABYTE:.1f} to "
-        f"{node.most_memory / MEGABYTE:.1f} MB, "
-        f"descriptors {node.most_descriptors}, output {node.measure_output()} "
-        f"bytes, answered {answered}"
-    )
-    print(f"{kind}: {measured}")
-    assert node.process.poll() is None, measured
-    assert node.most_memory <= node.memory * MEGABYTE, measured
-    assert node.most_descriptors <= node.descriptors - SPARE_DESCRIPTORS, measured
-    assert node.measure_output() <= MOST_OUTPUT, measured
-    assert answered, measured
-
-
 @pytest.mark.parametrize("kind", MEMORY_CROWDS)
 async def test_memory_stays_within_the_instance(alone, tmp_path, kind):
     await meet_crowd(tmp_path, kind, DESCRIPTORS)
--- a/peridotspoke/workloads/checking.py
+++ b/peridotspoke/workloads/checking.py
@@ -5,13 +5,16 @@
 from peridotspoke.exceptions import RequestError
 from peridotspoke.workloads.jobs import Job
 
-__all__ = ["check_job", "check_step_count", "is_job_id"]
+__all__ = ["MAX_AMOUNT", "MAX_TASKS", "check_job", "check_step_count", "is_job_id"]
 
 JOB_ID_LENGTH = 16  # hexadecimal digits
 MAX_SPEC_SIZE = 4000  # bytes
 MAX_STEPS = 64
 MAX_TASKS = 4096
 MAX_REPEATS = 100_000
+MAX_AMOUNT = 2**53  # largest whole number of a need or a limit
+MAX_DURATION = 1e9  # seconds
+LATEST_TIME = 253_402_300_800.0  # seconds since the Unix epoch; the year 10000
 MAX_FAULTS = 8  # faults of one job that are told
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
@@ -67,6 +70,10 @@
         yield f"expected at most {MAX_TASKS} tasks"
     if not 0 <= job.repeats <= MAX_REPEATS:
         yield f"expected 0 to {MAX_REPEATS} occurrences, found {job.repeats}"
+    if job.repeats and not 0 <= job.first_due < LATEST_TIME:
+        yield "expected a first occurrence between the years 1970 and 9999"
+    if job.repeats and not 0 <= job.interval <= MAX_DURATION:
+        yield f"expected an interval of 0 to {MAX_DURATION:g} s"
     if job.repeats > 1 and job.interval <= 0:
         yield "expected an interval above 0 between occurrences"
 
@@ -74,15 +81,19 @@
 def _find_step_faults(number, step):
     if step.count < 1:
         yield f"expected a count of at least 1, found {step.count}"
-    if min(step.need.cpu, step.need.memory, step.need.accelerators) < 0:
-        yield "expected needs of at least 0"
-    if step.estimate < 0:
-        yield "expected an estimate of at least 0"
+    need = step.need
+    for amount in (need.cpu, need.memory, need.accelerators):
+        if not 0 <= amount <= MAX_AMOUNT:
+            yield f"expected needs of 0 to {MAX_AMOUNT}"
+    if not 0 <= step.estimate <= MAX_DURATION:
+        yield f"expected an estimate of 0 to {MAX_DURATION:g} s"
+    if not 0 <= step.target <= MAX_DURATION:
+        yield f"expected a target of 0 to {MAX_DURATION:g} s"
     if len(step.after) > MAX_STEPS:
         yield f"expected at most {MAX_STEPS} steps in after, found {len(step.after)}"
     elif any(not 0 <= earlier < number for earlier in step.after):
         yield f"expected only earlier steps in after, found {list(step.after)}"
-    if step.most_per_executor < 0:
-        yield "expected a limit for each executor of at least 0"
-    if not 0 <= step.may_miss:
-        yield "expected a number of tasks that may be away of at least 0"
+    if not 0 <= step.most_per_executor <= MAX_AMOUNT:
+        yield f"expected a limit for each executor of 0 to {MAX_AMOUNT}"
+    if not 0 <= step.may_miss <= MAX_AMOUNT:
+        yield f"expected a number of tasks that may be away of 0 to {MAX_AMOUNT}"
