Open no more due occurrences of a job than a large job has tasks

What callers saw: a job of 100 bytes that is due 100,000 times at once stopped its pool: other jobs stayed queued, the owner's watches and lease ran out, and its memory went past the instance's. The next owner took the job over, and so on.

Cause: open_due_occurrences opened each occurrence that was due, in one go, with a task object for each task; each round then looked at all of them.

Why it works: a job has at most 4,096 tasks open, as many as one that isn't repeated may have; further occurrences open as earlier ones end, each still at or after its due time.

--- a/peridotspoke/platform/tests/test_harmful_jobs.py
+++ b/peridotspoke/platform/tests/test_harmful_jobs.py
@@ -17,6 +17,12 @@
         "firstMs": 1e308,
         "intervalMs": 1e308,
     },
+    "always-due": {
+        "steps": [STEP],
+        "repeatCount": 100_000,
+        "firstMs": 0,
+        "intervalMs": 1,
+    },
     "huge-need": {"steps": [STEP | {"cpu": 10**400}]},
 }
 
--- a/peridotspoke/workloads/progress.py
+++ b/peridotspoke/workloads/progress.py
@@ -115,6 +115,11 @@
         ]
         self.next_occurrence = max(self.next_occurrence, occurrence + 1)
 
+    def has_room_for_occurrence(self, most_tasks):
+        """Return whether one more occurrence leaves at most `most_tasks` tasks open."""
+        tasks = sum(step.count for step in self.job.steps)
+        return (len(self.occurrences) + 1) * tasks <= most_tasks
+
     def find_task(self, key):
         """Return the `TaskProgress` of a `TaskKey`, or None if it is not open."""
         steps = self.occurrences.get(key.occurrence)
--- a/peridotspoke/workloads/readywork.py
+++ b/peridotspoke/workloads/readywork.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, replace
 
+from peridotspoke.workloads.checking import MAX_TASKS
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus
 from peridotspoke.workloads.runs import compute_need
 from peridotspoke.workloads.urgency import (
@@ -71,6 +72,10 @@
 def open_due_occurrences(ledger, wall):
     """Open the occurrences of all open jobs that are due.
 
+    A job has at most `MAX_TASKS` tasks open at once, as one that isn't repeated has;
+    further occurrences open as earlier ones end. It answers a small job that is due a
+    hundred thousand times at once.
+
     Parameters
     ----------
     ledger : PoolLedger
@@ -83,6 +88,8 @@
         while progress.next_occurrence < progress.job.occurrences:
             if progress.job.compute_due(progress.next_occurrence) > wall:
                 break
+            if not progress.has_room_for_occurrence(MAX_TASKS):
+                break
             progress.open_occurrence(progress.next_occurrence)
             ledger.ready_work.pop(progress.job.job_id, None)
 
