--- a/conftest.py
+++ b/conftest.py
@@ -1,6 +1,7 @@
 """Shared test settings, and expected failures listed in KNOWN-RED.txt."""
 
 import asyncio
+import fcntl
 from pathlib import Path
 
 import pytest
@@ -41,3 +42,12 @@
     """Yield an `asyncio.Runner` by which plain step functions run coroutines."""
     with asyncio.Runner() as event_runner:
         yield event_runner
+
+
+@pytest.fixture
+def alone(tmp_path_factory):
+    """Let one of these tests run at a time, over all workers of pytest-xdist."""
+    path = tmp_path_factory.getbasetemp().parent / "outside-callers.lock"
+    with open(path, "w", encoding="utf-8") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
