Move the bounded HTTP server to a package of its own, for a second program

Cause: peridotspoke-entry has a server with other and fewer limits (programs/callerlimits); its crowds need those of the node's, whose modules lie in the platform's adapter although nothing in them is the platform's.

Change: callerbudget, callerconnection and callerserver become peridotspoke/callers. What is the platform's stays in platform/: the limits that follow from a node's settings (callerlimits) and the form of its responses (callerrefusals, a ResponseFormat). No change of behaviour; the tests move along with their assertions as they are.

--- a/peridotspoke/platform/callerconnection.py
+++ b/peridotspoke/callers/connection.py
@@ -7,13 +7,9 @@
 import aiohttp
 from aiohttp import web
 
+from peridotspoke.callers.budget import CONNECTION_COST, Phase
+from peridotspoke.callers.refusals import CallerRefusedError, make_dismissal
 from peridotspoke.logs import log_event
-from peridotspoke.platform.callerbudget import CONNECTION_COST, Phase
-from peridotspoke.platform.callerrefusals import (
-    CallerRefusedError,
-    make_dismissal,
-    make_head_refusal,
-)
 
 __all__ = ["CallerConnection"]
 
@@ -336,10 +332,10 @@
             raise ConnectionError("part of a response has been sent already")
         if status >= 500:
             log_event("request-failed", "ERROR", status=status, error=repr(exc))
-            response = web.Response(status=504, text="the outcome is unknown")
+            response = self._server.responses.report_failure()
         else:
             self._server.count_refusal("malformed")
-            response = make_head_refusal(status, message, self._server.checks_keys())
+            response = self._server.responses.refuse_head(status, message)
         response.force_close()
         return response
 
--- a/peridotspoke/platform/callerserver.py
+++ b/peridotspoke/callers/server.py
@@ -6,24 +6,18 @@
 """
 
 import asyncio
-import resource
 from collections import Counter
 
 from aiohttp import web
 
-from peridotspoke.logs import log_event
-from peridotspoke.platform.callerbudget import (
-    CallerBudget,
-    Listener,
-    derive_limits,
-    may_give_way,
-)
-from peridotspoke.platform.callerconnection import (
+from peridotspoke.callers.budget import CallerBudget, Listener, may_give_way
+from peridotspoke.callers.connection import (
     BODY_READ_SIZE,
     READ_SIZE,
     CallerConnection,
 )
-from peridotspoke.platform.callerrefusals import CallerRefusedError
+from peridotspoke.callers.refusals import CallerRefusedError
+from peridotspoke.logs import log_event
 
 __all__ = ["BoundedServer"]
 
@@ -44,10 +38,9 @@
     handler : callable
         Coroutine function from a request to its response. Reads bodies by
         `read_body`.
-    settings : NodeSettings
+    limits : CallerLimits
     metrics : MetricsRegistry
-    checks_keys : callable, optional
-        Returns whether calls are refused for their API keys; takes no arguments.
+    responses : ResponseFormat
     listener : Listener, optional
     **options
         Those of `web.Server`.
@@ -63,9 +56,9 @@
     def __init__(
         self,
         handler,
-        settings,
+        limits,
         metrics,
-        checks_keys=lambda: False,
+        responses,
         listener=Listener.CALLERS,
         **options,
     ):
@@ -75,14 +68,9 @@
             lingering_time=LINGERING_TIME,
             **options,
         )
-        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        if descriptors == resource.RLIM_INFINITY:
-            descriptors = settings.descriptors
-        descriptors = min(descriptors, settings.descriptors)
-        limits = derive_limits(settings, descriptors, listener)
         self.budget = CallerBudget(limits)
         self.turn = asyncio.Semaphore(limits.handled)
-        self.checks_keys = checks_keys
+        self.responses = responses
         self._handler = handler
         self._metrics = metrics
         self._listener = listener.value
--- a/peridotspoke/platform/tests/test_callerbudget.py
+++ b/peridotspoke/callers/tests/test_callerbudget.py
@@ -5,14 +5,14 @@
     strategies as st,
 )
 
-from peridotspoke.nodes.settings import CallerSettings, NodeSettings
-from peridotspoke.platform.callerbudget import (
+from peridotspoke.callers.budget import (
     CONNECTION_COST,
     CallerBudget,
     CallerLimits,
     Phase,
-    derive_limits,
 )
+from peridotspoke.nodes.settings import CallerSettings, NodeSettings
+from peridotspoke.platform.callerlimits import derive_limits
 
 LIMITS = CallerLimits(
     memory=1_000_000, connections=10, handled=5, arrival=10.0, rate=2000.0, pause=20.0
--- a/peridotspoke/platform/tests/test_callerserver.py
+++ b/peridotspoke/callers/tests/test_callerserver.py
@@ -9,11 +9,12 @@
 import pytest
 from aiohttp import web
 
+from peridotspoke.callers import BoundedServer, CallerRefusedError
+from peridotspoke.callers.budget import CONNECTION_COST
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.settings import CallerSettings, NodeSettings
-from peridotspoke.platform.callerbudget import CONNECTION_COST
-from peridotspoke.platform.callerrefusals import CallerRefusedError
-from peridotspoke.platform.callerserver import BoundedServer
+from peridotspoke.platform.callerlimits import derive_limits
+from peridotspoke.platform.callerrefusals import PlatformResponses, format_refusal
 
 BODY = 262_144  # bytes, the configuration's maximum
 CALLERS = 300  # calls at once
@@ -40,7 +41,11 @@
 
     async def __aenter__(self):
         self.server = BoundedServer(
-            self._handle, self.settings, self.metrics, access_log=None
+            self._handle,
+            derive_limits(self.settings, 4100),
+            self.metrics,
+            PlatformResponses(),
+            access_log=None,
         )
         self.runner = web.ServerRunner(self.server, shutdown_timeout=0.2)
         await self.runner.setup()
@@ -52,7 +57,7 @@
         try:
             body = await self.server.read_body(request, BODY)
         except CallerRefusedError as error:
-            return error.make_response()
+            return format_refusal(error)
         self.handled.append(request.path)
         await self.may_answer.wait()
         return web.Response(text=str(len(body)))
--- a/peridotspoke/platform/callerrefusals.py
+++ b/peridotspoke/platform/callerrefusals.py
@@ -3,77 +3,48 @@
 import msgspec
 from aiohttp import web
 
-__all__ = [
-    "KEY_HEADER",
-    "CallerRefusedError",
-    "make_dismissal",
-    "make_head_refusal",
-    "make_refusal",
-]
+from peridotspoke.callers import ResponseFormat
+
+__all__ = ["KEY_HEADER", "PlatformResponses", "format_refusal", "make_refusal"]
 
 KEY_HEADER = "X-Api-Key"
-RETRY_AFTER = 1  # seconds
 NOT_ACCEPTED = "the request was not accepted"
 
 
-class CallerRefusedError(Exception):
-    """A request that is refused while its body arrives; nothing of it was done.
+class PlatformResponses(ResponseFormat):
+    """The form of the responses in the platform's protocol.
 
     Parameters
     ----------
-    status : int
-        HTTP status of the refusal.
-    reason : str
+    checks_keys : callable
+        Returns whether calls are refused for their API keys; takes no arguments.
     """
 
-    def __init__(self, status, reason):
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-    def make_response(self):
-        """Return the `web.Response`, after which the connection is closed."""
-        response = make_refusal(self.status, self.reason)
-        if self.status in {429, 503}:
-            response.headers["Retry-After"] = str(RETRY_AFTER)
-        response.force_close()
-        return response
-
+    def __init__(self, checks_keys=lambda: False):
+        self._checks_keys = checks_keys
 
-def make_dismissal(limit):
-    """Return the `CallerRefusedError` of a body that gives way or is too slow.
-
-    Parameters
-    ----------
-    limit : str
-        The limit because of which its caller was chosen.
-    """
-    if limit == "body":
-        return CallerRefusedError(408, "the body arrives too slowly")
-    if limit == "trailer-size":
-        return CallerRefusedError(431, "the body's trailer is too long")
-    return CallerRefusedError(503, "too many requests at once")
+    def refuse_head(self, status, message):
+        """Return the response to a head that the HTTP library refused.
 
+        The library refuses control characters in a key before the key is checked.
+        """
+        names_key = f"{KEY_HEADER.lower()}:" in (message or "").lower()
+        if names_key and self._checks_keys():
+            return make_refusal(401, "key is not text")
+        return make_refusal(status, "malformed request")
 
-def make_head_refusal(status, message, checks_keys):
-    """Return the response to a head that the HTTP library refused.
+    def report_failure(self):
+        """Return the response to a request whose handler failed."""
+        return web.Response(status=504, text="the outcome is unknown")
 
-    The response doesn't repeat the library's message, which quotes the line at fault
-    and so may quote an API key.
 
-    Parameters
-    ----------
-    status : int
-        HTTP status by the library.
-    message : str or None
-        The library's message.
-    checks_keys : bool
-        Whether calls are refused for their API keys. The library refuses control
-        characters in a key before the key is checked.
-    """
-    if checks_keys and f"{KEY_HEADER.lower()}:" in (message or "").lower():
-        return make_refusal(401, "key is not text")
-    return make_refusal(status, "malformed request")
+def format_refusal(error):
+    """Return the response to a `CallerRefusedError`, which ends the connection."""
+    response = make_refusal(error.status, error.reason)
+    if error.retry_after:
+        response.headers["Retry-After"] = str(error.retry_after)
+    response.force_close()
+    return response
 
 
 def make_refusal(status, reason):
--- a/peridotspoke/platform/ingress.py
+++ b/peridotspoke/platform/ingress.py
@@ -6,12 +6,16 @@
 import msgspec
 from aiohttp import web
 
+from peridotspoke.callers import BoundedServer, CallerRefusedError, Listener
 from peridotspoke.logs import log_event
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes import jobanswers
-from peridotspoke.platform.callerbudget import Listener
-from peridotspoke.platform.callerrefusals import KEY_HEADER, CallerRefusedError
-from peridotspoke.platform.callerserver import BoundedServer
+from peridotspoke.platform.callerlimits import count_descriptors, derive_limits
+from peridotspoke.platform.callerrefusals import (
+    KEY_HEADER,
+    PlatformResponses,
+    format_refusal,
+)
 from peridotspoke.platform.submissions import encode_state, encode_waiting
 from peridotspoke.workloads.access import CallerKey
 
@@ -55,25 +59,28 @@
 
     async def open(self):
         """Listen on the addresses for callers, readiness and, if set, metrics."""
-        options = {"access_log": None, "keepalive_timeout": KEEPALIVE_TIMEOUT}
-        self._callers = BoundedServer(
-            self._handle_front,
-            self._settings,
-            self._metrics,
-            lambda: self._job_handler.checks_keys,
-            max_field_size=MAX_FIELD_SIZE,
-            **options,
+        self._callers = self._make_server(
+            Listener.CALLERS, self._handle_front, max_field_size=MAX_FIELD_SIZE
         )
         await self._listen(self._settings.front, self._callers)
-        monitoring = [(Listener.READINESS, self._settings.ready, self._handle_ready)]
+        ready = self._make_server(Listener.READINESS, self._handle_ready)
+        await self._listen(self._settings.ready, ready)
         if self._settings.metrics:
-            address = self._settings.metrics
-            monitoring.append((Listener.METRICS, address, self._handle_metrics))
-        for listener, address, handler in monitoring:
-            server = BoundedServer(
-                handler, self._settings, self._metrics, listener=listener, **options
-            )
-            await self._listen(address, server)
+            metrics = self._make_server(Listener.METRICS, self._handle_metrics)
+            await self._listen(self._settings.metrics, metrics)
+
+    def _make_server(self, listener, handler, **options):
+        descriptors = count_descriptors(self._settings)
+        return BoundedServer(
+            handler,
+            derive_limits(self._settings, descriptors, listener),
+            self._metrics,
+            PlatformResponses(lambda: self._job_handler.checks_keys),
+            listener,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_TIMEOUT,
+            **options,
+        )
 
     @property
     def addresses(self):
@@ -117,7 +124,7 @@
         try:
             response = await self._dispatch(request)
         except CallerRefusedError as error:
-            response = error.make_response()
+            response = format_refusal(error)
         except web.HTTPException as error:
             response = _make_response(error.status, {"error": error.reason})
         except Exception as error:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -11,7 +11,8 @@
     "workloads": {"workloads", "decoding", "exceptions"},
     "store": {"store", *ROOT_MODULES},
     "nodes": {"nodes", "workloads", "store", *ROOT_MODULES},
-    "platform": {"platform", "nodes", "workloads", "store", *ROOT_MODULES},
+    "callers": {"callers", *ROOT_MODULES},
+    "platform": {"platform", "callers", "nodes", "workloads", "store", *ROOT_MODULES},
 }
 
 
