--- a/peridotspoke/platform/tests/smallnode.py
+++ b/peridotspoke/platform/tests/smallnode.py
@@ -60,6 +60,8 @@
         Descriptor that becomes the process's standard output, instead of a file.
     memory : int, optional
         MB.
+    executors : int, optional
+        How many executors the pool has.
 
     Attributes
     ----------
@@ -70,25 +72,34 @@
         Highest number of open descriptors that was seen.
     """
 
-    def __init__(self, folder, descriptors=DESCRIPTORS, output=None, memory=MEMORY):
+    def __init__(
+        self,
+        folder,
+        descriptors=DESCRIPTORS,
+        output=None,
+        memory=MEMORY,
+        executors=1,
+    ):
         self.folder, self.descriptors, self.output = folder, descriptors, output
         self.memory = memory
+        self.executors = [ExecutorStandIn(f"i-{n}", "pool") for n in range(executors)]
+        self.store = MetadataStandIn()
         self.most_memory = self.most_descriptors = self.first_memory = 0
         self.process, self._runners, self._sampling = None, [], None
         self._host = f"127.{os.getpid() % 200 + 10}.{os.getpid() // 200 % 250}.201"
 
     async def __aenter__(self):
-        store, executor = MetadataStandIn(), ExecutorStandIn("i-0", "pool")
-        store.put("op/config", CONFIG)
-        executor.address = await self._serve(executor.handle)
-        store.put("servers/i-0", executor.describe())
+        self.store.put("op/config", CONFIG)
+        for executor in self.executors:
+            executor.address = await self._serve(self.wrap_executor(executor.handle))
+            self.store.put(f"servers/{executor.executor_id}", executor.describe())
         settings = SETTINGS.format(
             memory=self.memory,
             descriptors=self.descriptors,
             host=self._host,
             front=FRONT_PORT,
             ready=READY_PORT,
-            store=await self._serve(store.handle),
+            store=await self._serve(self.wrap_store(self.store.handle)),
         )
         (self.folder / "node.conf").write_text(settings, encoding="utf-8")
         self._start()
@@ -100,6 +111,14 @@
         self._sampling = asyncio.ensure_future(self._sample())
         return self
 
+    def wrap_executor(self, handler):
+        """Return the handler of an executor's calls; subclasses may replace it."""
+        return handler
+
+    def wrap_store(self, handler):
+        """Return the handler of the store's calls; subclasses may replace it."""
+        return handler
+
     async def _serve(self, handler):
         runner, address = await serve_standin(handler)
         self._runners.append(runner)
