Bound what the answers of executors, the store and other services hold

What was seen: 20 executors that answer 7.9 MB each took a node from 49 to 228 MB of 100, endless answers to 121 MB, a store that answers 7.9 MB to 139 MB. Each answer that can't be read wrote a line: 83 kB in six seconds from 20 executors.

Cause: one answer may have 8 MB, but nothing counted all of them together. An answer that could not be read stayed in memory: the error keeps the frames that it passed, and these the response and its bytes, for as long as a task or a log keeps the error. The lines are warnings, which the log's rate doesn't limit.

Why it works: a ResponseMemory counts the bytes that arrive, one for the store (6 MB an answer, 9 MB at once) and one for all other services (2 MB and 8 MB), each with the part that the library reads ahead; what exceeds it is given up like an endless answer. Errors keep no body. Heads have at most 32 fields of 2,048 bytes. A page of the store has 1.5 MB, the list of 1,100 machines some 0.4 MB. Lines about unreadable answers share the limit of those about wrong requests, and quote 200 characters.

--- a/peridotspoke/logsink.py
+++ b/peridotspoke/logsink.py
@@ -16,6 +16,8 @@
 LOST_EVENT = "log-reader-lost"
 # Outcomes of requests that are wrong in themselves: any caller can cause any number.
 CALLER_FAULTS = ("outcome=Invalid", "outcome=UnknownJob", "outcome=Conflict")
+# Answers that can't be read: a peer can cause any number.
+PEER_FAULT_EVENT = "answer-unreadable"
 OWNERSHIP_EVENTS = (
     "ownership-gained",
     "ownership-lost",
@@ -199,9 +201,9 @@
                 return
 
     def _may_tell(self, event, text, now):
-        """Return whether the limit on lines about wrong requests allows a line."""
-        is_fault = event.startswith("job-") and any(
-            fault in text for fault in CALLER_FAULTS
+        """Return whether the limit on lines about others' faults allows a line."""
+        is_fault = event == PEER_FAULT_EVENT or (
+            event.startswith("job-") and any(fault in text for fault in CALLER_FAULTS)
         )
         return not is_fault or self._fault_bucket.take(now)
 
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -20,12 +20,14 @@
 )
 from peridotspoke.platform.entries import ENTRY_PREFIX, decode_entry
 from peridotspoke.platform.executors import HttpExecutor
-from peridotspoke.platform.http import HttpPeer
+from peridotspoke.platform.http import HttpPeer, ResponseLimits, ResponseMemory
 from peridotspoke.platform.keyvalue import MetadataStore
 from peridotspoke.platform.machines import HttpMachines
 
 __all__ = ["assemble_node"]
 
+# Of the executors, the machines' interface and the advice service.
+SERVICE_RESPONSES = ResponseLimits(2_000_000, 8_000_000, 16_384)
 MACHINES_TIMEOUT = 1.5  # seconds for one call
 
 
@@ -56,15 +58,18 @@
     observe_commit = partial(parts.metrics.observe, "store_commit_seconds")
     parts.commits = TimedCommits(parts.store, parts.clock, observe_commit)
     parts.cancel_stale_calls = parts.store.cancel_stale_calls
+    memory = ResponseMemory(SERVICE_RESPONSES)
     parts.open_executor = lambda entry: HttpExecutor(
-        HttpPeer(entry.address), entry.executor_id, settings.timing.call
+        HttpPeer(entry.address, memory=memory),
+        entry.executor_id,
+        settings.timing.call,
     )
     if settings.machines:
-        machines_peer = HttpPeer(settings.machines)
+        machines_peer = HttpPeer(settings.machines, memory=memory)
         parts.peers += (machines_peer,)
         parts.machines = HttpMachines(machines_peer, MACHINES_TIMEOUT)
     if settings.advice:
-        advice_peer = HttpPeer(settings.advice)
+        advice_peer = HttpPeer(settings.advice, memory=memory)
         parts.peers += (advice_peer,)
         parts.advice = HttpAdvice(advice_peer)
     codec = DocumentCodec(
--- a/peridotspoke/platform/connections.py
+++ b/peridotspoke/platform/connections.py
@@ -11,6 +11,8 @@
 __all__ = ["ConnectionSet", "is_stale"]
 
 KEEPALIVE_TIMEOUT = 60.0  # seconds until an idle connection is closed
+MAX_LINE = 2048  # bytes of a line of a response's head
+MAX_FIELDS = 32  # of a response's head
 SENT_TOGETHER = 0.1  # seconds; the first response may overtake earlier calls by this
 # struct linger of socket(7): with a time of 0 s, close() resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -56,9 +58,15 @@
     `asyncio.Timeout`, when they were sent and whether they wait on purpose.
     `stale_calls_cancelled` is set to retire replaced connections before their grace
     time ends.
+
+    Parameters
+    ----------
+    buffer_size : int
+        Bytes of a response that are read ahead.
     """
 
-    def __init__(self):
+    def __init__(self, buffer_size):
+        self._buffer_size = buffer_size
         self.stale_calls_cancelled = asyncio.Event()
         self.unanswered_calls = {}
         self.unanswered_reads = {}
@@ -78,7 +86,7 @@
 
     def _open(self, kind):
         if kind not in self._sessions:
-            self._sessions[kind] = _open_session()
+            self._sessions[kind] = _open_session(self._buffer_size)
         return self._sessions[kind]
 
     @asynccontextmanager
@@ -168,7 +176,7 @@
         deadline.reschedule(asyncio.get_running_loop().time())
 
 
-def _open_session():
+def _open_session(buffer_size):
     connector = aiohttp.TCPConnector(
         limit=0,
         keepalive_timeout=KEEPALIVE_TIMEOUT,
@@ -176,7 +184,12 @@
         socket_factory=_make_socket,
     )
     return aiohttp.ClientSession(
-        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        read_bufsize=buffer_size,
+        max_line_size=MAX_LINE,
+        max_field_size=MAX_LINE,
+        max_headers=MAX_FIELDS,
     )
 
 
--- a/peridotspoke/platform/http.py
+++ b/peridotspoke/platform/http.py
@@ -16,13 +16,19 @@
 from peridotspoke.logs import log_event
 from peridotspoke.platform.connections import ConnectionSet
 
-__all__ = ["HttpPeer", "HttpResponse", "ReadLimits", "decode_body"]
+__all__ = [
+    "STORE_RESPONSES",
+    "HttpPeer",
+    "HttpResponse",
+    "ReadLimits",
+    "ResponseLimits",
+    "ResponseMemory",
+    "decode_body",
+]
 
 OLD_SESSION_GRACE = 5.0  # seconds until calls on replaced connections are cancelled
 MAX_RESPONSE_BYTES = 1_500_000  # a page of 1 MiB as base64 text, with its keys
-# Bytes after which a response counts as endless: several of the largest pages, for a
-# watch that returns many changes at once.
-LONGEST_RESPONSE = 8_000_000
+MAX_ERROR_TEXT = 200  # characters
 MIN_LINK_RATE = 125_000  # bytes per second that a node's link spares for a response
 MAX_BODY_TIME = MAX_RESPONSE_BYTES / MIN_LINK_RATE  # seconds
 HTTP_OK = 200
@@ -36,9 +42,13 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class HttpResponse:
-    """Status code and body of an HTTP response."""
+    """Status code and body of an HTTP response.
+
+    The body of an unreadable response is emptied: the error keeps the frames that it
+    passed, and these the response, for as long as anything keeps the error.
+    """
 
     status: int
     body: bytes
@@ -70,6 +80,85 @@
     waits: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseLimits:
+    """Limits on what responses hold while they arrive, in bytes.
+
+    It answers peers that send responses without an end, and many that do so at once.
+
+    Parameters
+    ----------
+    longest : int
+        Of the body of one response; a longer one counts as endless.
+    together : int
+        Of the bodies of all responses that share a `ResponseMemory`.
+    buffer : int
+        Of one response that the HTTP library reads ahead.
+    """
+
+    longest: int
+    together: int
+    buffer: int
+
+
+# The longest has several of the largest pages, for a watch that returns many changes at
+# once.
+STORE_RESPONSES = ResponseLimits(6_000_000, 9_000_000, 65_536)
+
+
+class ResponseMemory:
+    """Counts the bytes of the responses of some peers that are arriving.
+
+    Parameters
+    ----------
+    limits : ResponseLimits
+
+    Attributes
+    ----------
+    held : int
+        Bytes of all these responses.
+    """
+
+    def __init__(self, limits):
+        self.limits = limits
+        self.held = 0
+
+    async def read_body(self, response, on_chunk=lambda: None):
+        """Return the body of a response as bytes.
+
+        Parameters
+        ----------
+        response : aiohttp.ClientResponse
+        on_chunk : callable, optional
+            Called after each piece of it; takes no arguments.
+
+        Raises
+        ------
+        aiohttp.ClientPayloadError
+            If it is too long, or all responses together are.
+        """
+        size, chunks = 0, []
+        try:
+            async for chunk in response.content.iter_any():
+                chunks.append(chunk)
+                size += len(chunk)
+                self.held += len(chunk)
+                self._check(size)
+                on_chunk()
+            return b"".join(chunks)
+        finally:
+            self.held -= size
+            chunks.clear()  # an error keeps this frame
+
+    def _check(self, size):
+        if size > self.limits.longest:
+            raise aiohttp.ClientPayloadError(f"longer than {self.limits.longest} bytes")
+        if self.held > self.limits.together:
+            raise aiohttp.ClientPayloadError(
+                f"responses at once are longer than {self.limits.together} bytes"
+            )
+
+
 class HttpPeer:
     """Calls one peer, and replaces all its connections after a lost response.
 
@@ -84,11 +173,14 @@
         IP address and port, as ``host:port``.
     connect_timeout : float, optional
         Limit for opening a connection, in seconds.
+    memory : ResponseMemory, optional
+        Shared with other peers; by default this peer's own, for `STORE_RESPONSES`.
     """
 
-    def __init__(self, address, connect_timeout=0.6):
+    def __init__(self, address, connect_timeout=0.6, memory=None):
         self.address = address
         self._connect_timeout = connect_timeout
+        self._memory = memory or ResponseMemory(STORE_RESPONSES)
         self._connections = None
         self._closing = {}
 
@@ -134,7 +226,8 @@
                 ) as response,
             ):
                 connections.mark_begun(deadline)
-                return HttpResponse(response.status, await _read_bounded(response))
+                body = await self._memory.read_body(response)
+                return HttpResponse(response.status, body)
 
     async def read(self, path, limits):
         """Send a GET request, which has no effect, and return its `HttpResponse`.
@@ -168,9 +261,19 @@
                 ) as response,
             ):
                 connections.mark_begun(deadline)
-                return HttpResponse(
-                    response.status, await _read_body(response, deadline, limits)
-                )
+                body = await self._read_body(response, deadline, limits)
+                return HttpResponse(response.status, body)
+
+    async def _read_body(self, response, deadline, limits):
+        """Return the body as bytes; extend `deadline` with each chunk that arrives."""
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + limits.body
+
+        def extend():
+            deadline.reschedule(min(latest, loop.time() + limits.idle))
+
+        extend()
+        return await self._memory.read_body(response, extend)
 
     @contextmanager
     def _translate_errors(self, connections, step):
@@ -178,12 +281,14 @@
             yield
         except _NOT_CONNECTED_ERRORS as error:
             raise PlatformUnavailableError(
-                f"could not connect: {error!r}", step=step, peer=self.address
+                f"could not connect: {_describe(error)}", step=step, peer=self.address
             ) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._replace(connections)
             raise AnswerLostError(
-                f"no complete response: {error!r}", step=step, peer=self.address
+                f"no complete response: {_describe(error)}",
+                step=step,
+                peer=self.address,
             ) from error
 
     async def close(self):
@@ -196,7 +301,7 @@
 
     def _open_connections(self):
         if self._connections is None:
-            self._connections = ConnectionSet()
+            self._connections = ConnectionSet(self._memory.limits.buffer)
         return self._connections
 
     def cancel_stale_calls(self, seconds=0.0):
@@ -228,27 +333,9 @@
         task.add_done_callback(self._closing.pop)
 
 
-async def _read_body(response, deadline, limits):
-    """Return the body as bytes; extend `deadline` with each chunk that arrives."""
-    loop = asyncio.get_running_loop()
-    latest = loop.time() + limits.body
-
-    def extend():
-        deadline.reschedule(min(latest, loop.time() + limits.idle))
-
-    extend()
-    return await _read_bounded(response, extend)
-
-
-async def _read_bounded(response, on_chunk=lambda: None):
-    """Return the body as bytes; raise `ClientPayloadError` if it is too long."""
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > LONGEST_RESPONSE:
-            raise aiohttp.ClientPayloadError(f"longer than {LONGEST_RESPONSE} bytes")
-        on_chunk()
-    return bytes(body)
+def _describe(error):
+    """Return an error's text; the HTTP library's quotes what a peer sent."""
+    return repr(error)[:MAX_ERROR_TEXT]
 
 
 async def _close_later(connections):
@@ -284,9 +371,11 @@
     try:
         return decode_json(response.body, body_class)
     except MalformedDataError as error:
-        log_event("answer-unreadable", "WARNING", step=step, peer=peer, error=error)
-        raise AnswerLostError(
-            f"unreadable body of a {response.status} response: {error}",
-            step=step,
-            peer=peer,
-        ) from error
+        reason = str(error)
+    response.body = b""
+    log_event("answer-unreadable", "WARNING", step=step, peer=peer, error=reason)
+    raise AnswerLostError(
+        f"unreadable body of a {response.status} response: {reason}",
+        step=step,
+        peer=peer,
+    )
