Serve peridotspoke-entry's callers by the bounded server of the node

What callers saw: heads, trailers and one-byte chunks without an end took the entry's memory to 374, 375 and 156 MB of 120; callers that read no responses to 156 MB, and an ordinary call had no answer for 60 s. Heads at the admin address took 471 MB.

Cause: programs/callerlimits closed connections above a number and those without a first request; nothing counted heads, trailers, chunks before they are read, or responses that nobody reads, and the newest connection was refused whoever held the others. The admin address had no limits.

Why it works: both addresses are served by callers.BoundedServer, whose budget follows from the new setting `memory` (400 MB by default, of which callers get up to 160), the body's memory taken off. Connections of callers that are being accepted are fewer, so that the limit on connections holds. Bodies are read by the server's read_body, with the entry's own time limit and its own problem documents. Lines of a head may have 32 kB, not 64.

The tests' entry is started as the other fleets are, its settings given by the environment. Once, in one of some 40 starts, no executor had joined the pool after 70 s, with the order of the fixture before (1 executor); 12 starts by hand afterwards had one after 0.8 s.

--- a/peridotspoke/programs/callers.py
+++ b/peridotspoke/programs/callers.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import enum
+import socket
 from dataclasses import replace
 
-import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
+from peridotspoke.callers import BoundedServer, CallerRefusedError, ResponseFormat
 from peridotspoke.identities import make_operation_id, split_address
 from peridotspoke.logs import log_event
-from peridotspoke.programs.callerlimits import LimitedServer
+from peridotspoke.programs.callerlimits import derive_entry_limits
 from peridotspoke.requests import (
     IncomingRequest,
     Outcome,
@@ -21,9 +22,14 @@
 
 __all__ = ["CallerServer", "ServingPhase"]
 
-MAX_LINE_SIZE = 65536  # bytes; the parser refuses longer request lines and headers
+MAX_LINE_SIZE = 32_768  # bytes; the parser refuses longer request lines and headers
+MAX_REASON = 200  # characters of what the parser says that a caller is told
+ACCEPT_BACKLOG = 1024  # connections that wait to be accepted
+# Connections that the event loop accepts together, some four times before the limit on
+# connections sees the first of them.
+ACCEPTED_TOGETHER = 4
+KEEPALIVE_TIMEOUT = 75.0  # seconds until an idle connection is closed
 SMALL_ANSWER = 65536  # bytes; answers up to here are sent without awaiting the caller
-HTTP_SERVER_ERROR = 500
 DRAIN_POLL_INTERVAL = 0.02  # seconds
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -73,22 +79,25 @@
         A port of 0 in the settings is replaced by the one that is bound.
         """
         host, port = split_address(self._settings.listen)
-        self._server = LimitedServer(
+        self._server = BoundedServer(
             self._handle,
-            build_response=self._build_error_response,
-            max_connections=self._settings.caller_connections,
+            derive_entry_limits(self._settings),
+            self._metrics,
+            _EntryResponses(self._build_refusal),
             handler_cancellation=True,
             access_log=None,
+            keepalive_timeout=KEEPALIVE_TIMEOUT,
             auto_decompress=False,
             max_line_size=MAX_LINE_SIZE,
             max_field_size=MAX_LINE_SIZE,
-            lingering_time=1.0,
         )
+        listener = socket.create_server((host, int(port)))
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._server, host, port, backlog=1024
+            self._server, sock=listener, backlog=ACCEPTED_TOGETHER
         )
-        port = self._listener.sockets[0].getsockname()[1]
+        listener.listen(ACCEPT_BACKLOG)  # the event loop has set ACCEPTED_TOGETHER
+        port = listener.getsockname()[1]
         self.address = f"{host}:{port}"
 
     def is_serving(self):
@@ -210,26 +219,14 @@
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(CONTINUE)
             request.writer.output_size = 0
-        if request.content.is_eof():
-            body = request.content.read_nowait()
-            if len(body) > limit:
-                return _refuse_body(413, f"at most {limit} bytes", f"{len(body)}")
-            return body
-        chunks = []
-        size = 0
         try:
             async with asyncio.timeout(self._settings.body_timeout):
-                async for chunk in request.content.iter_any():
-                    size += len(chunk)
-                    if size > limit:
-                        return _refuse_body(413, f"at most {limit} bytes", "more")
-                    chunks.append(chunk)
+                return await self._server.read_body(request, limit)
         except TimeoutError:
             expected = f"the whole body within {self._settings.body_timeout} s"
-            return _refuse_body(408, expected, f"{size} bytes")
-        except (aiohttp.ClientError, web.RequestPayloadError) as error:
-            return _refuse_body(400, "a whole body", repr(error))
-        return b"".join(chunks)
+            return _refuse_body(408, expected, "less")
+        except CallerRefusedError as error:
+            return _refuse_arriving_body(error, limit)
 
     async def _answer(self, request, response):
         headers = CIMultiDict(response.headers)
@@ -251,15 +248,46 @@
             self._memory.release(len(body))
         return http_response
 
-    def _build_error_response(self, status, reason):
-        """Return the `Response` of what the parser refused or a fault broke off."""
-        if status < HTTP_SERVER_ERROR:
-            detail = f"request: expected HTTP/1.1, found {reason}"
-            refusal = Refusal(status, Outcome.NOT_RUN, "Bad request", detail)
-        else:
-            detail = "the entry instance failed"
-            refusal = Refusal(status, Outcome.UNKNOWN, "Outcome unknown", detail)
-        return self._pipeline.build_response(make_operation_id(self._random), refusal)
+    def _build_refusal(self, refusal):
+        response = self._pipeline.build_response(
+            make_operation_id(self._random), refusal
+        )
+        return web.Response(
+            status=response.status,
+            headers=CIMultiDict(response.headers),
+            body=response.body,
+        )
+
+
+class _EntryResponses(ResponseFormat):
+    """The form of the responses that the server makes itself: problem documents."""
+
+    def __init__(self, build_refusal):
+        self._build_refusal = build_refusal
+
+    def refuse_head(self, status, message):
+        """Return the response to a head that the HTTP library refused."""
+        lines = (message or "something else").splitlines()
+        detail = f"request: expected HTTP/1.1, found {lines[0][:MAX_REASON]}"
+        refusal = Refusal(status, Outcome.NOT_RUN, "Bad request", detail)
+        return self._build_refusal(refusal)
+
+    def report_failure(self):
+        """Return the response to a request whose handler failed."""
+        detail = "the entry instance failed"
+        refusal = Refusal(500, Outcome.UNKNOWN, "Outcome unknown", detail)
+        return self._build_refusal(refusal)
+
+
+def _refuse_arriving_body(error, limit):
+    """Return the `Refusal` of a `CallerRefusedError`."""
+    if error.status == 413:
+        return _refuse_body(413, f"at most {limit} bytes", "more")
+    if error.status == 400:
+        return _refuse_body(400, "a whole body", error.reason)
+    return Refusal(
+        error.status, Outcome.NOT_RUN, "Refused", error.reason, error.retry_after
+    )
 
 
 def _refuse_body(status, expected, found):
--- a/peridotspoke/programs/settings.py
+++ b/peridotspoke/programs/settings.py
@@ -85,6 +85,13 @@
         gt=0,
         description="limit of reading a caller's body or writing it an answer, seconds",
     )
+    memory: float = Field(
+        400.0,
+        gt=0,
+        description="memory that the process may use, MB; callers' connections and "
+        "requests get nine tenths of what is above 90 MB, less the memory for bodies, "
+        "from 4 to 160 MB",
+    )
     body_memory: int = Field(
         64 << 20, ge=1 << 20, description="memory for all bodies at once, bytes"
     )
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -88,6 +88,10 @@
                     )
                 self._changed.wait(min(remaining, 0.1))
 
+    def has_event(self, event):
+        """Return whether an event has been logged."""
+        return any(f"event={event} " in line + " " for line in list(self.lines))
+
     def is_running(self):
         """Return whether the process is still running."""
         return self._process.poll() is None
--- a/tests/test_outside_callers.py
+++ b/tests/test_outside_callers.py
@@ -13,7 +13,7 @@
 import psutil
 import pytest
 
-from tests.conftest import DECLARATION
+from tests.conftest import start_serving_fleet
 
 MEMORY = 120  # MB, the setting `memory`
 BODY_MEMORY = 4 << 20  # bytes, the setting `body_memory`
@@ -105,16 +105,10 @@
 def entry(alone, fleet, monkeypatch):
     """Return an entry process with low limits that serves requests."""
     monkeypatch.setenv("PERIDOTSPOKE_MEMORY", str(MEMORY))
-    fleet.start_platform()
-    fleet.start_executors(1)
-    process = fleet.start_entry(
-        "entry-0", body_memory=BODY_MEMORY, caller_connections=CONNECTIONS
-    )
-    fleet.start_control()
-    published = fleet.publish(DECLARATION.format(name="q", size=1))
-    assert published.returncode == 0, published.stderr
-    fleet.call_until_served("entry-0", "/q/ready")
-    return process
+    monkeypatch.setenv("PERIDOTSPOKE_BODY_MEMORY", str(BODY_MEMORY))
+    monkeypatch.setenv("PERIDOTSPOKE_CALLER_CONNECTIONS", str(CONNECTIONS))
+    start_serving_fleet(fleet, 1, "q")
+    return next(item for item in fleet.processes if item.has_event("entry-started"))
 
 
 def check_crowd(fleet, process, kind, url):
