--- a/peridotspoke/platform/tests/test_harmful_jobs.py
+++ b/peridotspoke/platform/tests/test_harmful_jobs.py
@@ -23,7 +23,14 @@
         "firstMs": 0,
         "intervalMs": 1,
     },
+    "always-due-unplaced": {
+        "steps": [STEP | {"requires": "nowhere"}],
+        "repeatCount": 100_000,
+        "firstMs": 0,
+        "intervalMs": 1,
+    },
     "huge-need": {"steps": [STEP | {"cpu": 10**400}]},
+    "never-placed": {"steps": [STEP | {"cpu": 9 * 10**15}]},
 }
 
 
--- a/peridotspoke/platform/tests/test_outside_services.py
+++ b/peridotspoke/platform/tests/test_outside_services.py
@@ -77,29 +77,27 @@
         return handle
 
 
+async def check_fault(node, service, fault):
+    """Let a service answer faultily for a while; check the node beside and after it."""
+    attribute = f"{service}_fault"
+    setattr(node, attribute, FAULTS[fault])
+    await asyncio.sleep(FAULT_TIME)
+    setattr(node, attribute, None)
+    answered = True
+    try:
+        await node.call_ordinarily(2)
+    except TimeoutError:
+        answered = False
+    await check_bounds(node, f"{service}, {fault}", answered)
+
+
 @pytest.mark.parametrize("fault", FAULTS)
 async def test_answers_of_many_executors(alone, tmp_path, fault):
     async with FaultyServices(tmp_path, EXECUTORS) as node:
-        node.executors_fault = FAULTS[fault]
-        await asyncio.sleep(FAULT_TIME)
-        node.executors_fault = None
-        answered = True
-        try:
-            await node.call_ordinarily(2)
-        except TimeoutError:
-            answered = False
-        await check_bounds(node, f"executors, {fault}", answered)
+        await check_fault(node, "executors", fault)
 
 
 @pytest.mark.parametrize("fault", FAULTS)
 async def test_answers_of_the_store(alone, tmp_path, fault):
     async with FaultyServices(tmp_path, 1) as node:
-        node.store_fault = FAULTS[fault]
-        await asyncio.sleep(FAULT_TIME)
-        node.store_fault = None
-        answered = True
-        try:
-            await node.call_ordinarily(2)
-        except TimeoutError:
-            answered = False
-        await check_bounds(node, f"store, {fault}", answered)
+        await check_fault(node, "store", fault)
