Read bodies in chunks one after another until their chunks prove to be large

Cause: a body counted as made of small chunks only once it had taken 8 kB more on the wire than twice its data, and until then it was read freely, in pieces of up to 64 kB. A thousand such reads, each of which parses hundreds of chunks, ran in one turn of the event loop.

Why it works: a chunked body is read by turns from its first piece on, 4 kB at a time, and freely once a piece shows that data are at least half of it.

--- a/peridotspoke/callers/connection.py
+++ b/peridotspoke/callers/connection.py
@@ -20,6 +20,7 @@
 # it takes more bytes on the wire than this factor: a chunk of one byte takes as long to
 # parse as a large one, and hundreds of reads full of them stop the event loop.
 WASTEFUL_FACTOR = 2
+FRAMING = 512  # bytes on the wire that any body may have beside its data
 MAX_HEAD = 65_536  # bytes of a head, empty lines before it included
 # Bytes of a chunked body without data: trailer fields, which the library keeps like
 # those of a head, or a chunk's extensions.
@@ -52,6 +53,7 @@
         "_body_size",
         "_body_timeout",
         "_caller",
+        "_data_size",
         "_dismissed_for",
         "_head_size",
         "_is_handling",
@@ -73,7 +75,8 @@
         self._last_payload = None
         self._is_held_back = False
         self._head_size = self._body_size = self._trailer_size = 0
-        self._message_cost = self._behind_size = self._wire_size = 0
+        self._message_cost = self._behind_size = 0
+        self._wire_size = self._data_size = 0
         self._is_wasteful = self._is_handling = False
 
     def connection_made(self, transport):
@@ -117,6 +120,7 @@
             return
         count = self._request_count - previous
         self._wire_size += len(data)
+        self._data_size += progress
         if (self._is_wasteful and progress) or self._upgraded:
             self._hold_back()
         if count:
@@ -192,14 +196,14 @@
         budget, caller = self._server.budget, self._caller
         if caller.phase is Phase.LEAVING:
             raise make_dismissal(self._dismissed_for)
-        if not request.content.is_eof():
+        is_arriving = not request.content.is_eof()
+        if is_arriving:
             budget.enter(caller, Phase.BODY, self._loop.time(), declared)
-            if "Transfer-Encoding" not in request.headers:
-                self._set_read_size(self._server.choose_read_size())
-            self._wire_size = 0
-            self._release_reading()
+            self._wire_size = self._data_size = 0
         try:
             async with asyncio.timeout(None) as self._body_timeout:
+                if is_arriving:
+                    await self._begin_body("Transfer-Encoding" in request.headers)
                 return await self._collect_body(request, max_size)
         except TimeoutError:
             raise make_dismissal(self._dismissed_for) from None
@@ -234,15 +238,31 @@
             self._set_body_size(body.size)
             is_chunked = "Transfer-Encoding" in request.headers
             if is_chunked and not request.content.is_eof():
-                await self._pace_chunks(body.size)
+                await self._pace_chunks()
 
-    async def _pace_chunks(self, size):
-        """Wait for a turn if the body so far is made of small chunks."""
-        self._is_wasteful = self._wire_size > WASTEFUL_FACTOR * (size + READ_SIZE)
-        if not self._is_wasteful:
-            self._set_read_size(self._server.choose_read_size())
-            self._release_reading()
-            return
+    async def _pace_chunks(self):
+        """Wait for a turn if the body so far is made of small chunks, or may be."""
+        most = WASTEFUL_FACTOR * (self._data_size + FRAMING)
+        if 0 < self._wire_size <= most:
+            self._read_freely()
+        else:
+            await self._read_in_turn()
+
+    async def _begin_body(self, is_chunked):
+        """Read a body for the first time; whether its chunks are small isn't known."""
+        if is_chunked:
+            await self._read_in_turn()
+        else:
+            self._read_freely()
+
+    def _read_freely(self):
+        self._is_wasteful = False
+        self._set_read_size(self._server.choose_read_size())
+        self._release_reading()
+
+    async def _read_in_turn(self):
+        """Read once more when no other body made of small chunks is read."""
+        self._is_wasteful = True
         self._set_read_size(READ_SIZE)
         async with self._server.wasteful_turn:
             self._release_reading()
--- a/peridotspoke/callers/tests/test_callerserver.py
+++ b/peridotspoke/callers/tests/test_callerserver.py
@@ -4,6 +4,7 @@
 import contextlib
 import gc
 import tracemalloc
+from collections import Counter
 
 import msgspec
 import pytest
@@ -11,6 +12,7 @@
 
 from peridotspoke.callers import BoundedServer, CallerRefusedError
 from peridotspoke.callers.budget import CONNECTION_COST
+from peridotspoke.callers.connection import READ_SIZE, CallerConnection
 from peridotspoke.metrics import MetricsRegistry
 from peridotspoke.nodes.settings import CallerSettings, NodeSettings
 from peridotspoke.platform.callerlimits import derive_limits
@@ -219,6 +221,39 @@
         writer.close()
 
 
+async def test_bodies_in_small_chunks_are_read_one_after_another(monkeypatch):
+    """Hundreds of reads full of small chunks stopped the event loop for seconds."""
+    tick, read = 0, Counter()  # turns of the event loop; bytes of bodies read in each
+    receive = CallerConnection.data_received
+
+    def record(connection, data):
+        if connection._is_in_body():
+            read[tick] += len(data)
+        receive(connection, data)
+
+    async def count_ticks():
+        nonlocal tick
+        while True:
+            tick += 1
+            await asyncio.sleep(0)
+
+    monkeypatch.setattr(CallerConnection, "data_received", record)
+    async with Server() as server:
+        ticks = asyncio.ensure_future(count_ticks())
+        sent = [await server.connect() for _ in range(40)]
+        for _, writer in sent:
+            writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"1\r\na\r\n" * 10_000)
+        async with asyncio.timeout(20):
+            while sum(read.values()) < 400_000:
+                await asyncio.sleep(0.01)
+        most = max(read.values())
+        ticks.cancel()
+        for _, writer in sent:
+            writer.transport.abort()
+    assert most <= 4 * READ_SIZE
+
+
 async def test_the_body_of_a_caller_that_has_left_counts_until_its_request_ends():
     """Callers that left after their bodies filled the memory while these waited."""
     async with Server() as server:
