Accept the entry's callers one at a time

What callers saw: nothing yet; the entry's descriptors went past the limit on connections.

Cause: the entry runs on uvloop, whose server accepts all connections that wait before the protocol of the first is made; the backlog that bounds asyncio's own loop has no effect there.

Why it works: the next connection is accepted once the budget has seen the one before.

--- a/peridotspoke/programs/callers.py
+++ b/peridotspoke/programs/callers.py
@@ -25,9 +25,7 @@
 MAX_LINE_SIZE = 32_768  # bytes; the parser refuses longer request lines and headers
 MAX_REASON = 200  # characters of what the parser says that a caller is told
 ACCEPT_BACKLOG = 1024  # connections that wait to be accepted
-# Connections that the event loop accepts together, some four times before the limit on
-# connections sees the first of them.
-ACCEPTED_TOGETHER = 4
+ACCEPT_PAUSE = 1.0  # seconds after a failure to accept
 KEEPALIVE_TIMEOUT = 75.0  # seconds until an idle connection is closed
 SMALL_ANSWER = 65536  # bytes; answers up to here are sent without awaiting the caller
 DRAIN_POLL_INTERVAL = 0.02  # seconds
@@ -71,7 +69,7 @@
         self._metrics = metrics
         self._jobs = jobs
         self._server = None
-        self._listener = None
+        self._listener = self._accepting = None
 
     async def start(self):
         """Listen on the address in the settings and set `address` to it.
@@ -92,14 +90,32 @@
             max_field_size=MAX_LINE_SIZE,
         )
         listener = socket.create_server((host, int(port)))
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, sock=listener, backlog=ACCEPTED_TOGETHER
-        )
-        listener.listen(ACCEPT_BACKLOG)  # the event loop has set ACCEPTED_TOGETHER
+        listener.listen(ACCEPT_BACKLOG)
+        listener.setblocking(False)
         port = listener.getsockname()[1]
+        self._listener = listener
+        self._accepting = asyncio.ensure_future(self._accept(listener))
         self.address = f"{host}:{port}"
 
+    async def _accept(self, listener):
+        """Accept connections one at a time.
+
+        An event loop's own server accepts all that wait before the limit on connections
+        sees the first of them; each takes a descriptor.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                accepted, _ = await loop.sock_accept(listener)
+            except OSError as error:
+                log_event("accept-failed", "WARNING", error=repr(error))
+                await asyncio.sleep(ACCEPT_PAUSE)
+                continue
+            try:
+                await loop.connect_accepted_socket(self._server, accepted)
+            except OSError:  # the caller has left
+                accepted.close()
+
     def is_serving(self):
         """Return whether no planned stop has begun."""
         return self.phase is ServingPhase.SERVING
@@ -129,6 +145,7 @@
     async def stop(self):
         """Close the listening socket, then the connections within 1 second."""
         if self._listener is not None:
+            self._accepting.cancel()
             self._listener.close()
             self._server.pre_shutdown()
             await self._server.shutdown(1.0)
