--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,71 +1,89 @@
-"""Work goes to an executor that has come back as another kind."""
+"""Jobs that come at once on a queue with advice never get any."""
 
 import asyncio
+import json
 import time
 from pathlib import Path
 
-from site2 import HEARTBEAT_S, LISTED_HEARTBEATS, Job, Site, main
+from site2 import MS, Job, Site, main
 
+from peridotspoke.platform.standins import make_response
+
+DECIDE_MS, EACH_MS, VALID_MS = 800, 50, 10000
+MAX_WAITING = 32  # calls of one machine; then the service answers 429
 ROUTE = {
-    "name": "r",
+    "name": "advised",
     "host": "jobs.example",
-    "prefix": "/q/",
+    "prefix": "/advised/",
     "service": "pool",
     "maxAttempts": 3,
     "stretch": 1.6,
-    "targetLatencyMs": 2500,
+    "targetLatencyMs": 20000,
+    "advice": {"decideMs": DECIDE_MS, "eachMs": EACH_MS, "validMs": VALID_MS},
 }
-EXECUTORS = 5  # one of them is cut off: a share of 0.2
-NEEDS_B = [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 500, "requires": "b"}]
-DOWN_S = 0.3  # from the crash to the restart
-CUT_S = 5.0
-HAND_IN_S = 0.25
+EXECUTORS = 8
+JOBS = 8
+STEPS = [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 500}]
+FINISH_S, STILL_S = 14, 3  # bounds.finish_s, rule LOST
+
+
+class Advice:
+    """The advice service: one call at a time for each calling machine, in turn."""
 
+    def __init__(self, site):
+        self.site, self._turns, self._waiting, self.tickets = site, {}, {}, {}
 
-async def cut_off_and_restart(site, executor):
-    """Cut an executor off the store; behind the cut it crashes and starts again.
+    async def handle(self, request):
+        """Answer after the time that the configuration tells."""
+        body, caller = json.loads(await request.read()), request.remote
+        if self._waiting.get(caller, 0) >= MAX_WAITING:
+            self.site.record.write(f"advice: 429 for {body['step']}")
+            return make_response(status=429)
+        self._waiting[caller] = self._waiting.get(caller, 0) + 1
+        async with self._turns.setdefault(caller, asyncio.Lock()):
+            self._waiting[caller] -= 1
+            await asyncio.sleep((DECIDE_MS + EACH_MS * len(body["workers"])) / MS)
+        good = [[name, f"{body['step']}-{name}"] for name in body["workers"]]
+        for name, ticket in good:
+            self.tickets[body["step"], name] = (ticket, time.monotonic())
+        has_gone = request.transport is None or request.transport.is_closing()
+        comment = ", but its caller has gone" if has_gone else ""
+        self.site.record.write(f"advice is ready: {body['step']}{comment}")
+        return make_response({"good": good, "validMs": VALID_MS})
 
-    The nodes go on reaching it. Its entry is removed after three heartbeat intervals.
-    It comes back as another kind, and reports to the store again after the cut.
-    """
-    beats = executor.count_beats()
-    await site.wait_until(lambda: executor.count_beats() > beats, 5)
-    site.record.write(f"{executor.executor_id} is cut off the store and crashes")
-    await executor.close()
-    await asyncio.sleep(DOWN_S)
-    await executor.restart(["a", "rack-1"], beats=False)
-    site.record.write(f"{executor.executor_id} is back, of kind a")
-    await asyncio.sleep(HEARTBEAT_S * LISTED_HEARTBEATS - DOWN_S)
-    executor.remove_entry()
-    site.record.write(f"{executor.executor_id}'s entry is removed")
-    await asyncio.sleep(CUT_S - HEARTBEAT_S * LISTED_HEARTBEATS)
-    executor.resume_beats()
-    site.record.write(f"{executor.executor_id} reports to the store again")
+    def check(self, executor, task, ticket):
+        """Return why an executor rejects a ticket, or an empty string."""
+        step = task.rpartition(".")[0]
+        known, given_at = self.tickets.get((step, executor.executor_id), ("", 0.0))
+        is_valid = time.monotonic() < given_at + VALID_MS / MS
+        return "" if ticket and ticket == known and is_valid else "ticket"
 
 
 async def play(record, disrupt):
-    """Hand jobs in that require the label b, before and after the restart."""
+    """Hand jobs in; the disruption is that they come at once, not in turn."""
     site = Site(record, [ROUTE])
+    advice = Advice(site)
+    site.advise, site.check_ticket = advice.handle, advice.check
     try:
         await site.open()
-        chosen = await site.add_executor("i-0", labels=("b", "rack-1"))
-        for number in range(1, EXECUTORS):
-            await site.add_executor(f"i-{number}", labels=("a", "rack-1"))
+        for number in range(EXECUTORS):
+            await site.add_executor(f"i-{number}")
         node = await site.start_node("n-1")
-        jobs = [Job(f"{number:016x}", NEEDS_B, 0.5) for number in range(1, 40)]
-        await site.submit(node, "/q/", jobs[0])
-        if not await site.wait_until(lambda: jobs[0].ends, 20):
-            return 2
-        await asyncio.sleep(2.0)
-        if disrupt:
-            site.spawn(cut_off_and_restart(site, chosen))
-        begun_at = time.monotonic()
-        for job in jobs[1:]:
-            if time.monotonic() - begun_at > CUT_S + 2.0:
-                break
-            await site.submit(node, "/q/", job)
-            await asyncio.sleep(HAND_IN_S)
-        return 1 if site.count_wrong_kind() else 0
+        jobs = [Job(f"{number:016x}", STEPS, 0.5) for number in range(1, JOBS + 1)]
+        for job in jobs:
+            await site.submit(node, "/advised/", job)
+            if not disrupt:
+                await site.wait_until(lambda item=job: item.ends, 10)
+        await asyncio.sleep(FINISH_S)
+        waiting = [job for job in jobs if not job.starts]
+        await asyncio.sleep(STILL_S)
+        still = [job.job_id for job in waiting if not job.starts]
+        record.write(f"jobs that have not started: {still}")
+        for job in jobs:
+            await site.show(node, "/advised/", job)
+        free = {item.executor_id: item.count_free() for item in site.executors}
+        record.write(f"free thousandths of a core: {free}")
+        return 1 if still else 0
     finally:
         await site.close()
 
