Let the advice service of review/9 pass over calls whose caller has gone

Cause: the stand-in took time for calls that nobody waited for any more. Change: it passes over those whose caller has gone before their turn.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -28,7 +28,10 @@
 
 
 class Advice:
-    """The advice service: one call at a time for each calling machine, in turn."""
+    """The advice service: one call at a time for each calling machine, in turn.
+
+    A call whose caller has gone before its turn takes no time.
+    """
 
     def __init__(self, site):
         self.site, self._turns, self._waiting, self.tickets = site, {}, {}, {}
@@ -42,6 +45,8 @@
         self._waiting[caller] = self._waiting.get(caller, 0) + 1
         async with self._turns.setdefault(caller, asyncio.Lock()):
             self._waiting[caller] -= 1
+            if request.transport is None or request.transport.is_closing():
+                return make_response(status=429)  # nobody waits for it any more
             await asyncio.sleep((DECIDE_MS + EACH_MS * len(body["workers"])) / MS)
         good = [[name, f"{body['step']}-{name}"] for name in body["workers"]]
         for name, ticket in good:
