--- a/review/common-2/site2.py
+++ b/review/common-2/site2.py
@@ -127,6 +127,8 @@
         self.site, self.executor_id, self.pool = site, executor_id, pool
         self.labels, self.cpu, self.mem_mb = labels, cpu, mem_mb
         self.address, self._runner, self._beating = "", None, None
+        self.noted = {}  # when and how an end was taken note of, by task and run
+        self.is_cut_off = False  # from the nodes; it goes on reaching the store
         self.fails_all = False  # "an unhealthy executor may fail everything it runs"
         self._sequence = 0
         self._begin_life()
@@ -213,6 +215,19 @@
         )
 
     async def _handle(self, request):
+        if self.is_cut_off:
+            return await self._lose(request)
+        response = await self._answer(request)
+        return await self._lose(request) if self.is_cut_off else response
+
+    async def _lose(self, request):
+        """Let a call, or its answer, be lost in a cut: nothing arrives."""
+        await self.site.wait_until(lambda: not self.is_cut_off, 60)
+        if request.transport is not None:
+            request.transport.abort()
+        raise asyncio.CancelledError
+
+    async def _answer(self, request):
         if request.headers.get("X-Expect-Instance") != self.executor_id:
             return make_response(status=421)
         body = json.loads(await request.read())
@@ -285,6 +300,9 @@
 
     async def _hold(self, body):
         cursor = body.get("ackCursor", 0)
+        for number, task, run, how, _ in self.ended:
+            if number <= cursor:
+                self.noted[task, run] = (time.monotonic(), how)
         self.ended = [row for row in self.ended if row[0] > cursor]
         if "untilMs" in body:
             self._extend(body["untilMs"])
@@ -323,7 +341,9 @@
                     self._end(run, "alone")
             elif self.fails_all and now - run.works_since > 0.1:
                 self._end(run, "failed")
-            elif self.site.is_poison(run) and now - run.works_since > 0.2:
+            elif self.site.is_poison(run) and (
+                now - run.works_since > self.site.fails_after
+            ):
                 self._end(run, "failed")
             elif not run.step.get("longRunning") and (
                 now - run.works_since >= run.job.seconds
@@ -497,6 +517,7 @@
         self.machines = Machines(self)
         self.executors, self.nodes, self.jobs = [], [], {}
         self.poison, self.wrong_kinds = set(), []
+        self.fails_after = 0.2  # seconds until a poison task fails
         self.tickets = {}
         self.routes, self.version = routes, 1
         self.services = [{"name": name, "admissionCheck": True} for name in services]
