Show that a late start is carried out by an executor's next life

Cause: a stop that one life has confirmed says nothing of the next one, which the order may reach before the node does. The stand-ins leave starts unanswered, cut executors off and note which ends were taken note of.

--- a/review/common-2/site2.py
+++ b/review/common-2/site2.py
@@ -128,6 +128,8 @@
         self.labels, self.cpu, self.mem_mb = labels, cpu, mem_mb
         self.address, self._runner, self._beating = "", None, None
         self.noted = {}  # when and how an end was taken note of, by task and run
+        self.leaves_next_start = False  # without an answer, to carry it out later
+        self.late_starts = []
         self.is_cut_off = False  # from the nodes; it goes on reaching the store
         self.fails_all = False  # "an unhealthy executor may fail everything it runs"
         self._sequence = 0
@@ -220,8 +222,17 @@
         response = await self._answer(request)
         return await self._lose(request) if self.is_cut_off else response
 
-    async def _lose(self, request):
-        """Let a call, or its answer, be lost in a cut: nothing arrives."""
+    def carry_out_late_starts(self):
+        """Carry out what was left unanswered, as if it came just now."""
+        while self.late_starts:
+            body = self.late_starts.pop(0)
+            self.site.record.write(f"{self.executor_id} gets {body['task']} late")
+            if body["fence"] >= self.fence:
+                self._start(body)
+
+    async def _lose(self, request, seconds=0.0):
+        """Let a call, or its answer, be lost: nothing arrives."""
+        await asyncio.sleep(seconds)
         await self.site.wait_until(lambda: not self.is_cut_off, 60)
         if request.transport is not None:
             request.transport.abort()
@@ -236,6 +247,13 @@
             return self._reply(409, reason="fence")
         self.fence = max(self.fence, body.get("fence", 0))
         self._advance()
+        if name == "run-start" and self.leaves_next_start:
+            self.leaves_next_start = False
+            self.late_starts.append(body)
+            self.site.record.write(
+                f"{self.executor_id} leaves {body['task']} unanswered"
+            )
+            return await self._lose(request, 10.0)
         if name == "run-start":
             return self._start(body)
         if name == "run-stop":
