--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,7 @@
         "stretch": 1.6,
         "targetLatencyMs": 2500,
     }
-    for name in ("short", "long", "work")
+    for name in ("short", "long", "task")
 ]
 EXECUTORS = 8
 STEPS = [{"count": 1, "cpu": 2000, "memMb": 100, "estimateMs": 6000}]
@@ -50,7 +50,7 @@
         chosen = short.starts[0][3]
         chosen.leaves_next_start = disrupt
         job = Job("00000000000000cc", STEPS, WORK_S)
-        await site.submit(node, "/work/", job)
+        await site.submit(node, "/task/", job)
         if disrupt:
             if not await site.wait_until(lambda: chosen.late_starts, 10):
                 return 2
@@ -67,7 +67,7 @@
             chosen.carry_out_late_starts()
         await site.wait_until(lambda: len(job.ends) >= len(job.starts) > 0, 20)
         await asyncio.sleep(1.0)
-        await site.show(node, "/work/", job)
+        await site.show(node, "/task/", job)
         return judge(record, job)
     finally:
         await site.close()
