Bind a task to the executor that may still carry out a start of it

A start got no answer, was stopped by its executor, and run 2 began on another one; the first executor crashed, and its next life carried run 1 out.

Cause: a confirmed stop, a report without the run, a lapsed lease or a departure is evidence about one life of an executor. `RunLedger.requeue` took it for the end of the start itself, which any later life may still carry out, up to 12 s after it was sent and after newer calls.

Change: a run whose start may still be carried out leaves a record (`LateStart`). Until the call is past its task runs on the same executor only, once a report under the fence that is due has shown that no run of it is there: the life that runs it refuses the earlier start, and if it ends, the run has ended with it. The record is stored with the task, so that the next owner has it. An earlier run that a report lists binds a waiting task too, and an end `done` by it counts, whichever run was planned since: the task would have been started again after that end.

Wait: none while the executor takes the task.

Model: a late order reached a later life only if no life would have refused it, so that the walks were green beside the fault. Now any life may carry it out, up to 12 s, after newer calls; a lower run is refused only once a higher one was stopped or has ended. Before the fix two tests of the walks and the machine failed, the regression tests had nothing to call; with it all pass. Weakened owners whose histories the binding alone keeps in order lack it as well (`binds=False`), and the walk that is found must hold with only the binding taken out.

--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -187,7 +187,7 @@
             case StartAnswered(run, refusal, by_known_incarnation):
                 ledger.apply_start_answer(run, refusal, now, by_known_incarnation)
             case StartLost(run):
-                ledger.handle_start_timeout(run)
+                ledger.handle_start_timeout(run, now)
             case StopAnswered(executor_id, order, refusal, incarnation):
                 ledger.apply_stop_answer(executor_id, order, now, refusal, incarnation)
             case ExecutorCallFailed(executor_id, reason):
--- a/peridotspoke/nodes/tests/test_malformed.py
+++ b/peridotspoke/nodes/tests/test_malformed.py
@@ -21,7 +21,7 @@
 from peridotspoke.workloads.tests.ledgers import add_job, make_ledger, plan
 
 ROW_OF_SIX = b"\x96"  # MessagePack's mark of an array: a summary and one field more
-ROW_OF_TEN = 0x9A  # MessagePack: an array of ten items
+ROW_OF_ELEVEN = 0x9B  # MessagePack: an array of eleven items
 
 
 async def test_a_task_without_which_the_node_cannot_go_on_starts_again(monkeypatch):
@@ -93,8 +93,8 @@
         decode_progress(progress.job, Record("k", encode_summary("exploded"), 1))
     plan(ledger, 0.0)
     stored = encode_progress(progress)
-    first_task = bytes([ROW_OF_TEN, 0, 0, 0, TaskStatus.ASSIGNED])
-    broken = stored.replace(first_task, bytes([ROW_OF_TEN, 0, 0, 0, 9]))
+    first_task = bytes([ROW_OF_ELEVEN, 0, 0, 0, TaskStatus.ASSIGNED])
+    broken = stored.replace(first_task, bytes([ROW_OF_ELEVEN, 0, 0, 0, 9]))
     assert broken != stored
     with pytest.raises(RecordError):
         decode_progress(progress.job, Record("k", broken, 1))
--- a/peridotspoke/workloads/evacuation.py
+++ b/peridotspoke/workloads/evacuation.py
@@ -120,6 +120,8 @@
         return False
     if run.task.status is not TaskStatus.ASSIGNED:
         return False
+    if run.key in ledger.late_starts:
+        return False  # it could run nowhere else
     if run.step.lasting:
         return True
     remaining = _predict_remaining(ledger, run, now)
--- a/peridotspoke/workloads/jobledger.py
+++ b/peridotspoke/workloads/jobledger.py
@@ -1,5 +1,6 @@
 """The jobs of a pool: how they are taken over and how they and their tasks end."""
 
+from peridotspoke.workloads.latestarts import inherit_late_start
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus
 from peridotspoke.workloads.runledger import RunLedger
 from peridotspoke.workloads.runs import ExecutorState, Run, RunPhase
@@ -33,6 +34,8 @@
         for task in progress.list_tasks():
             if task.status is TaskStatus.ASSIGNED:
                 self._add_inherited_run(progress, task)
+            if task.late_start and task.status is not TaskStatus.DONE:
+                inherit_late_start(self, progress, task)
 
     def cancel_job(self, job_id, wall):
         """End an open job as cancelled and stop its runs.
@@ -142,6 +145,8 @@
             task.executor,
             RunPhase.INHERITED,
             self.taken_over_at,
+            start_pending=not task.confirmed,
+            start_lost_at=self.taken_over_at,
             lease_excess=excess,
         )
 
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -7,6 +7,7 @@
 from peridotspoke.workloads.executorledger import ExecutorLedger
 from peridotspoke.workloads.executors import EndKind, Refusal
 from peridotspoke.workloads.jobs import Need
+from peridotspoke.workloads.latestarts import note_foreign_run
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus
 from peridotspoke.workloads.runs import RunPhase, compute_need
 from peridotspoke.workloads.slowruns import measure_progress
@@ -101,6 +102,7 @@
                 foreign[key, number] = self._compute_foreign_need(key)
                 if (key, number) not in state.foreign:
                     self._note_foreign(state, reported)
+                note_foreign_run(self, state, reported, now)
                 continue
             measure_progress(run, reported, clock)
             self._update_run(run, reported, asked_at, now)
@@ -126,7 +128,7 @@
             run.started_at = now
             run.first_percent = reported.percent
         self.mark_begun(run.progress, now)
-        run.start_unconfirmed = False
+        run.start_unconfirmed = run.start_pending = False
         self._confirm(run, "report")
         if run.phase in (RunPhase.STARTING, RunPhase.INHERITED):
             run.phase = RunPhase.RUNNING
@@ -166,7 +168,9 @@
                 proof_time = self.find_end_proof_time(run)
                 if proof_time is not None and asked_at > proof_time:
                     asked_age = now - asked_at
-                    self.requeue(run, now, "stop confirmed", asked_age=asked_age)
+                    self.requeue(
+                        run, now, "stop confirmed", proof_time, asked_age=asked_age
+                    )
             elif run.phase is RunPhase.INHERITED:
                 # Until this report an earlier owner's orders could still arrive.
                 self._handle_missing_run(run, now, asked_at, now)
@@ -178,12 +182,14 @@
         if run.missing_since is None:
             run.missing_since = since
             self.unproven_runs.add(run)
-        if asked_at < self.find_end_proof_time(run):
+        proof_time = self.find_end_proof_time(run)
+        if asked_at < proof_time:
             return
         is_inherited = run.phase is RunPhase.INHERITED
         reason = "inherited run not" if is_inherited else "run no longer"
         asked_age = now - asked_at
-        self.requeue(run, now, f"{reason} on the executor", asked_age=asked_age)
+        reason = f"{reason} on the executor"
+        self.requeue(run, now, reason, proof_time, asked_age=asked_age)
 
     def _retry_stops(self, state, listed, asked_at):
         """Let the runs that are still listed after their stop be stopped again."""
@@ -206,6 +212,7 @@
             self._handle_late_end(state, end, now, wall)
             return
         progress, task = run.progress, run.task
+        run.start_pending = False
         self.note(
             "run-ended",
             task=end.key,
@@ -228,9 +235,9 @@
     def _handle_late_end(self, state, end, now, wall):
         """Handle the end of a run that was requeued before its end was known.
 
-        The end counts if no later run of the task was planned, or if the task may run
-        in several copies. A failure counts only for a run that was given up in favour
-        of a copy.
+        A completed run counts also where a later one was planned: its task must not be
+        started again once that end is acknowledged. A failure counts only for a run
+        that was given up in favour of a copy, or whose start was carried out late.
         """
         progress = self.jobs.get(end.key.job_id)
         task = None if progress is None else progress.find_task(end.key)
@@ -251,7 +258,8 @@
             return
         self.mark_begun(progress, now)
         self.mark_changed(end.key.job_id)
-        if end.kind is EndKind.FAILED and (end.key, end.run) in self.copied_runs:
+        is_copied = (end.key, end.run) in self.copied_runs
+        if end.kind is EndKind.FAILED and (is_copied or end.key in self.late_starts):
             self.copied_runs.discard((end.key, end.run))
             task.failures += 1
         if end.kind is EndKind.DONE:
@@ -307,6 +315,7 @@
             Whether the executor's incarnation that was known as the start was sent
             has carried it out; False if a later one may have.
         """
+        run.start_pending = False
         if not self.is_current(run):
             if refusal is None:
                 self._note_run("start-after-release", run)
@@ -331,12 +340,20 @@
             state.blocked_until = now + REFUSAL_BACKOFF_S
         self.requeue(run, now, f"start refused: {refusal}")
 
-    def handle_start_timeout(self, run):
+    def handle_start_timeout(self, run, now=None):
         """Stop a run whose start got no answer.
 
         The start may still be carried out, so the task runs again only once the stop
         is confirmed or the lease has expired.
+
+        Parameters
+        ----------
+        run : Run
+        now : float or None, optional
+            When the call was given up, monotonic seconds; if None, the time counts at
+            which the run is released.
         """
+        run.start_lost_at = now
         if self.is_current(run) and run.phase is RunPhase.STARTING:
             run.start_unconfirmed = True
             self.stop_run(run, "start not answered")
@@ -395,5 +412,7 @@
     if task.status is TaskStatus.DONE or end.run > task.run:
         return False
     step = progress.job.steps[end.key.step]
-    not_rerun = task.status is TaskStatus.WAITING and end.run == task.run
-    return not step.lasting and not step.gang and (not_rerun or step.speculative)
+    if step.lasting or step.gang:
+        return False
+    is_waiting = task.status is TaskStatus.WAITING
+    return is_waiting or step.speculative or end.kind is EndKind.DONE
--- a/peridotspoke/workloads/placement.py
+++ b/peridotspoke/workloads/placement.py
@@ -127,7 +127,7 @@
     )
 
 
-def find_gang(offers, step, need, group, allowed=None):
+def find_gang(candidates, step, need, group, allowed=None):
     """Return one `Offer` for each task of a gang, or None if they don't all fit.
 
     The capacity is reserved on the returned offers. The rack of the step's data is
@@ -136,7 +136,8 @@
 
     Parameters
     ----------
-    offers : collection of Offer
+    candidates : list of collection of Offer
+        The executors on which each of the tasks may start.
     step : Step
     need : Need
         Capacity that each task takes.
@@ -145,21 +146,33 @@
     allowed : container of str or None, optional
         Executors that may run the step; None for all.
     """
-    racks = sorted({offer.rack for offer in offers}) if step.same_rack else [None]
+    racks = [None]
+    if step.same_rack:
+        racks = sorted({offer.rack for offers in candidates for offer in offers})
+        racks.append(None)
     if step.affinity in racks:
         racks.remove(step.affinity)
         racks.insert(0, step.affinity)
-    for rack in [*racks, None] if step.same_rack else racks:
-        chosen = []
-        candidates = [offer for offer in offers if rack in (None, offer.rack)]
-        for _ in range(step.count):
-            offer = choose_executor(candidates, step, need, group, allowed=allowed)
-            if offer is None:
-                break
-            offer.reserve(need, group)
-            chosen.append(offer)
-        if len(chosen) == step.count:
+    for rack in racks:
+        chosen = _choose_in_rack(candidates, rack, step, need, group, allowed)
+        if chosen is not None:
             return chosen
-        for offer in chosen:
-            offer.release(need, group)
     return None
+
+
+def _choose_in_rack(candidates, rack, step, need, group, allowed):
+    """Return one `Offer` for each task of a gang in a rack, or in any if it is None.
+
+    The tasks with the fewest candidates come first.
+    """
+    chosen = {}
+    for number in sorted(range(step.count), key=lambda item: len(candidates[item])):
+        offers = [offer for offer in candidates[number] if rack in (None, offer.rack)]
+        offer = choose_executor(offers, step, need, group, allowed=allowed)
+        if offer is None:
+            for reserved in chosen.values():
+                reserved.release(need, group)
+            return None
+        offer.reserve(need, group)
+        chosen[number] = offer
+    return [chosen[number] for number in range(step.count)]
--- a/peridotspoke/workloads/progress.py
+++ b/peridotspoke/workloads/progress.py
@@ -66,6 +66,9 @@
     confirmed : bool
         Whether that incarnation is known to have carried out the latest run, so that no
         later one does. It is stored at once only for a step that lasts.
+    late_start : bool
+        Whether a start of the latest run or an earlier one got no answer and may still
+        be carried out on `executor`, by any of its incarnations.
     """
 
     key: TaskKey
@@ -76,6 +79,7 @@
     incarnation: int = 0
     checkpoint: str = ""
     confirmed: bool = False
+    late_start: bool = False
 
 
 @dataclass(slots=True)
@@ -176,6 +180,7 @@
     incarnation: int
     checkpoint: str
     confirmed: bool = False
+    late_start: bool = False
 
 
 class _StoredTasks(msgspec.Struct, frozen=True, array_like=True):
@@ -235,6 +240,7 @@
                 task.incarnation,
                 task.checkpoint,
                 task.confirmed,
+                task.late_start,
             )
             for task in progress.list_tasks()
             if task.run
@@ -299,6 +305,7 @@
     task.incarnation = row.incarnation
     task.checkpoint = row.checkpoint
     task.confirmed = row.confirmed
+    task.late_start = row.late_start
 
 
 def _decode_choice(choices, value, key):
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -2,6 +2,7 @@
 
 from peridotspoke.workloads.estimation import DurationModel
 from peridotspoke.workloads.executors import StopOrder
+from peridotspoke.workloads.latestarts import record_late_start
 from peridotspoke.workloads.ledgertypes import (
     JobRuns,
     LeaseBound,
@@ -59,6 +60,8 @@
         How often the tasks of each job were started and stopped, by the job's identity.
     held_places : dict of TaskKey to HeldPlace
         Capacity that is kept for long-running tasks that are being moved.
+    late_starts : dict of TaskKey to LateStart
+        Starts of tasks, or of their earlier runs, that may still be carried out.
     copied_runs : set of tuple of (TaskKey, int)
         Runs, by task and run number, that were given up so that a copy could start.
     given_up_runs : list of tuple of (Run, float, float)
@@ -93,6 +96,7 @@
         self.slow_stops = {}
         self.job_runs = {}
         self.held_places = {}
+        self.late_starts = {}
         self.copied_runs, self.given_up_runs = set(), []
         self.rules = rules
         self.taken_over_at = now
@@ -264,6 +268,7 @@
                 self._release_unsent(run, "job ended")
                 continue
             run.phase = RunPhase.STARTING
+            run.start_pending = True
             started.append(run)
         for job_id in batch.ended:
             self.drop_ended(job_id)
@@ -330,10 +335,12 @@
         if self.is_current(run):
             del self.executors[run.executor_id].runs[run.key]
 
-    def requeue(self, run, now, reason, **fields):
+    def requeue(self, run, now, reason, proved_from=None, **fields):
         """Release a run and let its task wait for another run.
 
-        The run must have certainly ended, unless the step allows copies.
+        The run must have certainly ended, unless the step allows copies. What proves
+        that holds for one incarnation of the executor: a start without an answer may
+        still be carried out by the next one, so that it is recorded.
 
         Parameters
         ----------
@@ -342,10 +349,15 @@
             Monotonic seconds.
         reason : str
             Logged.
+        proved_from : float or None, optional
+            From when on a report that doesn't list the run has proved its end,
+            monotonic seconds; None if none has.
         **fields
             Logged as well.
         """
         self.release(run)
+        if run.start_pending:
+            record_late_start(self, run, now, proved_from)
         self._note_run(
             "run-over",
             run,
--- a/peridotspoke/workloads/runs.py
+++ b/peridotspoke/workloads/runs.py
@@ -50,6 +50,11 @@
         When the start was confirmed, or else first reported; None before that.
     start_unconfirmed : bool
         Whether the start got no answer, so that the executor may still carry it out.
+    start_pending : bool
+        Whether the start was sent and may still be carried out: it was not answered,
+        and no report has listed the run or its end.
+    start_lost_at : float or None
+        When the call was given up; None as long as its answer is awaited.
     is_confirmed : bool
         Whether it is certain which incarnation carried out the start, by its answer or
         by a report.
@@ -98,6 +103,8 @@
     planned_at: float
     started_at: float | None = None
     start_unconfirmed: bool = False
+    start_pending: bool = False
+    start_lost_at: float | None = None
     is_confirmed: bool = False
     confirmed_by: str = ""
     stop_answered_at: float | None = None
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -4,8 +4,14 @@
 for a place for tasks of one size.
 """
 
+from peridotspoke.workloads.latestarts import (
+    drop_past_starts,
+    find_bound_executor,
+    may_start_beside,
+)
 from peridotspoke.workloads.placement import Offer, choose_executor, find_gang
 from peridotspoke.workloads.places import drop_old_places, release_place
+from peridotspoke.workloads.progress import TaskStatus
 from peridotspoke.workloads.quotarounds import RoundQuotas
 from peridotspoke.workloads.readywork import list_step_work, open_due_occurrences
 from peridotspoke.workloads.runs import compute_need
@@ -81,6 +87,7 @@
         The new runs, which start once they are stored.
     """
     open_due_occurrences(ledger, wall)
+    drop_past_starts(ledger, now)
     drop_old_places(ledger, now)
     work = list_step_work(ledger, wall)
     if not work:
@@ -114,7 +121,7 @@
         planned += runs
         if quotas is not None and quotas.has_held_back(item):
             continue
-        if len(runs) < len(tasks) and _fits_by_size_alone(step, granted):
+        if _fits_by_size_alone(step, granted) and _has_unplaced(ledger, tasks):
             unplaced_needs.append(need)
     return planned
 
@@ -133,6 +140,14 @@
     return not (step.requires or step.most_per_executor or granted is not None)
 
 
+def _has_unplaced(ledger, tasks):
+    """Return whether a task waits that could have been placed on any executor."""
+    return any(
+        task.status is TaskStatus.WAITING and task.key not in ledger.late_starts
+        for task in tasks
+    )
+
+
 def _list_held_first(ledger, tasks):
     """Return the tasks for which a place is held, and then the others."""
     return sorted(tasks, key=lambda task: task.key not in ledger.held_places)
@@ -141,20 +156,23 @@
 def _plan_tasks(ledger, item, tasks, offers, now, granted, quotas):
     """Yield a run for each of an item's tasks up to one that fits nowhere.
 
-    A task may use the place that is held for it, or a better one. The quota is asked
-    only for a task that fits, so that none is requested without use.
+    A task may use the place that is held for it, or a better one; one that is bound to
+    an executor waits for that alone. The quota is asked only for a task that fits, so
+    that none is requested without use.
     """
     step = item.progress.job.steps[item.step_number]
     need = compute_need(step)
     for number, task in enumerate(tasks):
         group = _make_group_key(task.key)
+        candidates = _list_candidates(ledger, item, task, offers)
         held = release_place(ledger, task.key, offers)
         avoid = ledger.failed_on.get(task.key, frozenset())
-        offer = choose_executor(offers.values(), step, need, group, avoid, granted)
+        offer = choose_executor(candidates, step, need, group, avoid, granted)
         if offer is None:
-            if held is None:
+            if held is not None:
+                held.reserve(need, group)
+            elif task.key not in ledger.late_starts:
                 return
-            held.reserve(need, group)
             continue
         if quotas is not None and not quotas.take(item, tasks[number:], 1):
             if held is not None:
@@ -169,6 +187,17 @@
         )
 
 
+def _list_candidates(ledger, item, task, offers):
+    """Return the offers of the executors on which a task may start now."""
+    bound_to = find_bound_executor(ledger, task.key)
+    if bound_to is None:
+        return offers.values()
+    max_attempts = item.progress.job.terms.max_attempts
+    if bound_to not in offers or not may_start_beside(ledger, task, max_attempts):
+        return ()
+    return (offers[bound_to],)
+
+
 def _plan_gang(ledger, item, offers, now, granted, quotas):
     """Yield one run for each task of a gang if all of them fit, and else none.
 
@@ -178,7 +207,8 @@
     step = item.progress.job.steps[item.step_number]
     group = _make_group_key(item.tasks[0].key)
     need = compute_need(step)
-    chosen = find_gang(list(offers.values()), step, need, group, granted)
+    candidates = [_list_candidates(ledger, item, task, offers) for task in item.tasks]
+    chosen = find_gang(candidates, step, need, group, granted)
     if chosen is None:
         return
     if quotas is not None and not quotas.take(item, item.tasks, step.count):
--- a/peridotspoke/workloads/tests/lateactions.py
+++ b/peridotspoke/workloads/tests/lateactions.py
@@ -9,6 +9,7 @@
     "LATE_KINDS",
     "deliver_poll_cut_off",
     "hear_of_life",
+    "lose_start",
     "lose_start_that_ends",
     "pick",
     "replace_owner_after_polls",
@@ -19,6 +20,7 @@
 ]
 
 WORKED_S = 4  # that `work_a_while` lasts
+STOP_ANSWER_S = 0.1  # from the answer to a stop to the next report
 CUT_OFF_S = 7  # that `work_while_cut_off` lasts
 
 
@@ -63,6 +65,21 @@
             world.deliver_commit(0)
 
 
+def lose_start(world, index):
+    """Leave a start unanswered, and let its executor answer the stop that follows."""
+    send_starts(world, index)
+    starts = [item for item in world.orders if item.run and not item.timed_out]
+    if not starts:
+        return
+    order = pick(starts, index)
+    world.give_up_order(world.orders.index(order))
+    world.owner.send_stops()
+    for stop in [item for item in world.orders if item.stop]:
+        world.deliver_order(world.orders.index(stop))
+    world.pass_time(STOP_ANSWER_S)
+    hear_of_life(world, world.executors.index(world.find_executor(order.executor)))
+
+
 def lose_start_that_ends(world, index):
     if not world.orders:
         return
@@ -100,6 +117,7 @@
     deliver_poll_cut_off,
     replace_owner_after_polls,
     send_starts,
+    lose_start,
     lose_start_that_ends,
     hear_of_life,
     work_while_cut_off,
--- a/peridotspoke/workloads/tests/modelexecutors.py
+++ b/peridotspoke/workloads/tests/modelexecutors.py
@@ -33,7 +33,9 @@
     running : dict of TaskKey to int
         Number of the run of each task that runs.
     latest : dict of TaskKey to int
-        Highest number of a run of each task that was started or stopped.
+        Highest number of a run of each task that was stopped or has ended.
+    late : set of TaskKey
+        Tasks that run by a start which was meant for an earlier incarnation.
     ended : list of EndedRun
         Ended runs that are not acknowledged.
     lapsed : set of EndedRun
@@ -50,6 +52,7 @@
     lease_end: float = 0.0
     running: dict = field(default_factory=dict)
     latest: dict = field(default_factory=dict)
+    late: set = field(default_factory=set)
     ended: list = field(default_factory=list)
     lapsed: set = field(default_factory=set)
     number: int = 0
@@ -71,10 +74,11 @@
         if lease_end <= self.world.now:
             return Refusal.LATE
         self.lease_end = max(self.lease_end, lease_end)
+        if self.running.get(key) == run:
+            return None
         if run <= self.latest.get(key, 0):
-            return None if self.running.get(key) == run else Refusal.SUPERSEDED
+            return Refusal.SUPERSEDED
         self.world.check_start(key, self)
-        self.latest[key] = run
         self.running[key] = run
         return None
 
@@ -125,6 +129,8 @@
     def finish(self, key, kind):
         """End a task's run; `kind` is an `EndKind`."""
         run = self.running.pop(key)
+        self.latest[key] = max(run, self.latest.get(key, 0))
+        self.late.discard(key)
         self.number += 1
         end = EndedRun(self.number, key, run, kind, "")
         self.ended.append(end)
@@ -149,5 +155,6 @@
         self.incarnation += 1
         self.fence = self.number = 0
         self.lease_end = self.world.now
-        for collection in (self.running, self.latest, self.ended, self.lapsed):
+        self.running.clear()
+        for collection in (self.latest, self.late, self.ended, self.lapsed):
             collection.clear()
--- a/peridotspoke/workloads/tests/modelnetwork.py
+++ b/peridotspoke/workloads/tests/modelnetwork.py
@@ -1,8 +1,8 @@
 """The calls between owners and executors in the histories of `ownershipmodel`."""
 
+from peridotspoke.workloads.latestarts import LASTING_LATE_START_S
 from peridotspoke.workloads.tests.ledgers import WALL_EPOCH
 from peridotspoke.workloads.tests.modelcalls import CALL_S, LATE_CALL_S
-from peridotspoke.workloads.tests.modelexecutors import MAX_LEASE_S
 
 __all__ = ["ModelNetwork"]
 
@@ -39,6 +39,8 @@
         if order.run is not None:
             lease_end = self._limit_start_lease(order, executor)
             refusal = executor.start(order.key, order.number, order.fence, lease_end)
+            if refusal is None and order.incarnation != executor.incarnation:
+                executor.late.add(order.key)
         else:
             refusal = executor.stop(order.key, order.number, order.fence)
         if order.timed_out or not is_prompt:
@@ -64,7 +66,7 @@
         lease_end = executor.limit_lease(order.lease_end, order.incarnation)
         if order.incarnation == executor.incarnation or self._is_sent_anew(order):
             return lease_end
-        return min(lease_end, order.sent_at + CALL_S + MAX_LEASE_S)
+        return min(lease_end, order.sent_at + self._find_late_limit(order))
 
     def _is_sent_anew(self, order):
         """Return whether a former owner may send an order although it may not."""
@@ -86,24 +88,43 @@
     def may_arrive(self, order, executor):
         """Return whether an order reaches the executor's present incarnation.
 
-        An order that was sent to an earlier one may be carried out by a later one
-        until `LATE_CALL_S` after it was sent, also once its owner is a former one,
-        which sends nothing new. What lies beyond two limits can't be covered by the
-        product, so that the model leaves it out: a start that a life would have
-        refused as it ended, for its fence or for a run of the task that is as high,
-        reaches later ones only within the limit of the call; and a start that a later
-        life carries out after that limit gets a lease that ends `CALL_S` and
-        `MAX_LEASE_S` after it was sent, at the latest.
+        An order that was sent to an earlier one may be carried out by any later one
+        until `LATE_CALL_S` after it was sent, after newer calls, whatever an earlier
+        life would have refused, and also once its owner is a former one, which sends
+        nothing new. What lies beyond these limits can't be covered by the product, so
+        that the model leaves it out:
+
+        - What a start begins on a later life ends `LATE_CALL_S` after it was sent, or,
+          for a task that lasts, if an earlier life refused it, once the task is no
+          longer bound to the executor.
+        - Of several starts of a task that are meant for earlier lives, a later one
+          carries out one at a time.
+        - None is carried out by a later life once a run of its task was completed on
+          the same executor, and that end was acknowledged.
         """
+        is_late = order.incarnation != executor.incarnation
+        if order.run is not None and is_late and order.key in executor.late:
+            return False
         if self.is_prompt(order, executor):
             return True
-        return not order.was_refused and self.now <= order.sent_at + LATE_CALL_S
+        if order.run is not None and self.acknowledged.get(order.key) == executor.name:
+            return False
+        return self.now <= order.sent_at + self._find_late_limit(order)
+
+    def _find_late_limit(self, order):
+        """Return until when a later life may run what a start began, from its sending.
+
+        In seconds.
+        """
+        is_lasting = self.job.steps[order.key.step].lasting
+        is_bound_only = is_lasting and order.was_refused
+        return LASTING_LATE_START_S if is_bound_only else LATE_CALL_S
 
     def give_up_order(self, index):
         """Let the answer to an order time out; the order may still be carried out."""
         order = self.orders[index]
         if not order.timed_out and order.run is not None:
-            order.owner.ledger.handle_start_timeout(order.run)
+            order.owner.ledger.handle_start_timeout(order.run, self.now)
         order.timed_out = True
 
     def deliver_report(self, index):
--- a/peridotspoke/workloads/tests/ownershipmodel.py
+++ b/peridotspoke/workloads/tests/ownershipmodel.py
@@ -64,8 +64,8 @@
         Writes under way: the owner, the `StoredBatch` and the commit's number.
     done : dict of TaskKey to list
         Completed runs: the executor's name, its incarnation and the `EndedRun`.
-    acknowledged : set of TaskKey
-        Tasks of which a completed run was acknowledged.
+    acknowledged : dict of TaskKey to str
+        Tasks of which a completed run was acknowledged, and on which executor.
     restarted : set of tuple
         Completed runs whose task was started again: the executor's name, its
         incarnation and the number of the ended run.
@@ -116,7 +116,7 @@
         self.orders, self.polls, self.reports, self.commits = [], [], [], []
         self.publications, self.published = [], None
         self.publication_number, self.published_at = 0, 0.0
-        self.done, self.acknowledged, self.restarted = {}, set(), set()
+        self.done, self.acknowledged, self.restarted = {}, {}, set()
         self.make_ledger = PoolLedger
         self.make_tracker = CommitTracker
         self.make_grants = LeaseGrants
@@ -291,7 +291,7 @@
     def acknowledge_end(self, executor, end):
         """Note that an end was acknowledged; raise if its task was started again."""
         if end.kind is EndKind.DONE:
-            self.acknowledged.add(end.key)
+            self.acknowledged[end.key] = executor.name
             if (executor.name, executor.incarnation, end.number) in self.restarted:
                 raise ViolationError(
                     f"{end.key} was started again after a completed run"
--- a/peridotspoke/workloads/tests/test_late_calls.py
+++ b/peridotspoke/workloads/tests/test_late_calls.py
@@ -14,6 +14,7 @@
     ONE_TASK,
     TWO_TASKS,
 )
+from peridotspoke.workloads.tests.weakenedowners import make_unbound_world
 
 STEP_S = 0.25
 POLL_S = 0.5
@@ -249,8 +250,8 @@
 
 def test_a_late_start_of_a_former_owner_is_refused_by_the_next_life():
     # Only the fence of its successor tells the next life that it is over.
-    deliver_former_start(World(make_job(*ONE_TASK)))
-    world = World(make_job(*ONE_TASK))
+    deliver_former_start(make_unbound_world(*ONE_TASK))
+    world = make_unbound_world(*ONE_TASK)
     world.raises_fence = False
     with pytest.raises(ViolationError):
         deliver_former_start(world)
@@ -258,7 +259,7 @@
 
 def test_a_late_start_is_refused_by_a_life_that_was_told_to_stop_it():
     # A run whose start was lost is over on the next life only once a stop is answered.
-    world = World(make_job(*ONE_TASK))
+    world = make_unbound_world(*ONE_TASK)
     first, second = world.executors
     world.meet([first])
     world.owner.plan()
--- a/peridotspoke/workloads/tests/test_ownership_machine.py
+++ b/peridotspoke/workloads/tests/test_ownership_machine.py
@@ -33,6 +33,7 @@
     LeaseIgnoringLedger,
     LostStartRetryingLedger,
 )
+from peridotspoke.workloads.tests.weakenedowners import make_unbound_world
 
 STEPS = (Step(2, Need(1000, 100)), Step(1, Need(1000, 100), after=(0,)))
 INDEX = st.integers(min_value=0, max_value=30)
@@ -287,8 +288,8 @@
 
     Without either check, a late write or a late start makes a task run twice.
     """
-    scenario(World(make_job(*STEPS)))
-    world = World(make_job(*STEPS))
+    scenario(make_unbound_world(*STEPS))
+    world = make_unbound_world(*STEPS)
     setattr(world, safeguard, False)
     with pytest.raises(ViolationError):
         scenario(world)
@@ -296,8 +297,8 @@
 
 def test_a_stopped_owner_does_no_harm_only_because_it_extends_no_lease():
     """Its successor waits just as long as it stated."""
-    extend_after_statement(World(make_job(*STEPS)))
-    world = World(make_job(*STEPS))
+    extend_after_statement(make_unbound_world(*STEPS))
+    world = make_unbound_world(*STEPS)
     world.stops_extending = False
     with pytest.raises(ViolationError):
         extend_after_statement(world)
--- a/peridotspoke/workloads/tests/test_ownership_walks.py
+++ b/peridotspoke/workloads/tests/test_ownership_walks.py
@@ -15,7 +15,10 @@
     find_violation,
     play_walk,
 )
-from peridotspoke.workloads.tests.weakenedledgers import SilenceIgnoringGrants
+from peridotspoke.workloads.tests.weakenedledgers import (
+    SilenceIgnoringGrants,
+    UnboundLedger,
+)
 from peridotspoke.workloads.tests.weakenedowners import WEAKENED_OWNERS, Weakening
 
 WALKS = 20000
@@ -210,6 +213,8 @@
     )
     assert found is not None
     assert isinstance(found[2], ViolationError)
+    if not weakening.binds:
+        play_walk(*found[:2], Weakening("bound to none", 0, ledger=UnboundLedger))
 
 
 @pytest.mark.parametrize(
--- a/peridotspoke/workloads/tests/weakenedledgers.py
+++ b/peridotspoke/workloads/tests/weakenedledgers.py
@@ -27,16 +27,40 @@
     "SilenceIgnoringGrants",
     "StaleReportTrustingLedger",
     "UnannouncedLifeLedger",
+    "UnboundLedger",
     "UnconfirmedStartDroppingLedger",
     "UnreportedRunDroppingLedger",
     "UnsentFenceLedger",
+    "unbind",
 ]
 
 
+class _Forgetful(dict):
+    def __setitem__(self, key, value):
+        return None
+
+
+class UnboundLedger(PoolLedger):
+    """Lets a task run anywhere although a start of it may still be carried out."""
+
+    def __init__(self, pool, fence, rules, now, note=None):
+        super().__init__(pool, fence, rules, now, note)
+        self.late_starts = _Forgetful()
+
+    def requeue(self, run, now, reason, proved_from=None, **fields):
+        run.start_pending = False
+        super().requeue(run, now, reason, proved_from, **fields)
+
+
+def unbind(ledger):
+    """Return the class of a ledger that also lacks the safeguard of `UnboundLedger`."""
+    return type(f"Unbound{ledger.__name__}", (UnboundLedger, ledger), {})
+
+
 class LostStartRetryingLedger(PoolLedger):
     """Retries a start that got no answer, although it may still be carried out."""
 
-    def handle_start_timeout(self, run):
+    def handle_start_timeout(self, run, now=None):
         if self.is_current(run):
             self.requeue(run, 0.0, "no answer")
 
--- a/peridotspoke/workloads/tests/weakenedowners.py
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -9,6 +9,8 @@
 from peridotspoke.nodes.committing import CommitTracker
 from peridotspoke.nodes.grants import LeaseGrants
 from peridotspoke.workloads.ledger import PoolLedger
+from peridotspoke.workloads.tests.ledgers import make_job
+from peridotspoke.workloads.tests.ownershipmodel import World
 from peridotspoke.workloads.tests.ownershipwalks import LASTING_TASK, ONE_TASK
 from peridotspoke.workloads.tests.weakenedledgers import (
     EarlierOwnerForgettingLedger,
@@ -26,12 +28,14 @@
     ShortRestartLedger,
     StaleReportTrustingLedger,
     UnannouncedLifeLedger,
+    UnboundLedger,
     UnconfirmedStartDroppingLedger,
     UnreportedRunDroppingLedger,
     UnsentFenceLedger,
+    unbind,
 )
 
-__all__ = ["WEAKENED_OWNERS", "Weakening"]
+__all__ = ["WEAKENED_OWNERS", "Weakening", "make_unbound_world"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +51,10 @@
         Whether only histories in which executors restart can show it.
     ledger : type, optional
         Class of each new owner's ledger.
+    binds : bool, optional
+        Whether a task stays on the executor that may carry an earlier start of it out.
+        That alone keeps the rules in many of the histories that show what other
+        safeguards are for, so that it is taken out as well there.
     tracker : type, optional
         Class of each new owner's tracker of writes.
     grants : type, optional
@@ -68,6 +76,7 @@
     seed: int
     restarts: bool = False
     ledger: type = PoolLedger
+    binds: bool = True
     tracker: type = CommitTracker
     grants: type = LeaseGrants
     checks_fence: bool = True
@@ -88,7 +97,7 @@
 
     def apply(self, world):
         """Take the safeguard out of a `World`, from its next owner on."""
-        world.make_ledger = self.ledger
+        world.make_ledger = self.ledger if self.binds else unbind(self.ledger)
         world.make_tracker = self.tracker
         world.make_grants = self.grants
         world.checks_fence = self.checks_fence
@@ -105,6 +114,20 @@
         world.renews_fence = self.renews_fence
 
 
+def make_unbound_world(*steps):
+    """Return a `World` in which a task may run elsewhere beside an earlier start of it.
+
+    That it may not keeps the rules of its own in histories that show what fences and
+    leases are for.
+    """
+    world = World(make_job(*steps))
+    world.make_ledger = UnboundLedger
+    world.take_over()
+    world.retired.clear()
+    world.first_fence = world.fence
+    return world
+
+
 CUT_OFF_KINDS = (
     "work_with_all",
     "work_with_one",
@@ -161,6 +184,13 @@
     "lose_start_that_ends",
     "deliver_poll",
 )
+LATE_START_KINDS = (
+    "work_with_one",
+    "lose_start",
+    "restart_executor",
+    "deliver_order",
+    "pass_time",
+)
 WEAKENED_OWNERS = (
     Weakening("a start without answer is retried", 1, ledger=LostStartRetryingLedger),
     Weakening("leases are not awaited", 1, ledger=LeaseIgnoringLedger),
@@ -180,6 +210,7 @@
     Weakening(
         "stopped owners extend leases",
         2,
+        binds=False,
         stops_extending=False,
         focus=(
             "work_with_all",
@@ -194,6 +225,7 @@
         "statements forget earlier owners",
         4,
         ledger=EarlierOwnerForgettingLedger,
+        binds=False,
         stops=True,
         focus=(
             "work_with_one",
@@ -214,9 +246,10 @@
     ),
     Weakening(
         "late starts are ignored",
-        1,
+        4,
         True,
         ledger=LateStartIgnoringLedger,
+        binds=False,
         focus=(
             "plan",
             "publish",
@@ -263,19 +296,25 @@
     Weakening("reports from before a start count", 3, ledger=StaleReportTrustingLedger),
     Weakening("restarts end every run", 1, True, ledger=RestartTrustingLedger),
     Weakening(
-        "restarts end unreported runs", 1, True, ledger=UnreportedRunDroppingLedger
+        "restarts end unreported runs",
+        1,
+        True,
+        ledger=UnreportedRunDroppingLedger,
+        binds=False,
     ),
     Weakening(
         "restarts void unanswered starts",
         1,
         True,
         ledger=UnconfirmedStartDroppingLedger,
+        binds=False,
     ),
     Weakening(
         "leases keep to earlier clocks",
         1,
         True,
         ledger=ShortRestartLedger,
+        binds=False,
         focus=(
             "work_with_one",
             "send_starts",
@@ -291,6 +330,7 @@
         "former owners reach restarted executors",
         3,
         True,
+        binds=False,
         checks_permission=False,
         focus=(
             "work_with_one",
@@ -352,6 +392,13 @@
         renews_fence=False,
         focus=CURSOR_KINDS,
     ),
+    Weakening(
+        "late starts bind no task",
+        1,
+        True,
+        ledger=UnboundLedger,
+        focus=LATE_START_KINDS,
+    ),
     Weakening("the store takes former owners' writes", 2, checks_fence=False),
     Weakening("executors take former owners' orders", 1, raises_fence=False),
 )
