Hold a run whose start got no answer where another executor has the address

The executor may be back under its id at another address within seconds, and carry the start out.

Change: `release_departed` keeps such a run until its lease has ended, as for any executor that can't be reached. Inherited runs are released as before: their task stays bound to the executor.

--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -70,8 +70,10 @@
     def release_departed(self, executor_id, address, now, incarnation=None):
         """Release the runs of an executor at whose address another one answers.
 
-        The answer says nothing about an incarnation that is listed at another address,
-        or that is newer than the entry: it may go on with its runs elsewhere.
+        One whose start got no answer is held until its lease has ended, as the executor
+        may be back under its identity elsewhere, and carry that out. The answer says
+        nothing about an incarnation that is listed at another address, or that is newer
+        than the entry: it may go on with its runs elsewhere.
 
         Parameters
         ----------
@@ -98,8 +100,10 @@
         if is_outdated or not state.has_address(address):
             return
         for run in list(state.runs.values()):
-            self.requeue(run, now, "executor left")
-        if state.entry is None:
+            is_inherited = run.phase is RunPhase.INHERITED
+            if is_inherited or not run.start_pending:
+                self.requeue(run, now, "executor left")
+        if state.entry is None and not state.runs:
             self.remove_executor(state, now)
 
     def _update_incarnation(self, state, incarnation, now, source):
