Make calls for advice one at a time, in turn, each about few executors

The service worked without a pause, and each of its answers found that its caller had gone.

Cause: the service takes one call at a time of each calling machine. Each pool had up to 4 calls under way, each with the limit of one that is served at once, and each about all executors. A call that was given up was asked again behind the others, while the service still worked on it.

Change: the calls of a process wait in `AdviceQueue`, where they can be changed and withdrawn, and one is made at a time: that of the step that has waited longest since its last call ended. After a call without an answer the next ones may take longer, as the service may be slower than stated and may still work on the one before; so in any backlog some call ends well. A call names as many executors as probably have twice the places that the step lacks, known ones and those with room first; others follow where these may not run the step, or are full.

The same cache: tickets are kept for one life of an executor and dropped where one is refused, each has its own expiry, and nothing is kept of ended jobs.

Wait: with calls of 1.0 s each the n-th of n jobs at once has its advice after n s; a step without an answer comes behind all others once.

--- a/peridotspoke/nodes/parts.py
+++ b/peridotspoke/nodes/parts.py
@@ -79,8 +79,8 @@
         Returns the `ExecutorCalls` for an executor's entry.
     machines : object, optional
         The machine service; None if this node does not manage the fleet.
-    advice : object, optional
-        The advice service.
+    advice : AdviceQueue or None, optional
+        The calls to the advice service; None if there is none.
     last_served_at : float
         When the store last served a call, in monotonic seconds.
     store_failures : int
--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -91,7 +91,7 @@
         self._ledger.expect_lease_ends(holding.lease_ends)
         self._inherited_leases = InheritedLeases(node, holding, self._ledger)
         self._tickets = TicketCache(
-            node.advice, node.clock, self._tasks.spawn, node.view.find_advice
+            node.advice, node.clock, node.view.find_advice, self._ledger
         )
         self._writer = ProgressWriter(
             node.commits, holding, self._revisions, node.chance, node.pause
@@ -185,6 +185,8 @@
                 ledger.apply_report(executor_id, report, asked_at, now, wall, fence)
                 ledger.stop_slow_runs(executor_id, now)
             case StartAnswered(run, refusal, by_known_incarnation):
+                if refusal is Refusal.TICKET:
+                    self._tickets.drop(run.key[:3], run.executor_id)
                 ledger.apply_start_answer(run, refusal, now, by_known_incarnation)
             case StartLost(run):
                 ledger.handle_start_timeout(run, now)
@@ -226,6 +228,7 @@
 
     def _plan_runs(self, now):
         wall, shares = self._node.clock.read_wall(), self._shares.get()
+        self._tickets.remove_ended_jobs()
         quotas = self._quotas.begin_round(now, wall)
         plan_runs(self._ledger, now, wall, self._tickets.find, shares, quotas)
         self._quotas.end_round(now, wall)
--- a/peridotspoke/nodes/tickets.py
+++ b/peridotspoke/nodes/tickets.py
@@ -1,75 +1,60 @@
-"""Caches the tickets of steps whose queue requires advice on its executors."""
+"""Keeps the tickets of steps whose queue requires advice on its executors."""
 
-from dataclasses import dataclass, field
-
-from peridotspoke.exceptions import PlatformError
-from peridotspoke.logs import log_event
+from peridotspoke.nodes.advicequeue import AdviceRequest
+from peridotspoke.workloads.advising import StepAdvice, choose_candidates
+from peridotspoke.workloads.latestarts import find_bound_executor
 
 __all__ = ["TicketCache"]
 
-MAX_EXECUTORS_PER_CALL = 100  # limit of the platform's protocol
-MAX_PENDING_CALLS = 4  # of this node
-CALL_MARGIN = 1.0  # seconds added to the duration of a call that the queue states
-RETRY_DELAY = 0.5  # seconds after a failed call
-EXPIRY_MARGIN = 0.2  # seconds before its expiry from which a ticket is not used
-
-
-@dataclass(slots=True)
-class _StepTickets:
-    requested: set = field(default_factory=set)
-    tickets: dict = field(default_factory=dict)
-    expires_at: float = float("inf")
-    retry_at: float = 0.0
-    call_pending: bool = False
+LOOK_INTERVAL = 0.3  # seconds between two looks for what a step lacks
+UNKNOWN_SHARE = (1, 2)  # executors that may run a step, of those asked about
 
 
 class TicketCache:
-    """Requests a ticket once for each step and executor, and keeps it until it expires.
+    """Asks for the tickets that the steps of a pool lack, and keeps them.
 
     Parameters
     ----------
-    advice : AdviceCalls or None
+    advice : AdviceQueue or None
         None if there is no advice service; no tickets are requested then.
     clock : Clock
-    spawn : callable
-        Runs a coroutine as a task.
     find_advice : callable
         Takes a queue's name and returns its `Advice`, or None if it has none.
+    ledger : PoolLedger
+        Gives the executors' incarnations, and to which of them tasks are bound.
     """
 
-    def __init__(self, advice, clock, spawn, find_advice):
+    def __init__(self, advice, clock, find_advice, ledger):
         self._advice = advice
         self._clock = clock
-        self._spawn = spawn
         self._find_advice = find_advice
+        self._ledger = ledger
         self._steps = {}
-        self._pending_calls = 0
+        self._answers = {}
+        self._timings = {}
 
-    def find(self, work, executor_ids):
-        """Return the tickets of a step, and request those that are missing.
-
-        At most one call for each step is pending at a time.
+    def find(self, work, offers):
+        """Return the valid tickets of a step, and ask for those that it lacks.
 
         Parameters
         ----------
         work : StepWork
-        executor_ids : sequence of str
-            The executors that may need a ticket.
+        offers : dict of str to Offer
+            The executors that take new runs.
 
         Returns
         -------
         dict of str to str, or None
-            The tickets by executor; None if there is none yet, or none any more.
+            The tickets by executor; None if there is none.
         """
         step_key = work.tasks[0].key[:3]
         now = self._clock.read_monotonic()
-        step_tickets = self._steps.setdefault(step_key, _StepTickets())
-        if now > step_tickets.expires_at - EXPIRY_MARGIN:
-            step_tickets = self._steps[step_key] = _StepTickets()
-        missing = [name for name in executor_ids if name not in step_tickets.requested]
-        if missing and not step_tickets.call_pending and now >= step_tickets.retry_at:
-            self._request(work, step_tickets, missing[:MAX_EXECUTORS_PER_CALL])
-        return step_tickets.tickets or None
+        step = self._steps.setdefault(step_key, StepAdvice(now))
+        valid = step.list_valid(now, self._find_life)
+        if self._advice is not None and now >= step.looked_at + LOOK_INTERVAL:
+            step.looked_at = now
+            self._request_missing(work, offers, step, valid)
+        return valid or None
 
     def list_granted(self, step_key):
         """Return the set of executors with a ticket of a step that is still valid.
@@ -83,53 +68,71 @@
         -------
         set of str
         """
-        found = self._steps.get(step_key)
-        now = self._clock.read_monotonic()
-        if found is None or now > found.expires_at - EXPIRY_MARGIN:
+        step = self._steps.get(step_key)
+        if step is None:
             return set()
-        return set(found.tickets)
-
-    def remove_job(self, job_id):
-        """Remove the tickets of a job that has ended."""
-        self._steps = {
-            step_key: step_tickets
-            for step_key, step_tickets in self._steps.items()
-            if step_key[0] != job_id
-        }
-
-    def _request(self, work, step_tickets, executor_ids):
-        if self._advice is None or self._pending_calls >= MAX_PENDING_CALLS:
+        return set(step.list_valid(self._clock.read_monotonic(), self._find_life))
+
+    def drop(self, step_key, executor_id):
+        """Drop a ticket that its executor has refused."""
+        step = self._steps.get(step_key)
+        if step is not None:
+            step.drop(executor_id)
+
+    def remove_ended_jobs(self):
+        """Remove what is known of jobs that the ledger no longer has."""
+        if any(job_id not in self._ledger.jobs for job_id, *_ in self._steps):
+            self._steps = {
+                step_key: step
+                for step_key, step in self._steps.items()
+                if step_key[0] in self._ledger.jobs
+            }
+
+    def _find_life(self, executor_id):
+        state = self._ledger.executors.get(executor_id)
+        return None if state is None else state.incarnation
+
+    def _request_missing(self, work, offers, step, valid):
+        """Ask for the tickets that a step lacks, or withdraw the call that did."""
+        queue, step_key = work.progress.job.queue, work.tasks[0].key[:3]
+        bound = {find_bound_executor(self._ledger, task.key) for task in work.tasks}
+        good, asked = self._answers.get(queue, UNKNOWN_SHARE)
+        names = choose_candidates(
+            work, offers, step, valid, self._find_life, good / asked, bound
+        )
+        owner = (self._ledger.pool, step_key)
+        if not names:
+            self._advice.withdraw(owner)
             return
-        step_tickets.call_pending = True
-        self._pending_calls += 1
-        self._spawn(self._call(work, step_tickets, executor_ids))
-
-    async def _call(self, work, step_tickets, executor_ids):
-        key = work.tasks[0].key
-        advice = self._find_advice(work.progress.job.queue)
-        timeout = CALL_MARGIN
-        if advice is not None:
-            timeout += advice.call_time + advice.time_per_executor * len(executor_ids)
-        asked_at = self._clock.read_monotonic()
-        try:
-            grant = await self._advice.advise(key, executor_ids, timeout)
-        except PlatformError as error:
-            step_tickets.retry_at = self._clock.read_monotonic() + RETRY_DELAY
-            log_event("advice-missing", "WARNING", job=key.job_id, error=error)
+        lives = {name: self._find_life(name) for name in names}
+        request = AdviceRequest(work.tasks[0].key, lives, self._take)
+        duration = self._compute_duration(queue, len(names))
+        self._advice.request(owner, step.waiting_since, duration, request)
+
+    def _compute_duration(self, queue, count):
+        """Return how long a call about `count` executors takes, seconds.
+
+        A queue that was removed from the configuration keeps its last timing.
+        """
+        timing = self._find_advice(queue) or self._timings.get(queue)
+        if timing is None:
+            return 0.0
+        self._timings[queue] = timing
+        return timing.call_time + timing.time_per_executor * count
+
+    def _take(self, request, grant, begun_at):
+        """Take an answer in; if there is none, or too little, others come first."""
+        step = self._steps.get(request.key[:3])
+        if step is None:
             return
-        finally:
-            step_tickets.call_pending = False
-            self._pending_calls -= 1
-        step_tickets.requested.update(executor_ids)
-        step_tickets.tickets.update(grant.tickets)
-        step_tickets.expires_at = min(
-            step_tickets.expires_at, asked_at + grant.lifetime
-        )
-        log_event(
-            "advice-given",
-            job=key.job_id,
-            step=key.step,
-            asked=len(executor_ids),
-            good=len(grant.tickets),
-            life=grant.lifetime,
-        )
+        step.waiting_since = self._clock.read_monotonic()
+        step.looked_at = float("-inf")
+        if grant is None:
+            return
+        step.add(request.lives, grant, begun_at)
+        progress = self._ledger.jobs.get(request.key.job_id)
+        if progress is not None:
+            queue = progress.job.queue
+            good, asked = self._answers.get(queue, UNKNOWN_SHARE)
+            good += len(grant.tickets.keys() & request.lives.keys())
+            self._answers[queue] = (good, asked + len(request.lives))
--- a/peridotspoke/platform/assembly.py
+++ b/peridotspoke/platform/assembly.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from peridotspoke.metrics import MetricsRegistry
+from peridotspoke.nodes.advicequeue import AdviceQueue
 from peridotspoke.nodes.commits import TimedCommits
 from peridotspoke.nodes.node import DocumentCodec, Node
 from peridotspoke.nodes.parts import BoottimeClock, NodeParts
@@ -71,7 +72,7 @@
     if settings.advice:
         advice_peer = HttpPeer(settings.advice, memory=memory)
         parts.peers += (advice_peer,)
-        parts.advice = HttpAdvice(advice_peer)
+        parts.advice = AdviceQueue(HttpAdvice(advice_peer), parts.clock)
     codec = DocumentCodec(
         OPERATOR_PREFIX,
         CONFIGURATION_KEY,
--- a/peridotspoke/workloads/placement.py
+++ b/peridotspoke/workloads/placement.py
@@ -9,7 +9,14 @@
 
 from peridotspoke.workloads.jobs import Need
 
-__all__ = ["Offer", "choose_executor", "find_gang", "fits"]
+__all__ = [
+    "Offer",
+    "choose_executor",
+    "count_places",
+    "find_gang",
+    "fits",
+    "rank_offer",
+]
 
 MIN_EXECUTORS_OF_LASTING_STEP = 2
 
@@ -105,13 +112,32 @@
             continue
         if not fits(offer, step, need, group):
             continue
-        rank = _rank_offer(offer, step, need, group, avoid)
+        rank = rank_offer(offer, step, need, group, avoid)
         if best_rank is None or rank < best_rank:
             best, best_rank = offer, rank
     return best
 
 
-def _rank_offer(offer, step, need, group, avoid):
+def count_places(offer, step, need, group):
+    """Return how many more tasks of a step may be placed on an executor.
+
+    At most the number of the step's tasks.
+    """
+    if not fits(offer, step, need, group):
+        return 0
+    pairs = (
+        (offer.cpu, need.cpu),
+        (offer.memory, need.memory),
+        (offer.accelerators, need.accelerators),
+    )
+    places = min([step.count, *(room // part for room, part in pairs if part)])
+    if step.most_per_executor:
+        places = min(places, step.most_per_executor - offer.counts.get(group, 0))
+    return places
+
+
+def rank_offer(offer, step, need, group, avoid):
+    """Return the sort key by which executors are preferred for a task."""
     if step.lasting:
         share = math.ceil(step.count / MIN_EXECUTORS_OF_LASTING_STEP)
         has_share = offer.counts.get(group, 0) >= share
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -71,8 +71,8 @@
     wall : float
         Seconds since the Unix epoch.
     tickets : callable, optional
-        Called with a `StepWork` whose queue needs tickets and a tuple of executor
-        identities. Returns the valid tickets by executor, or None while they are not
+        Called with a `StepWork` whose queue needs tickets and the offers by executor.
+        Returns the valid tickets by executor, or None while they are not
         known; the step then waits.
     shares : PoolShares, optional
         Decides which steps come first where the executors lack room for all of them;
@@ -111,7 +111,7 @@
             continue
         granted = None
         if item.progress.job.terms.advised and tickets is not None:
-            granted = tickets(item, tuple(offers))
+            granted = tickets(item, offers)
             if granted is None:
                 continue
         if step.gang:
