Tell in the log that a lasting task waits for a late start

A task that is bound to an executor showed up in task-waiting with the reason of the others of its step, such as round or processors: whoever asked why it stands would look for room. Its reason is late-start now. No decision changes.

--- a/peridotspoke/workloads/latestarts.py
+++ b/peridotspoke/workloads/latestarts.py
@@ -17,7 +17,7 @@
     "drop_past_starts",
     "find_bound_executor",
     "inherit_late_start",
-    "may_start_beside",
+    "may_start_bound",
     "note_foreign_run",
     "record_late_start",
 ]
@@ -157,7 +157,7 @@
     return None if late is None else late.executor_id
 
 
-def may_start_beside(ledger, task, max_attempts):
+def may_start_bound(ledger, task, max_attempts):
     """Return whether a bound task may start on its executor now.
 
     The executor must have reported, under the fence that is due, that no run of the
--- a/peridotspoke/workloads/scheduling.py
+++ b/peridotspoke/workloads/scheduling.py
@@ -7,7 +7,7 @@
 from peridotspoke.workloads.latestarts import (
     drop_past_starts,
     find_bound_executor,
-    may_start_beside,
+    may_start_bound,
 )
 from peridotspoke.workloads.placement import Offer, choose_executor, find_gang
 from peridotspoke.workloads.places import drop_old_places, release_place
@@ -193,7 +193,7 @@
     if bound_to is None:
         return offers.values()
     max_attempts = item.progress.job.terms.max_attempts
-    if bound_to not in offers or not may_start_beside(ledger, task, max_attempts):
+    if bound_to not in offers or not may_start_bound(ledger, task, max_attempts):
         return ()
     return (offers[bound_to],)
 
--- a/peridotspoke/workloads/tests/test_latestarts.py
+++ b/peridotspoke/workloads/tests/test_latestarts.py
@@ -30,6 +30,7 @@
     start_all,
     store,
 )
+from peridotspoke.workloads.waiting import WaitReason, list_waiting
 
 SHORT = Step(1, Need(1000, 100))
 LASTING = Step(1, Need(1000, 100), lasting=True)
@@ -174,6 +175,14 @@
     assert member.executor_id == lost.executor_id
 
 
+def test_a_task_that_lasts_and_waits_for_a_late_start_says_so():
+    """Whoever asks the log why it stands would look for a lack of room."""
+    ledger, run = lose_start(LASTING)
+    ledger.note_unreachable(run.executor_id, "crashed", 1.5)
+    waiting = list_waiting(ledger, 2.0, lambda group: frozenset())
+    assert waiting == {run.key: WaitReason.LATE_START}
+
+
 def test_a_copy_may_run_anywhere():
     """The rule on double runs leaves out steps that may run in several copies."""
     ledger, run = lose_start(replace(SHORT, speculative=True))
--- a/peridotspoke/workloads/waiting.py
+++ b/peridotspoke/workloads/waiting.py
@@ -31,6 +31,9 @@
         The lease of an earlier run has not certainly ended.
     START
         A run is planned, but not stored, or was sent and not answered.
+    LATE_START
+        An earlier start may still be carried out, and its executor takes no work now,
+        or still runs it.
     TICKET
         No executor that takes work has a ticket for it.
     EXECUTORS
@@ -47,6 +50,7 @@
 
     LEASE = "lease"
     START = "start"
+    LATE_START = "late-start"
     TICKET = "ticket"
     EXECUTORS = "executors"
     LABEL = "label"
@@ -157,6 +161,8 @@
                 held = _find_hold(ledger, task)
                 if held is not None:
                     waiting[task.key] = held
+            elif task.key in ledger.late_starts:
+                waiting[task.key] = WaitReason.LATE_START
             elif task.status is TaskStatus.WAITING:
                 if offers is None:
                     offers = tuple(make_offers(ledger, now).values())
