--- a/peridotspoke/nodes/supervising.py
+++ b/peridotspoke/nodes/supervising.py
@@ -261,9 +261,8 @@
             except RecordError as error:
                 log_event("progress-unreadable", "ERROR", job=job_id, error=error)
                 return
-            self._revisions[job_id] = (
-                job_view.progress.revision if job_view.progress else 0
-            )
+            stored = job_view.progress
+            self._revisions[job_id] = stored.revision if stored else 0
             self._log(
                 "job-taken",
                 revision=job_view.revision,
--- a/peridotspoke/workloads/executorledger.py
+++ b/peridotspoke/workloads/executorledger.py
@@ -1,7 +1,7 @@
 """The executors of a pool: whether they are listed and answer, and their restarts."""
 
+from peridotspoke.workloads.evidence import compute_age
 from peridotspoke.workloads.leaseledger import LeaseLedger
-from peridotspoke.workloads.runledger import compute_age
 from peridotspoke.workloads.runs import RunPhase
 from peridotspoke.workloads.slowruns import find_slow_runs
 
@@ -277,3 +277,33 @@
         is_stopping = run.phase is RunPhase.STOPPING
         begun_at = run.stop_answered_at if is_stopping else run.missing_since
         return None if begun_at is None else begun_at + self.rules.stop_limit
+
+    def list_end_cursors(self):
+        """Return how far the ended runs of each executor are processed.
+
+        Returns
+        -------
+        dict of str to tuple of (int, int)
+            The start of the incarnation, Unix milliseconds, and the number of the last
+            processed ended run, by executor.
+        """
+        return {
+            state.executor_id: (state.incarnation, state.cursor)
+            for state in self.executors.values()
+        }
+
+    def acknowledge_ends(self, cursors):
+        """Record up to which ended run of each executor the effects are stored.
+
+        The executor may forget the ended runs up to that one.
+
+        Parameters
+        ----------
+        cursors : dict of str to tuple of (int, int)
+            An earlier result of `list_end_cursors`. Cursors of earlier incarnations are
+            ignored.
+        """
+        for executor_id, (incarnation, cursor) in cursors.items():
+            state = self.executors.get(executor_id)
+            if state is not None and state.incarnation == incarnation:
+                state.acknowledged = max(state.acknowledged, cursor)
--- a/peridotspoke/workloads/leaseledger.py
+++ b/peridotspoke/workloads/leaseledger.py
@@ -4,8 +4,8 @@
 on the slowest clock, whichever owner of the pool granted it.
 """
 
+from peridotspoke.workloads.evidence import compute_age
 from peridotspoke.workloads.jobledger import JobLedger
-from peridotspoke.workloads.runledger import compute_age
 
 __all__ = ["LeaseLedger"]
 
--- a/peridotspoke/workloads/ledger.py
+++ b/peridotspoke/workloads/ledger.py
@@ -280,36 +280,6 @@
             self.durations.observe(run.progress.job.queue, run.step.estimate, duration)
         state.penalty *= SUCCESS_FACTOR
 
-    def list_end_cursors(self):
-        """Return how far the ended runs of each executor are processed.
-
-        Returns
-        -------
-        dict of str to tuple of (int, int)
-            The start of the incarnation, Unix milliseconds, and the number of the last
-            processed ended run, by executor.
-        """
-        return {
-            state.executor_id: (state.incarnation, state.cursor)
-            for state in self.executors.values()
-        }
-
-    def acknowledge_ends(self, cursors):
-        """Record up to which ended run of each executor the effects are stored.
-
-        The executor may forget the ended runs up to that one.
-
-        Parameters
-        ----------
-        cursors : dict of str to tuple of (int, int)
-            An earlier result of `list_end_cursors`. Cursors of earlier incarnations are
-            ignored.
-        """
-        for executor_id, (incarnation, cursor) in cursors.items():
-            state = self.executors.get(executor_id)
-            if state is not None and state.incarnation == incarnation:
-                state.acknowledged = max(state.acknowledged, cursor)
-
     def apply_start_answer(self, run, refusal, now, by_known_incarnation=False):
         """Update a run from the answer to its start.
 
--- a/peridotspoke/workloads/runledger.py
+++ b/peridotspoke/workloads/runledger.py
@@ -1,6 +1,7 @@
 """The runs of a pool's tasks: planned, stored, started, stopped and released."""
 
 from peridotspoke.workloads.estimation import DurationModel
+from peridotspoke.workloads.evidence import describe_evidence
 from peridotspoke.workloads.executors import StopOrder
 from peridotspoke.workloads.latestarts import record_late_start
 from peridotspoke.workloads.ledgertypes import (
@@ -12,7 +13,7 @@
 from peridotspoke.workloads.progress import JobOutcome, TaskStatus, encode_progress
 from peridotspoke.workloads.runs import Run, RunPhase
 
-__all__ = ["RunLedger", "compute_age"]
+__all__ = ["RunLedger"]
 
 MAX_BEGIN_DELAY_S = 1.0  # until the begin of a job is stored; tells callers its state
 
@@ -362,40 +363,11 @@
             "run-over",
             run,
             reason=reason,
-            **self._describe_evidence(run, now),
+            **describe_evidence(self.executors[run.executor_id], run, now),
             **fields,
         )
         self._mark_waiting(run)
 
-    def _describe_evidence(self, run, now):
-        """Return the log's fields about what is known of a run and its executor.
-
-        They tell a run that has ended from one that may go on. Of the run: when it was
-        ordered, or this owner took it over, for which incarnation, what confirmed it,
-        when its stop was answered, and since when reports don't list it. Of the
-        executor: the incarnation that the owner knows and for how long, when a call
-        last got no answer, up to which number its ends are handled and may be
-        forgotten, whether it is listed and answers, the age of its report before, and
-        what is left of the lease on its confirmed runs. Ages are in seconds.
-        """
-        state = self.executors[run.executor_id]
-        return {
-            "confirmed": run.confirmed_by or "no",
-            "ordered_age": now - run.planned_at,
-            "ordered_born": run.task.incarnation,
-            "stop_age": compute_age(run.stop_answered_at, now),
-            "missing_age": compute_age(run.missing_since, now),
-            "born": state.incarnation,
-            "born_age": compute_age(state.known_since, now),
-            "unanswered_age": compute_age(state.unanswered_at, now),
-            "cursor": state.cursor,
-            "acknowledged": state.acknowledged,
-            "listed": state.entry is not None,
-            "reachable": state.reachable,
-            "report_age": compute_age(state.reported_at, now),
-            "lease_left": state.lease_end - now,
-        }
-
     def _mark_waiting(self, run):
         if run.task.status is TaskStatus.ASSIGNED:
             run.task.status = TaskStatus.WAITING
@@ -405,8 +377,3 @@
         """Yield the runs of all executors."""
         for state in self.executors.values():
             yield from state.runs.values()
-
-
-def compute_age(since, now):
-    """Return the time that has passed since, seconds; None if `since` is None."""
-    return None if since is None else now - since
--- a/peridotspoke/workloads/tests/test_late_calls.py
+++ b/peridotspoke/workloads/tests/test_late_calls.py
@@ -14,7 +14,7 @@
     ONE_TASK,
     TWO_TASKS,
 )
-from peridotspoke.workloads.tests.weakenedowners import make_unbound_world
+from peridotspoke.workloads.tests.weakenedledgers import make_unbound_world
 
 STEP_S = 0.25
 POLL_S = 0.5
--- a/peridotspoke/workloads/tests/test_ownership_machine.py
+++ b/peridotspoke/workloads/tests/test_ownership_machine.py
@@ -32,8 +32,8 @@
     InheritedRunDroppingLedger,
     LeaseIgnoringLedger,
     LostStartRetryingLedger,
+    make_unbound_world,
 )
-from peridotspoke.workloads.tests.weakenedowners import make_unbound_world
 
 STEPS = (Step(2, Need(1000, 100)), Step(1, Need(1000, 100), after=(0,)))
 INDEX = st.integers(min_value=0, max_value=30)
--- a/peridotspoke/workloads/tests/weakenedledgers.py
+++ b/peridotspoke/workloads/tests/weakenedledgers.py
@@ -9,6 +9,8 @@
 from peridotspoke.nodes.grants import LeaseGrants
 from peridotspoke.workloads.ledger import PoolLedger
 from peridotspoke.workloads.runs import RunPhase
+from peridotspoke.workloads.tests.ledgers import make_job
+from peridotspoke.workloads.tests.ownershipmodel import World
 
 __all__ = [
     "EarlierOwnerForgettingLedger",
@@ -31,6 +33,7 @@
     "UnconfirmedStartDroppingLedger",
     "UnreportedRunDroppingLedger",
     "UnsentFenceLedger",
+    "make_unbound_world",
     "unbind",
 ]
 
@@ -211,3 +214,17 @@
 
     def advance_cursors(self, list_cursors, dirty):
         return list_cursors()
+
+
+def make_unbound_world(*steps):
+    """Return a `World` in which a task may run elsewhere beside an earlier start of it.
+
+    That it may not keeps the rules of its own in histories that show what fences and
+    leases are for.
+    """
+    world = World(make_job(*steps))
+    world.make_ledger = UnboundLedger
+    world.take_over()
+    world.retired.clear()
+    world.first_fence = world.fence
+    return world
--- a/peridotspoke/workloads/tests/weakenedowners.py
+++ b/peridotspoke/workloads/tests/weakenedowners.py
@@ -9,8 +9,6 @@
 from peridotspoke.nodes.committing import CommitTracker
 from peridotspoke.nodes.grants import LeaseGrants
 from peridotspoke.workloads.ledger import PoolLedger
-from peridotspoke.workloads.tests.ledgers import make_job
-from peridotspoke.workloads.tests.ownershipmodel import World
 from peridotspoke.workloads.tests.ownershipwalks import LASTING_TASK, ONE_TASK
 from peridotspoke.workloads.tests.weakenedledgers import (
     EarlierOwnerForgettingLedger,
@@ -35,7 +33,7 @@
     unbind,
 )
 
-__all__ = ["WEAKENED_OWNERS", "Weakening", "make_unbound_world"]
+__all__ = ["WEAKENED_OWNERS", "Weakening"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,20 +112,6 @@
         world.renews_fence = self.renews_fence
 
 
-def make_unbound_world(*steps):
-    """Return a `World` in which a task may run elsewhere beside an earlier start of it.
-
-    That it may not keeps the rules of its own in histories that show what fences and
-    leases are for.
-    """
-    world = World(make_job(*steps))
-    world.make_ledger = UnboundLedger
-    world.take_over()
-    world.retired.clear()
-    world.first_fence = world.fence
-    return world
-
-
 CUT_OFF_KINDS = (
     "work_with_all",
     "work_with_one",
