--- a/peridotspoke/workloads/tests/modelnetwork.py
+++ b/peridotspoke/workloads/tests/modelnetwork.py
@@ -61,7 +61,7 @@
     def _limit_start_lease(self, order, executor):
         """Return the end of the lease of a start that is carried out now, seconds.
 
-        The second limit that `may_arrive` tells holds here.
+        The first limit that `may_arrive` tells holds here.
         """
         lease_end = executor.limit_lease(order.lease_end, order.incarnation)
         if order.incarnation == executor.incarnation or self._is_sent_anew(order):
