--- a/peridotspoke/workloads/advising.py
+++ b/peridotspoke/workloads/advising.py
@@ -171,7 +171,7 @@
     return tuple(chosen[:MAX_EXECUTORS_PER_CALL])
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class WaitingCall:
     """A call that waits for its turn. Times are monotonic seconds.
 
--- a/peridotspoke/workloads/placement.py
+++ b/peridotspoke/workloads/placement.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from peridotspoke.workloads.jobs import Need
+from peridotspoke.workloads.quotarecords import count_fitting
 
 __all__ = [
     "Offer",
@@ -125,12 +126,7 @@
     """
     if not fits(offer, step, need, group):
         return 0
-    pairs = (
-        (offer.cpu, need.cpu),
-        (offer.memory, need.memory),
-        (offer.accelerators, need.accelerators),
-    )
-    places = min([step.count, *(room // part for room, part in pairs if part)])
+    places = count_fitting(offer, need, step.count)
     if step.most_per_executor:
         places = min(places, step.most_per_executor - offer.counts.get(group, 0))
     return places
